--- /dev/null
+++ b/include/arbutusferry/logging.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "arbutusferry/error.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace arbutusferry {
+
+enum class log_level
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+template<>
+inline constexpr enum_name_table<log_level, 4> kEnumNames<log_level>{ {
+  { log_level::Debug, "debug" },
+  { log_level::Info, "info" },
+  { log_level::Warning, "warning" },
+  { log_level::Error, "error" },
+} };
+
+/// One field of a log line.
+using log_field = std::pair<std::string_view, std::string>;
+
+/// Sets up spdlog to write JSON lines to standard error.
+/// @param aProgram Name in the field "program".
+/// @param aLevel Lowest level that is written.
+void
+InitLogging(const std::string& aProgram, log_level aLevel);
+
+/// Writes one JSON line with time, level, program, event and the fields.
+/// Common fields: "step", "peer", "request". Never pass a key.
+void
+Log(log_level aLevel,
+    std::string_view aEvent,
+    std::initializer_list<log_field> aFields = {});
+
+/// Writes an error with its step, peer and message.
+void
+LogError(log_level aLevel, std::string_view aEvent, const error_info& aError);
+
+} // namespace arbutusferry
--- /dev/null
+++ b/include/arbutusferry/node_sync.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "arbutusferry/log_record.hpp"
+#include "arbutusferry/target.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusferry {
+
+/// Waiting and running work of one tenant in one target class at an entry.
+struct tenant_demand
+{
+  std::string tenant;
+  std::string targetClass;
+  std::int64_t waiting = 0;
+  std::int64_t running = 0;
+  double attainedTokens = 0; ///< Weighted tokens served since the start.
+};
+
+/// Slots that an entry may use at one target.
+struct slot_grant
+{
+  std::string target;
+  std::int64_t slots = 0;
+};
+
+/// An entry process that is live in some availability zone.
+struct entry_info
+{
+  std::string instance;
+  std::string zone;
+  std::string address; ///< "IP:port" for callers and for permit forwards.
+  bool draining = false;
+  std::vector<std::string> adopted; ///< Instances whose permits it took over.
+};
+
+/// Sent by an entry process to its control process, which holds it until
+/// there is something new or `holdMs` passed.
+struct node_sync_request
+{
+  entry_info entry;
+  log_offset offset = kNoOffset; ///< Highest configuration offset folded.
+  std::int64_t holdMs = 500;
+  std::vector<tenant_demand> demand;
+  std::vector<usage_counter> usage; ///< Cumulative, changed since last answer.
+  std::map<std::string, std::int64_t> inFlight; ///< By target id.
+};
+
+/// Answer to `node_sync_request`.
+struct node_sync_response
+{
+  Json::Value state; ///< Whole state, when records are not enough.
+  std::vector<raw_log_record>
+    records;                        ///< Configuration records after `offset`.
+  log_offset offset = kNoOffset;    ///< Offset up to which this is complete.
+  std::int64_t viewAgeMs = -1;      ///< Age of the view; -1 if never complete.
+  std::int64_t staleAfterMs = 4000; ///< Keys are refused above this age.
+  std::int64_t grantTtlMs = 5000;
+  bool hasGrants = false;
+  std::vector<slot_grant> grants;
+  std::vector<entry_info> entries;
+  std::vector<target_info> targets;
+};
+
+[[nodiscard]] Json::Value
+WriteNodeSyncRequest(const node_sync_request& aRequest);
+[[nodiscard]] result<node_sync_request>
+ReadNodeSyncRequest(const Json::Value& aValue, const std::string& aPeer);
+[[nodiscard]] Json::Value
+WriteNodeSyncResponse(const node_sync_response& aResponse);
+[[nodiscard]] result<node_sync_response>
+ReadNodeSyncResponse(const Json::Value& aValue, const std::string& aPeer);
+
+} // namespace arbutusferry
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
