Add dispatcher with fair queue, slot limits and target choice

A counter over all target classes was ruled out: a tenant with work for one full class only would hold the minimum down for every other class.

The public interface gains UpdateTenantGrants and AddCacheEvents, because an entry cannot tell a tenant's share of its own slots from the shares alone when the tenant also has work at other entries.

--- a/include/arbutusferry/dispatcher.hpp
+++ b/include/arbutusferry/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/error.hpp"
 #include "arbutusferry/node_sync.hpp"
+#include "arbutusferry/prefix_hints.hpp"
 #include "arbutusferry/target.hpp"
 #include "arbutusferry/time.hpp"
 
@@ -15,6 +16,9 @@
 
 namespace arbutusferry {
 
+class queue_policy;
+class selection_policy;
+
 /// Kind of work, which decides the order within a tenant.
 enum class work_kind
 {
@@ -88,6 +92,16 @@
                              std::size_t aEntries,
                              time_point aNow) = 0;
 
+  /// Replaces the slots by tenant that the grants were planned for. Until they
+  /// expire they take the place of the shares, because a tenant's share of one
+  /// entry depends on its work at the other entries.
+  virtual void UpdateTenantGrants(const std::vector<tenant_grant>& aGrants,
+                                  time_point aExpiry) = 0;
+
+  /// Applies cache events of a target, as hints for the choice of target.
+  virtual void AddCacheEvents(const std::string& aTarget,
+                              const std::vector<cache_event>& aEvents) = 0;
+
   /// Queues an item; the callback may run before this returns.
   virtual work_id Submit(work_item aItem,
                          dispatch_callback aCallback,
@@ -121,13 +135,20 @@
 /// Settings of a dispatcher.
 struct dispatcher_options
 {
-  std::string zone;                     ///< Own availability zone.
-  std::size_t maxQueuePerTenant = 4096; ///< Items; more are refused.
-  std::uint64_t seed = 1;               ///< For sampling candidates.
+  std::string zone;                                ///< Own availability zone.
+  std::size_t maxQueuePerTenant = 4096;            ///< Items; more are refused.
+  std::uint64_t seed = 1;                          ///< For sampling candidates.
+  duration zoneHop = std::chrono::milliseconds(1); ///< One way, between zones.
 };
 
 /// @return The dispatcher with fair queue and slot grants.
 [[nodiscard]] std::unique_ptr<dispatcher>
 MakeDispatcher(const dispatcher_options& aOptions);
 
+/// @return A dispatcher with other policies, for comparisons.
+[[nodiscard]] std::unique_ptr<dispatcher>
+MakeDispatcher(const dispatcher_options& aOptions,
+               std::unique_ptr<queue_policy> aQueue,
+               std::unique_ptr<selection_policy> aSelection);
+
 } // namespace arbutusferry
--- a/include/arbutusferry/node_sync.hpp
+++ b/include/arbutusferry/node_sync.hpp
@@ -26,6 +26,14 @@
   std::int64_t slots = 0;
 };
 
+/// Slots planned for one tenant at an entry, over all targets of a class.
+struct tenant_grant
+{
+  std::string tenant;
+  std::string targetClass;
+  double slots = 0;
+};
+
 /// An entry process that is live in some availability zone.
 struct entry_info
 {
--- /dev/null
+++ b/src/routing/fair_queue.cpp
@@ -0,0 +1,371 @@
+#include "arbutusferry/fair_queue.hpp"
+
+#include "routing/queue_base.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace arbutusferry {
+
+namespace {
+
+/// One dispatch in this many takes the class of work that the order would
+/// otherwise pass over (samples behind interactive calls, the oldest sample
+/// behind groups nearer to completion), so that nothing starves.
+constexpr int kAgingInterval = 8;
+
+/// A tenant that waits for particular targets may fall behind the others by
+/// this many items. Without a bound it would later take all targets until it
+/// had caught up.
+constexpr double kMaxCreditItems = 64;
+
+/// Weight of the newest observation in running means.
+constexpr double kMeanGain = 0.05;
+
+/// Waiting items of one tenant with equal needs.
+struct bucket
+{
+  using group_rank = std::tuple<std::int64_t, work_id, std::string>;
+
+  struct group_items
+  {
+    std::int64_t remaining = 0;
+    std::set<work_id> items;
+  };
+
+  std::set<std::pair<time_point, work_id>> interactive;
+  std::map<std::string, group_items> groups;
+  std::set<group_rank> ranked; ///< By remaining, oldest item, name.
+  std::set<work_id> samples;   ///< By age.
+
+  [[nodiscard]] bool empty() const
+  {
+    return interactive.empty() && samples.empty();
+  }
+
+  static group_rank Rank(const std::string& aName, const group_items& aGroup)
+  {
+    return { aGroup.remaining, *aGroup.items.begin(), aName };
+  }
+
+  void AddSample(work_id aId,
+                 const std::string& aGroup,
+                 std::int64_t aRemaining)
+  {
+    auto& group = groups[aGroup];
+    if (!group.items.empty()) {
+      ranked.erase(Rank(aGroup, group));
+    }
+    group.remaining = aRemaining;
+    group.items.insert(aId);
+    ranked.insert(Rank(aGroup, group));
+    samples.insert(aId);
+  }
+
+  void RemoveSample(work_id aId, const std::string& aGroup)
+  {
+    auto& group = groups[aGroup];
+    ranked.erase(Rank(aGroup, group));
+    group.items.erase(aId);
+    samples.erase(aId);
+    if (group.items.empty()) {
+      groups.erase(aGroup);
+    } else {
+      ranked.insert(Rank(aGroup, group));
+    }
+  }
+
+  void Rerank(const std::string& aGroup, std::int64_t aRemaining)
+  {
+    const auto found = groups.find(aGroup);
+    if (found != groups.end()) {
+      ranked.erase(Rank(aGroup, found->second));
+      found->second.remaining = aRemaining;
+      ranked.insert(Rank(aGroup, found->second));
+    }
+  }
+};
+
+time_point
+DeadlineKey(const work_item& aItem)
+{
+  return aItem.deadline == time_point{} ? time_point::max() : aItem.deadline;
+}
+
+/// Samples of a group that are not finished.
+struct group_state
+{
+  std::int64_t remaining = 0;
+  std::int64_t pending = 0; ///< Waiting and running items here.
+};
+
+/// One tenant in one target class.
+struct account
+{
+  double counter = 0; ///< Tokens served divided by weight.
+  double lift = 0;    ///< Sum of raises to the minimum, which are not service.
+  bool unservable = false; ///< No live target met its needs when last asked.
+  std::uint64_t lastServed = 0;
+  std::size_t waiting = 0;
+  int sinceSample = 0;
+  int sinceOldest = 0;
+  std::map<placement_needs, bucket> buckets;
+  std::map<std::string, group_state> groups;
+};
+
+/// All tenants in one target class.
+struct class_queue
+{
+  double minimum = 0; ///< Highest counter that was the lowest when dispatched.
+  double meanTokens = 1;
+  std::map<std::string, account> accounts;
+  std::map<std::string, double> weights;
+};
+
+class fair_queue final : public queue_base
+{
+public:
+  using queue_base::queue_base;
+
+  void UpdateShares(const std::map<std::string, double>& aShares) override
+  {
+    mShares = aShares;
+  }
+
+  void UpdateWeights(const std::string& aClass,
+                     const std::map<std::string, double>& aWeights) override
+  {
+    // Scaled to the sum of the shares, so that differences between counters
+    // keep their meaning when weights replace shares.
+    double weights = 0;
+    double shares = 0;
+    for (const auto& [tenant, weight] : aWeights) {
+      weights += weight;
+      shares += Share(tenant);
+    }
+    auto& scaled = mClasses[aClass].weights;
+    scaled.clear();
+    for (const auto& [tenant, weight] : aWeights) {
+      if (weight > 0 && weights > 0) {
+        scaled[tenant] = weight * shares / weights;
+      }
+    }
+  }
+
+  std::optional<queued_item> Pop(const std::string& aClass,
+                                 const placement_check& aCheck) override
+  {
+    const auto found = mClasses.find(aClass);
+    if (found == mClasses.end()) {
+      return std::nullopt;
+    }
+    auto& queue = found->second;
+    mOrder.clear();
+    for (auto& [tenant, account] : queue.accounts) {
+      if (account.waiting > 0) {
+        mOrder.emplace_back(
+          account.counter, account.lastServed, &tenant, &account);
+      }
+    }
+    std::sort(mOrder.begin(), mOrder.end());
+    for (const auto& [counter, served, tenant, account] : mOrder) {
+      if (const auto id = Choose(queue, *account, aCheck)) {
+        return Dispatch(queue, *tenant, *account, *id);
+      }
+    }
+    return std::nullopt;
+  }
+
+private:
+  using candidate =
+    std::tuple<double, std::uint64_t, const std::string*, account*>;
+
+  double Share(const std::string& aTenant) const
+  {
+    const auto found = mShares.find(aTenant);
+    return found == mShares.end() || found->second <= 0 ? 1.0 : found->second;
+  }
+
+  double Weight(const class_queue& aQueue, const std::string& aTenant) const
+  {
+    const auto found = aQueue.weights.find(aTenant);
+    return found == aQueue.weights.end() ? Share(aTenant) : found->second;
+  }
+
+  static void LiftTo(account& aAccount, double aCounter)
+  {
+    if (aAccount.counter < aCounter) {
+      aAccount.lift += aCounter - aAccount.counter;
+      aAccount.counter = aCounter;
+    }
+  }
+
+  /// @return The tenant's next item that can start now.
+  std::optional<work_id> Choose(const class_queue& aQueue,
+                                account& aAccount,
+                                const placement_check& aCheck) const
+  {
+    bool servable = false;
+    bool samples = false;
+    std::pair<time_point, work_id> interactive{ time_point::max(), 0 };
+    bucket::group_rank rank{};
+    work_id oldest = std::numeric_limits<work_id>::max();
+    for (const auto& [needs, bucket] : aAccount.buckets) {
+      const auto placed = aCheck(needs);
+      servable = servable || placed != placement::Never;
+      if (placed != placement::Now) {
+        continue;
+      }
+      if (!bucket.interactive.empty() &&
+          (interactive.second == 0 ||
+           *bucket.interactive.begin() < interactive)) {
+        interactive = *bucket.interactive.begin();
+      }
+      if (!bucket.samples.empty()) {
+        if (!samples || *bucket.ranked.begin() < rank) {
+          rank = *bucket.ranked.begin();
+        }
+        oldest = std::min(oldest, *bucket.samples.begin());
+        samples = true;
+      }
+    }
+    // A tenant that could not be served at all counts as idle.
+    if (servable && aAccount.unservable) {
+      LiftTo(aAccount, aQueue.minimum);
+    }
+    aAccount.unservable = !servable;
+    if (samples && (interactive.second == 0 ||
+                    aAccount.sinceSample >= kAgingInterval - 1)) {
+      aAccount.sinceSample = 0;
+      if (++aAccount.sinceOldest >= kAgingInterval) {
+        aAccount.sinceOldest = 0;
+        return oldest;
+      }
+      return std::get<1>(rank);
+    }
+    if (interactive.second != 0) {
+      aAccount.sinceSample += samples ? 1 : 0;
+      return interactive.second;
+    }
+    return std::nullopt;
+  }
+
+  queued_item Dispatch(class_queue& aQueue,
+                       const std::string& aTenant,
+                       account& aAccount,
+                       work_id aId)
+  {
+    aQueue.minimum = std::max(aQueue.minimum, aAccount.counter);
+    const auto& item = Find(aId);
+    if (item.kind == work_kind::Sample) {
+      ++aAccount.groups[item.group].pending;
+    }
+    Remove(aId, item);
+    const double tokens = std::max(item.estimatedTokens, 0.0);
+    const double weight = Weight(aQueue, aTenant);
+    LiftTo(aAccount,
+           aQueue.minimum - kMaxCreditItems * aQueue.meanTokens / weight);
+    aAccount.counter += tokens / weight;
+    aAccount.lastServed = ++mServed;
+    return Start(aId, tokens, aAccount.lift);
+  }
+
+  void Insert(work_id aId, const work_item& aItem) override
+  {
+    auto& queue = mClasses[aItem.targetClass];
+    auto& account = queue.accounts[aItem.tenant];
+    if (account.waiting++ == 0) {
+      LiftTo(account, queue.minimum);
+    }
+    auto& bucket = account.buckets[NeedsOf(aItem)];
+    if (aItem.kind == work_kind::Interactive) {
+      bucket.interactive.emplace(DeadlineKey(aItem), aId);
+      return;
+    }
+    auto& group = account.groups[aItem.group];
+    ++group.pending;
+    group.remaining = aItem.groupRemaining;
+    bucket.AddSample(aId, aItem.group, group.remaining);
+    RerankGroup(account, aItem.group, group.remaining);
+  }
+
+  void Remove(work_id aId, const work_item& aItem) override
+  {
+    auto& account = mClasses[aItem.targetClass].accounts[aItem.tenant];
+    --account.waiting;
+    const auto found = account.buckets.find(NeedsOf(aItem));
+    auto& bucket = found->second;
+    if (aItem.kind == work_kind::Interactive) {
+      bucket.interactive.erase({ DeadlineKey(aItem), aId });
+    } else {
+      bucket.RemoveSample(aId, aItem.group);
+      ReleaseGroup(account, aItem.group);
+    }
+    if (bucket.empty()) {
+      account.buckets.erase(found);
+    }
+  }
+
+  void Correct(const running_item& aItem,
+               double aTokens,
+               bool aFinished) override
+  {
+    auto& queue = mClasses[aItem.targetClass];
+    auto& account = queue.accounts[aItem.tenant];
+    queue.meanTokens += kMeanGain * (aTokens - queue.meanTokens);
+    // The account may have been raised to the minimum since the charge. Then
+    // the raise already covers that much of the correction; a refund on top
+    // of it would turn idle time into credit.
+    const double lifted = account.lift - aItem.lift;
+    const double change =
+      (aTokens - aItem.charged) / Weight(queue, aItem.tenant);
+    if (change > 0) {
+      account.counter += std::max(0.0, change - lifted);
+    } else if (lifted <= 0) {
+      account.counter += change;
+    }
+    if (aItem.kind == work_kind::Sample) {
+      const auto group = account.groups.find(aItem.group);
+      if (group != account.groups.end()) {
+        if (aFinished && group->second.remaining > 0) {
+          --group->second.remaining;
+          RerankGroup(account, aItem.group, group->second.remaining);
+        }
+        ReleaseGroup(account, aItem.group);
+      }
+    }
+  }
+
+  static void RerankGroup(account& aAccount,
+                          const std::string& aGroup,
+                          std::int64_t aRemaining)
+  {
+    for (auto& [needs, bucket] : aAccount.buckets) {
+      bucket.Rerank(aGroup, aRemaining);
+    }
+  }
+
+  static void ReleaseGroup(account& aAccount, const std::string& aGroup)
+  {
+    const auto found = aAccount.groups.find(aGroup);
+    if (found != aAccount.groups.end() && --found->second.pending <= 0) {
+      aAccount.groups.erase(found);
+    }
+  }
+
+  std::map<std::string, double> mShares;
+  std::map<std::string, class_queue> mClasses;
+  std::vector<candidate> mOrder; ///< Kept to avoid allocations.
+  std::uint64_t mServed = 0;
+};
+
+} // namespace
+
+std::unique_ptr<queue_policy>
+MakeFairQueue(std::size_t aMaxPerTenant)
+{
+  return std::make_unique<fair_queue>(aMaxPerTenant);
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/routing/queue_base.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "arbutusferry/fair_queue.hpp"
+
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace arbutusferry {
+
+/// Bookkeeping that the queue policies share: bounds, deadlines and demand.
+class queue_base : public queue_policy
+{
+public:
+  explicit queue_base(std::size_t aMaxPerTenant)
+    : mMaxPerTenant(aMaxPerTenant)
+  {
+  }
+
+  bool Push(work_id aId, work_item aItem) override;
+  void Settle(work_id aId, double aTokens, bool aFinished) override;
+  bool Erase(work_id aId) override;
+  std::vector<queued_item> Expire(time_point aNow) override;
+  std::size_t Waiting(const std::string& aTenant) const override;
+  std::size_t WaitingInClass(const std::string& aClass) const override;
+  std::vector<tenant_demand> Demand() const override;
+
+protected:
+  /// A popped item until it is settled.
+  struct running_item
+  {
+    std::string tenant;
+    std::string targetClass;
+    std::string group;
+    work_kind kind = work_kind::Interactive;
+    double estimate = 0; ///< As submitted.
+    double charged = 0;  ///< Tokens charged at dispatch.
+    double lift = 0;     ///< Lift of the account at dispatch.
+  };
+
+  /// Inserts a waiting item into the order; it is already in `Find`.
+  virtual void Insert(work_id aId, const work_item& aItem) = 0;
+  /// Removes a waiting item from the order.
+  virtual void Remove(work_id aId, const work_item& aItem) = 0;
+  /// Corrects the charge of a running item.
+  virtual void Correct(const running_item& aItem,
+                       double aTokens,
+                       bool aFinished) = 0;
+
+  [[nodiscard]] const work_item& Find(work_id aId) const
+  {
+    return mWaiting.at(aId);
+  }
+  /// Moves an item from waiting to running.
+  queued_item Start(work_id aId, double aCharged, double aLift);
+
+private:
+  struct demand_count
+  {
+    std::int64_t waiting = 0;
+    std::int64_t running = 0;
+    double attained = 0;
+  };
+
+  void Forget(work_id aId, const work_item& aItem);
+
+  std::size_t mMaxPerTenant;
+  std::unordered_map<work_id, work_item> mWaiting;
+  std::unordered_map<work_id, running_item> mRunning;
+  std::set<std::pair<time_point, work_id>> mDeadlines;
+  std::map<std::string, std::size_t> mByTenant;
+  std::map<std::string, std::size_t> mByClass;
+  std::map<std::pair<std::string, std::string>, demand_count> mDemand;
+};
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/routing/scheduler.cpp
@@ -0,0 +1,416 @@
+#include "routing/scheduler.hpp"
+
+#include "arbutusferry/hash.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace arbutusferry {
+
+namespace {
+
+/// Retries of a tenant are refused for this long after its queue was full.
+constexpr duration kSheddingTime = std::chrono::seconds(1);
+
+/// Weight of the newest exchange in the mean service time.
+constexpr double kServiceGain = 0.05;
+
+} // namespace
+
+scheduler::scheduler(const dispatcher_options& aOptions,
+                     std::unique_ptr<queue_policy> aQueue,
+                     std::unique_ptr<selection_policy> aSelection)
+  : mOptions(aOptions)
+  , mQueue(std::move(aQueue))
+  , mSelection(std::move(aSelection))
+{
+}
+
+void
+scheduler::UpdateShares(const std::map<std::string, double>& aShares)
+{
+  mQueue->UpdateShares(aShares);
+}
+
+void
+scheduler::UpdateTargets(std::vector<target_info> aTargets,
+                         std::optional<std::vector<slot_grant>> aGrants,
+                         time_point aGrantExpiry,
+                         std::size_t aIndex,
+                         std::size_t aEntries,
+                         time_point aNow)
+{
+  mIndex = aIndex;
+  mEntries = std::max<std::size_t>(aEntries, 1);
+  if (aGrants) {
+    mGrants.emplace();
+    for (const auto& grant : *aGrants) {
+      (*mGrants)[grant.target] = grant.slots;
+    }
+    mGrantExpiry = aGrantExpiry;
+  }
+  for (auto& [id, target] : mTargets) {
+    target->listed = false;
+  }
+  for (auto& info : aTargets) {
+    auto& target = mTargets[info.id];
+    if (!target) {
+      target = std::make_unique<target_entry>();
+    }
+    // Without a newer report the own part of the old report still holds.
+    if (target->info.running != info.running ||
+        target->info.waiting != info.waiting) {
+      target->reported = target->inFlight;
+    }
+    target->local = info.zone == mOptions.zone;
+    target->listed = true;
+    target->info = std::move(info);
+  }
+  for (auto& [name, entry] : mClasses) {
+    entry.targets.clear();
+  }
+  for (auto position = mTargets.begin(); position != mTargets.end();) {
+    auto& target = *position->second;
+    if (target.listed) {
+      mClasses[target.info.targetClass].targets.push_back(&target);
+    } else if (target.inFlight == 0) {
+      mHints.Erase(position->first);
+      position = mTargets.erase(position);
+      continue;
+    }
+    ++position;
+  }
+  for (auto& [name, entry] : mClasses) {
+    // A fixed order keeps runs with the same seed equal.
+    std::sort(entry.targets.begin(),
+              entry.targets.end(),
+              [](const auto* aLeft, const auto* aRight) {
+                return aLeft->info.id < aRight->info.id;
+              });
+    std::set<std::string_view> zones;
+    for (const auto* target : entry.targets) {
+      zones.insert(target->info.zone);
+    }
+    entry.zones = zones.size();
+  }
+  if (mGrants && aNow >= mGrantExpiry) {
+    mGrants.reset();
+  }
+  UpdateLimits();
+  DispatchAll(aNow);
+}
+
+void
+scheduler::UpdateTenantGrants(const std::vector<tenant_grant>& aGrants,
+                              time_point aExpiry)
+{
+  std::map<std::string, std::map<std::string, double>> weights;
+  for (const auto& [name, entry] : mClasses) {
+    weights[name];
+  }
+  for (const auto& grant : aGrants) {
+    weights[grant.targetClass][grant.tenant] = grant.slots;
+  }
+  for (const auto& [name, tenants] : weights) {
+    mQueue->UpdateWeights(name, tenants);
+  }
+  mTenantGrantExpiry = aExpiry;
+}
+
+void
+scheduler::AddCacheEvents(const std::string& aTarget,
+                          const std::vector<cache_event>& aEvents)
+{
+  if (mTargets.contains(aTarget)) {
+    mHints.Apply(aTarget, aEvents);
+  }
+}
+
+void
+scheduler::Submit(work_id aId, work_item aItem, time_point aNow)
+{
+  if (aItem.deadline != time_point{} && aItem.deadline <= aNow) {
+    Fail(aId, error_code::Timeout, "the deadline had passed on arrival");
+    return;
+  }
+  const auto tenant = aItem.tenant;
+  const auto targetClass = aItem.targetClass;
+  if (!mQueue->Push(aId, std::move(aItem))) {
+    mTenants[tenant].refusedUntil = aNow + kSheddingTime;
+    Fail(aId,
+         error_code::Overloaded,
+         "the queue of tenant " + tenant + " is full");
+    return;
+  }
+  ExpireGrants(aNow);
+  Dispatch(targetClass, aNow);
+}
+
+bool
+scheduler::Cancel(work_id aId)
+{
+  return mQueue->Erase(aId);
+}
+
+void
+scheduler::Complete(work_id aId, const completion& aCompletion, time_point aNow)
+{
+  const auto found = mRunning.find(aId);
+  if (found == mRunning.end()) {
+    return;
+  }
+  const auto work = found->second;
+  mRunning.erase(found);
+  --work.target->inFlight;
+  mQueue->Settle(aId, aCompletion.tokens, !aCompletion.targetFailed);
+  const auto targetClass = work.target->info.targetClass;
+  if (aCompletion.targetFailed) {
+    work.target->breaker.OnFailure(work.started, aNow);
+  } else {
+    work.target->breaker.OnSuccess();
+    mTenants[work.tenant].retries.OnSuccess(aNow);
+    auto& mean = mClasses[targetClass].meanService;
+    const double seconds =
+      std::chrono::duration<double>(aNow - work.started).count();
+    mean += (mean <= 0 ? 1.0 : kServiceGain) * (seconds - mean);
+  }
+  if (!work.target->listed && work.target->inFlight == 0) {
+    mHints.Erase(work.target->info.id);
+    mTargets.erase(std::string(work.target->info.id));
+  }
+  ExpireGrants(aNow);
+  Dispatch(targetClass, aNow);
+}
+
+bool
+scheduler::TryRetry(const std::string& aTenant, time_point aNow)
+{
+  auto& tenant = mTenants[aTenant];
+  if (aNow < tenant.refusedUntil ||
+      mQueue->Waiting(aTenant) >= mOptions.maxQueuePerTenant) {
+    return false;
+  }
+  return tenant.retries.TryTake(aNow);
+}
+
+void
+scheduler::Tick(time_point aNow)
+{
+  for (auto& expired : mQueue->Expire(aNow)) {
+    const auto& targetClass = expired.item.targetClass;
+    const bool served =
+      Gather(mClasses[targetClass], NeedsOf(expired.item), aNow, nullptr) !=
+      placement::Never;
+    if (served) {
+      Fail(expired.id,
+           error_code::Timeout,
+           "the deadline passed while the request waited for a slot");
+    } else {
+      Fail(expired.id,
+           error_code::Unavailable,
+           "no live target of class " + targetClass + " may serve the request");
+    }
+  }
+  ExpireGrants(aNow);
+  DispatchAll(aNow);
+}
+
+std::vector<tenant_demand>
+scheduler::Demand() const
+{
+  return mQueue->Demand();
+}
+
+std::map<std::string, std::int64_t>
+scheduler::InFlight() const
+{
+  std::map<std::string, std::int64_t> inFlight;
+  for (const auto& [id, target] : mTargets) {
+    if (target->inFlight > 0) {
+      inFlight[id] = target->inFlight;
+    }
+  }
+  return inFlight;
+}
+
+std::vector<schedule_outcome>
+scheduler::TakeOutcomes()
+{
+  return std::exchange(mOutcomes, {});
+}
+
+std::int64_t
+scheduler::Share(const target_entry& aTarget,
+                 std::int64_t aSlots,
+                 std::size_t aParts) const
+{
+  const auto parts =
+    static_cast<std::int64_t>(std::max<std::size_t>(aParts, 1));
+  const auto slots = std::max<std::int64_t>(aSlots, 0);
+  // The remainder goes to different entries at each target. With the same
+  // order at all targets, entries at the end would get no slot anywhere.
+  const auto turn = static_cast<std::int64_t>(
+    (mIndex + Hash64(aTarget.info.id)) % static_cast<std::uint64_t>(parts));
+  return slots / parts + (turn < slots % parts ? 1 : 0);
+}
+
+void
+scheduler::UpdateLimits()
+{
+  for (auto& [name, entry] : mClasses) {
+    entry.localLimit = 0;
+    for (auto* target : entry.targets) {
+      const auto& info = target->info;
+      if (target->local) {
+        if (!mGrants) {
+          target->limit = Share(*target, info.slots, mEntries);
+        } else {
+          const auto grant = mGrants->find(info.id);
+          target->limit =
+            grant == mGrants->end() ? 0 : std::min(grant->second, info.slots);
+        }
+        entry.localLimit +=
+          info.state == target_state::Live ? target->limit : 0;
+      } else {
+        // Grants cover the own zone only. What the load report leaves free is
+        // divided among the entries of the other zones.
+        const auto others = std::max<std::int64_t>(
+          info.running + info.waiting - target->reported, 0);
+        target->limit =
+          Share(*target, info.slots - others, mEntries * (entry.zones - 1));
+      }
+    }
+  }
+}
+
+void
+scheduler::ExpireGrants(time_point aNow)
+{
+  if (mGrants && aNow >= mGrantExpiry) {
+    mGrants.reset();
+    UpdateLimits();
+  }
+  if (mTenantGrantExpiry && aNow >= *mTenantGrantExpiry) {
+    mTenantGrantExpiry.reset();
+    for (const auto& [name, entry] : mClasses) {
+      mQueue->UpdateWeights(name, {});
+    }
+  }
+}
+
+placement
+scheduler::Gather(const class_entry& aClass,
+                  const placement_needs& aNeeds,
+                  time_point aNow,
+                  std::vector<target_candidate>* aCandidates)
+{
+  /// Live targets and those of them with a free slot.
+  struct tally
+  {
+    bool live = false;
+    bool free = false;
+  };
+  tally local;
+  tally remote;
+  tally avoided;
+  const auto isAvoided = [&](const target_entry& aTarget) {
+    return !aNeeds.avoid.empty() && std::binary_search(aNeeds.avoid.begin(),
+                                                       aNeeds.avoid.end(),
+                                                       aTarget.info.id);
+  };
+  bool exists = false;
+  for (const auto* target : aClass.targets) {
+    if (!MeetsNeeds(target->info, aNeeds)) {
+      continue;
+    }
+    exists = true;
+    if (!target->breaker.Allows(aNow)) {
+      continue;
+    }
+    auto& group = isAvoided(*target) ? avoided : target->local ? local : remote;
+    group.live = true;
+    group.free = group.free || target->inFlight < target->limit;
+  }
+  if (!exists) {
+    return placement::Never;
+  }
+  // Targets that failed this item before are used only when no other target
+  // is left. Other zones are used when the own zone has no target left, or
+  // when waiting for a slot here takes longer than the hops there and back.
+  bool useRemote = false;
+  bool useAvoided = false;
+  if (!local.live && !remote.live) {
+    useAvoided = avoided.free;
+  } else if (!local.free && remote.free) {
+    const double wait =
+      aClass.meanService /
+      static_cast<double>(std::max<std::int64_t>(aClass.localLimit, 1));
+    const double hops =
+      2 * std::chrono::duration<double>(mOptions.zoneHop).count();
+    useRemote = !local.live || aClass.localLimit == 0 || wait > hops;
+  }
+  if (!local.free && !useRemote && !useAvoided) {
+    return placement::Later;
+  }
+  if (aCandidates != nullptr) {
+    aCandidates->clear();
+    for (const auto* target : aClass.targets) {
+      if (target->inFlight < target->limit &&
+          MeetsNeeds(target->info, aNeeds) && target->breaker.Allows(aNow) &&
+          isAvoided(*target) == useAvoided &&
+          (useAvoided || target->local != useRemote)) {
+        aCandidates->push_back(
+          { &target->info, target->inFlight, target->reported });
+      }
+    }
+  }
+  return placement::Now;
+}
+
+void
+scheduler::Dispatch(const std::string& aClass, time_point aNow)
+{
+  const auto found = mClasses.find(aClass);
+  if (found == mClasses.end()) {
+    return;
+  }
+  const auto& entry = found->second;
+  const auto check = [&](const placement_needs& aNeeds) {
+    return Gather(entry, aNeeds, aNow, nullptr);
+  };
+  while (mQueue->WaitingInClass(aClass) > 0 &&
+         std::any_of(
+           entry.targets.begin(), entry.targets.end(), [](const auto* aTarget) {
+             return aTarget->inFlight < aTarget->limit;
+           })) {
+    auto next = mQueue->Pop(aClass, check);
+    if (!next) {
+      return;
+    }
+    Gather(entry, NeedsOf(next->item), aNow, &mCandidates);
+    const auto chosen = mSelection->Select(mCandidates, next->item, mHints);
+    auto& target = *mTargets.at(mCandidates[chosen].info->id);
+    ++target.inFlight;
+    target.breaker.OnStart(aNow);
+    mHints.Expect(target.info.id, next->item.prefix);
+    mRunning[next->id] = { &target, next->item.tenant, aNow };
+    mOutcomes.push_back({ next->id, assignment{ next->id, target.info } });
+  }
+}
+
+void
+scheduler::DispatchAll(time_point aNow)
+{
+  for (const auto& [name, entry] : mClasses) {
+    Dispatch(name, aNow);
+  }
+}
+
+void
+scheduler::Fail(work_id aId, error_code aCode, std::string aMessage)
+{
+  mOutcomes.push_back(
+    { aId, error_info{ aCode, "queue", "", std::move(aMessage) } });
+}
+
+} // namespace arbutusferry
