--- a/src/routing/scheduler.cpp
+++ b/src/routing/scheduler.cpp
@@ -1,6 +1,6 @@
 #include "routing/scheduler.hpp"
 
-#include "arbutusferry/hash.hpp"
+#include "arbutusferry/slot_planner.hpp"
 
 #include <algorithm>
 #include <set>
@@ -12,6 +12,12 @@
 /// Retries of a tenant are refused for this long after its queue was full.
 constexpr duration kSheddingTime = std::chrono::seconds(1);
 
+/// After its grants expire, an entry uses no more than its fallback slots and
+/// no more than the grants for this long, two terms. By then the planner's
+/// grants that lent its fallback slots to others have expired, and exchanges
+/// of up to one term on lent slots have ended (see `slot_planner`).
+constexpr duration kGrantGrace = std::chrono::seconds(10);
+
 /// Weight of the newest exchange in the mean service time.
 constexpr double kServiceGain = 0.05;
 
@@ -43,9 +49,9 @@
   mIndex = aIndex;
   mEntries = std::max<std::size_t>(aEntries, 1);
   if (aGrants) {
-    mGrants.emplace();
+    mGrants.clear();
     for (const auto& grant : *aGrants) {
-      (*mGrants)[grant.target] = grant.slots;
+      mGrants[grant.target] = grant.slots;
     }
     mGrantExpiry = aGrantExpiry;
   }
@@ -93,9 +99,7 @@
     }
     entry.zones = zones.size();
   }
-  if (mGrants && aNow >= mGrantExpiry) {
-    mGrants.reset();
-  }
+  mPhase = Phase(aNow);
   UpdateLimits();
   DispatchAll(aNow);
 }
@@ -239,19 +243,30 @@
   return std::exchange(mOutcomes, {});
 }
 
+scheduler::grant_phase
+scheduler::Phase(time_point aNow) const
+{
+  if (!mGrantExpiry || aNow >= *mGrantExpiry + kGrantGrace) {
+    return grant_phase::None;
+  }
+  return aNow < *mGrantExpiry ? grant_phase::Valid : grant_phase::Grace;
+}
+
 std::int64_t
-scheduler::Share(const target_entry& aTarget,
-                 std::int64_t aSlots,
-                 std::size_t aParts) const
+scheduler::LocalLimit(const target_entry& aTarget) const
 {
-  const auto parts =
-    static_cast<std::int64_t>(std::max<std::size_t>(aParts, 1));
-  const auto slots = std::max<std::int64_t>(aSlots, 0);
-  // The remainder goes to different entries at each target. With the same
-  // order at all targets, entries at the end would get no slot anywhere.
-  const auto turn = static_cast<std::int64_t>(
-    (mIndex + Hash64(aTarget.info.id)) % static_cast<std::uint64_t>(parts));
-  return slots / parts + (turn < slots % parts ? 1 : 0);
+  const auto& info = aTarget.info;
+  const auto fallback = FallbackSlots(info.id, info.slots, mIndex, mEntries);
+  if (mPhase == grant_phase::None) {
+    // Work that others started under grants may still run. As far as the load
+    // report shows it, it is not added to.
+    const auto others =
+      std::max<std::int64_t>(info.running + info.waiting - aTarget.reported, 0);
+    return std::clamp<std::int64_t>(info.slots - others, 0, fallback);
+  }
+  const auto found = mGrants.find(info.id);
+  const auto grant = found == mGrants.end() ? 0 : found->second;
+  return std::min(grant, mPhase == grant_phase::Valid ? info.slots : fallback);
 }
 
 void
@@ -262,13 +277,7 @@
     for (auto* target : entry.targets) {
       const auto& info = target->info;
       if (target->local) {
-        if (!mGrants) {
-          target->limit = Share(*target, info.slots, mEntries);
-        } else {
-          const auto grant = mGrants->find(info.id);
-          target->limit =
-            grant == mGrants->end() ? 0 : std::min(grant->second, info.slots);
-        }
+        target->limit = LocalLimit(*target);
         entry.localLimit +=
           info.state == target_state::Live ? target->limit : 0;
       } else {
@@ -276,8 +285,8 @@
         // divided among the entries of the other zones.
         const auto others = std::max<std::int64_t>(
           info.running + info.waiting - target->reported, 0);
-        target->limit =
-          Share(*target, info.slots - others, mEntries * (entry.zones - 1));
+        target->limit = FallbackSlots(
+          info.id, info.slots - others, mIndex, mEntries * (entry.zones - 1));
       }
     }
   }
@@ -286,8 +295,8 @@
 void
 scheduler::ExpireGrants(time_point aNow)
 {
-  if (mGrants && aNow >= mGrantExpiry) {
-    mGrants.reset();
+  if (const auto phase = Phase(aNow); phase != mPhase) {
+    mPhase = phase;
     UpdateLimits();
   }
   if (mTenantGrantExpiry && aNow >= *mTenantGrantExpiry) {
--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -83,9 +83,16 @@
     time_point refusedUntil{}; ///< End of the time in which retries are shed.
   };
 
-  [[nodiscard]] std::int64_t Share(const target_entry& aTarget,
-                                   std::int64_t aSlots,
-                                   std::size_t aParts) const;
+  /// Whether the newest grants hold.
+  enum class grant_phase
+  {
+    None,  ///< No grants: the entry uses its fallback slots.
+    Valid, ///< The grants hold.
+    Grace, ///< Expired lately: the smaller of grant and fallback holds.
+  };
+
+  [[nodiscard]] grant_phase Phase(time_point aNow) const;
+  [[nodiscard]] std::int64_t LocalLimit(const target_entry& aTarget) const;
   void UpdateLimits();
   void ExpireGrants(time_point aNow);
   placement Gather(const class_entry& aClass,
@@ -104,8 +111,9 @@
   std::map<std::string, class_entry> mClasses;
   std::unordered_map<work_id, running_work> mRunning;
   std::map<std::string, tenant_entry> mTenants;
-  std::optional<std::map<std::string, std::int64_t>> mGrants;
-  time_point mGrantExpiry{};
+  std::map<std::string, std::int64_t> mGrants;
+  std::optional<time_point> mGrantExpiry;
+  grant_phase mPhase = grant_phase::None;
   std::optional<time_point> mTenantGrantExpiry;
   std::size_t mIndex = 0;
   std::size_t mEntries = 1;
