Read and write environment documents, log records and sync messages

The other modules need the document, the fold of the log and the messages of node.sync. A key id is granted at most once, so a repeated append cannot bring a withdrawn key back. JSON of parts that several messages share is in message_json.hpp.

Ruled out: folding by record id (the set of remembered ids differs between a relay and a member that receives filtered records).

--- a/include/arbutusferry/config_state.hpp
+++ b/include/arbutusferry/config_state.hpp
@@ -49,7 +49,10 @@
 class config_state
 {
 public:
-  /// Folds one record.
+  /// Folds one record. A checkpoint that is ahead of the state replaces it and
+  /// sets the offset to the checkpoint's `through`; read on from there. A
+  /// reader that finds its offset no longer kept restores the newest checkpoint
+  /// first.
   /// @return Whether it took effect.
   fold_outcome Apply(const raw_log_record& aRecord);
 
@@ -81,6 +84,10 @@
 private:
   using stage_key = std::pair<std::string, stage>;
 
+  void Remember(const std::string& aId,
+                log_offset aOffset,
+                fold_outcome aOutcome);
+
   log_offset mOffset = kNoOffset;
   std::int64_t mVoidCount = 0;
   std::map<stage_key, stage_config> mStages;
--- /dev/null
+++ b/src/environment/config_state.cpp
@@ -0,0 +1,343 @@
+#include "arbutusferry/config_state.hpp"
+
+#include "arbutusferry/json.hpp"
+#include "environment/json_support.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace arbutusferry {
+
+namespace {
+
+constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+/// Record ids kept for operators that ask for a lost answer.
+constexpr std::size_t kKeptRecords = 4096;
+/// Record ids written to a saved state; operators ask within minutes, and a
+/// checkpoint of all ids would be 300 KB.
+constexpr std::size_t kSavedRecords = 256;
+constexpr const char* kSource = "saved state";
+
+using stage_map = std::map<std::pair<std::string, stage>, stage_config>;
+
+/// @return The stage if it has a document in force, otherwise null.
+stage_config*
+FindInForce(stage_map& aStages, const std::string& aEnvironment, stage aStage)
+{
+  const auto found = aStages.find({ aEnvironment, aStage });
+  return found != aStages.end() && found->second.document ? &found->second
+                                                          : nullptr;
+}
+
+bool
+Fold(stage_map& aStages, const environment_applied& aRecord, log_offset aOffset)
+{
+  const auto key =
+    std::make_pair(aRecord.document.environment, aRecord.targetStage);
+  const auto found = aStages.find(key);
+  const log_offset revision =
+    found == aStages.end() ? kNoOffset : found->second.revision;
+  if (aRecord.base != revision) {
+    return false;
+  }
+  stage_config& config = aStages[key];
+  config.revision = aOffset;
+  config.document = aRecord.document;
+  return true;
+}
+
+bool
+Fold(stage_map& aStages,
+     const environment_promoted& aRecord,
+     log_offset aOffset)
+{
+  const stage_config* trial =
+    FindInForce(aStages, aRecord.environment, stage::Trial);
+  if (trial == nullptr || EnvironmentHash(*trial->document) != aRecord.sha256) {
+    return false;
+  }
+  return Fold(
+    aStages,
+    environment_applied{ stage::Production, aRecord.base, *trial->document },
+    aOffset);
+}
+
+bool
+Fold(stage_map& aStages, const key_granted& aRecord, log_offset)
+{
+  stage_config* config =
+    FindInForce(aStages, aRecord.environment, aRecord.targetStage);
+  if (config == nullptr ||
+      config->document->FindTenant(aRecord.tenant) == nullptr) {
+    return false;
+  }
+  // A key id is never granted twice: a repeated append that arrives after the
+  // withdrawal must not bring the key back.
+  return config->keys
+    .try_emplace(aRecord.keyId,
+                 key_entry{ aRecord.tenant, aRecord.salt, aRecord.hash, false })
+    .second;
+}
+
+bool
+Fold(stage_map& aStages, const key_withdrawn& aRecord, log_offset)
+{
+  const auto config =
+    aStages.find({ aRecord.environment, aRecord.targetStage });
+  if (config == aStages.end()) {
+    return false;
+  }
+  const auto key = config->second.keys.find(aRecord.keyId);
+  if (key == config->second.keys.end()) {
+    return false;
+  }
+  key->second.withdrawn = true;
+  key->second.salt.clear();
+  key->second.hash.clear();
+  return true;
+}
+
+bool
+Fold(stage_map& aStages, const weights_published& aRecord, log_offset)
+{
+  stage_config* config =
+    FindInForce(aStages, aRecord.environment, aRecord.targetStage);
+  if (config == nullptr ||
+      config->document->FindModel(aRecord.model) == nullptr) {
+    return false;
+  }
+  const auto [found, inserted] =
+    config->weights.try_emplace(aRecord.model, aRecord.version);
+  if (aRecord.version < found->second) {
+    return false;
+  }
+  found->second = aRecord.version;
+  return true;
+}
+
+template<typename Record>
+bool
+Fold(stage_map&, const Record&, log_offset)
+{
+  return false;
+}
+
+result<key_entry>
+ReadKey(const Json::Value& aValue, const std::string& aPath)
+{
+  object_reader reader(aValue, kSource, aPath);
+  key_entry key;
+  key.tenant = reader.String("tenant");
+  key.withdrawn = reader.Boolean("withdrawn", false);
+  key.salt = reader.String("salt", "");
+  key.hash = reader.String("hash", "");
+  if (!key.withdrawn && (key.salt.empty() || key.hash.empty())) {
+    reader.Fail("hash", "expected salt and hash of a key in force");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return key;
+}
+
+using saved_stage = std::pair<std::pair<std::string, stage>, stage_config>;
+
+result<saved_stage>
+ReadStage(const Json::Value& aValue, const std::string& aPath)
+{
+  object_reader reader(aValue, kSource, aPath);
+  const std::string environment = reader.String("environment");
+  const stage which = reader.Enumerator<stage>("stage");
+  stage_config config;
+  config.revision = reader.Integer("revision", kNoOffset, kMax);
+  BOOST_LEAF_ASSIGN(config.document,
+                    ReadEnvironment(reader.Object("document"), kSource));
+  const Json::Value& keys = reader.Object("keys");
+  for (const std::string& id : keys.getMemberNames()) {
+    BOOST_LEAF_ASSIGN(config.keys[id], ReadKey(keys[id], aPath + ".keys"));
+  }
+  const Json::Value& weights = reader.Object("weights");
+  object_reader versions(weights, kSource, aPath + ".weights");
+  for (const std::string& model : weights.getMemberNames()) {
+    config.weights[model] = versions.Integer(model.c_str(), 0, kMax);
+  }
+  BOOST_LEAF_CHECK(versions.Finish());
+  BOOST_LEAF_CHECK(reader.Finish());
+  return saved_stage({ environment, which }, std::move(config));
+}
+
+struct saved_record
+{
+  std::string id;
+  log_offset offset = kNoOffset;
+  fold_outcome outcome = fold_outcome::Void;
+};
+
+result<saved_record>
+ReadSavedRecord(const Json::Value& aValue, const std::string& aPath)
+{
+  object_reader reader(aValue, kSource, aPath);
+  saved_record record;
+  record.id = reader.String("id");
+  record.offset = reader.Integer("offset", 0, kMax);
+  record.outcome = reader.Enumerator<fold_outcome>("outcome");
+  BOOST_LEAF_CHECK(reader.Finish());
+  return record;
+}
+
+} // namespace
+
+fold_outcome
+config_state::Apply(const raw_log_record& aRecord)
+{
+  if (aRecord.offset <= mOffset) {
+    return fold_outcome::Ignored;
+  }
+  const auto record = ReadLogRecord(aRecord.record);
+  if (record && *record && std::holds_alternative<checkpoint>(**record)) {
+    const auto& saved = std::get<checkpoint>(**record);
+    if (saved.through > mOffset && saved.through < aRecord.offset) {
+      // Records were skipped. The offset stays at the checkpoint's, because
+      // records between the two have not been folded.
+      if (Restore(saved.state) && mOffset == saved.through) {
+        return fold_outcome::Ignored;
+      }
+      ++mVoidCount;
+      return fold_outcome::Void;
+    }
+    mOffset = aRecord.offset;
+    return fold_outcome::Ignored;
+  }
+  mOffset = aRecord.offset;
+  if (record && (!*record || !IsConfigurationRecord(**record))) {
+    return fold_outcome::Ignored;
+  }
+  const bool inForce =
+    record && std::visit(
+                [&](const auto& aContent) {
+                  return Fold(mStages, aContent, aRecord.offset);
+                },
+                **record);
+  const fold_outcome outcome =
+    inForce ? fold_outcome::InForce : fold_outcome::Void;
+  mVoidCount += inForce ? 0 : 1;
+  Remember(aRecord.id, aRecord.offset, outcome);
+  return outcome;
+}
+
+void
+config_state::Remember(const std::string& aId,
+                       log_offset aOffset,
+                       fold_outcome aOutcome)
+{
+  if (aId.empty()) {
+    return;
+  }
+  const auto found = mRecords.find(aId);
+  if (found != mRecords.end()) {
+    // The same record was appended twice; it is in force if one of the two is.
+    if (found->second.second == fold_outcome::InForce ||
+        aOutcome != fold_outcome::InForce) {
+      return;
+    }
+    mRecordOrder.erase(found->second.first);
+  }
+  mRecords[aId] = { aOffset, aOutcome };
+  mRecordOrder[aOffset] = aId;
+  while (mRecordOrder.size() > kKeptRecords) {
+    mRecords.erase(mRecordOrder.begin()->second);
+    mRecordOrder.erase(mRecordOrder.begin());
+  }
+}
+
+void
+config_state::SkipTo(log_offset aOffset) noexcept
+{
+  mOffset = std::max(mOffset, aOffset);
+}
+
+const stage_config*
+config_state::Find(std::string_view aEnvironment, stage aStage) const
+{
+  const auto found = mStages.find({ std::string(aEnvironment), aStage });
+  return found == mStages.end() ? nullptr : &found->second;
+}
+
+std::optional<std::pair<log_offset, fold_outcome>>
+config_state::FindRecord(std::string_view aId) const
+{
+  const auto found = mRecords.find(aId);
+  if (found == mRecords.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+Json::Value
+config_state::Save() const
+{
+  Json::Value state(Json::objectValue);
+  state["offset"] = Whole(mOffset);
+  state["void_records"] = Whole(mVoidCount);
+  state["stages"] = Json::Value(Json::arrayValue);
+  for (const auto& [key, config] : mStages) {
+    Json::Value item(Json::objectValue);
+    item["environment"] = key.first;
+    item["stage"] = std::string(EnumName(key.second));
+    item["revision"] = Whole(config.revision);
+    item["document"] = WriteEnvironment(*config.document);
+    item["keys"] = Json::Value(Json::objectValue);
+    for (const auto& [id, entry] : config.keys) {
+      Json::Value& saved = item["keys"][id];
+      saved["tenant"] = entry.tenant;
+      if (entry.withdrawn) {
+        saved["withdrawn"] = true;
+      } else {
+        saved["salt"] = entry.salt;
+        saved["hash"] = entry.hash;
+      }
+    }
+    item["weights"] = Json::Value(Json::objectValue);
+    for (const auto& [model, version] : config.weights) {
+      item["weights"][model] = Whole(version);
+    }
+    state["stages"].append(item);
+  }
+  state["records"] = Json::Value(Json::arrayValue);
+  auto record = mRecordOrder.begin();
+  if (mRecordOrder.size() > kSavedRecords) {
+    std::advance(record, mRecordOrder.size() - kSavedRecords);
+  }
+  for (; record != mRecordOrder.end(); ++record) {
+    Json::Value item(Json::objectValue);
+    item["id"] = record->second;
+    item["offset"] = Whole(record->first);
+    item["outcome"] = std::string(EnumName(mRecords.at(record->second).second));
+    state["records"].append(item);
+  }
+  return state;
+}
+
+result<void>
+config_state::Restore(const Json::Value& aState)
+{
+  object_reader reader(aState, kSource);
+  const log_offset offset = reader.Integer("offset", kNoOffset, kMax);
+  const std::int64_t voidCount = reader.Integer("void_records", 0, kMax, 0);
+  BOOST_LEAF_AUTO(stages, ReadList(reader, "stages", ReadStage));
+  BOOST_LEAF_AUTO(records, ReadList(reader, "records", ReadSavedRecord));
+  BOOST_LEAF_CHECK(reader.Finish());
+  if (offset <= mOffset) {
+    return {};
+  }
+  mStages.clear();
+  for (saved_stage& item : stages) {
+    mStages.insert(std::move(item));
+  }
+  for (const saved_record& record : records) {
+    Remember(record.id, record.offset, record.outcome);
+  }
+  mVoidCount = std::max(mVoidCount, voidCount);
+  mOffset = offset;
+  return {};
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/environment/json_support.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "arbutusferry/json.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace arbutusferry {
+
+/// @return The number as a JSON integer.
+[[nodiscard]] inline Json::Value
+Whole(std::int64_t aNumber)
+{
+  return { static_cast<Json::Int64>(aNumber) };
+}
+
+/// Marks all fields as known, so that processes of neighbouring versions can
+/// talk during a rolling upgrade.
+inline void
+AllowUnknown(object_reader& aReader, const Json::Value& aValue)
+{
+  if (aValue.isObject()) {
+    for (const std::string& name : aValue.getMemberNames()) {
+      (void)aReader.Any(name.c_str());
+    }
+  }
+}
+
+/// Reads a list of objects.
+/// @param aReader Reader of the object that has the list.
+/// @param aName Name of the list.
+/// @param aRead Called with each value and its path; returns `result<T>`.
+template<typename Read>
+[[nodiscard]] auto
+ReadList(object_reader& aReader, const char* aName, Read&& aRead)
+{
+  using item_result =
+    decltype(aRead(std::declval<const Json::Value&>(), std::string()));
+  using item_type =
+    std::decay_t<decltype(*std::declval<item_result>().operator->())>;
+  using list_result = result<std::vector<item_type>>;
+  std::vector<item_type> items;
+  const Json::Value& values = aReader.Array(aName);
+  items.reserve(values.size());
+  for (const Json::Value& value : values) {
+    auto item = aRead(
+      value, aReader.Path(aName) + "[" + std::to_string(items.size()) + "]");
+    if (!item) {
+      return list_result(item.error());
+    }
+    items.push_back(std::move(*item));
+  }
+  return list_result(std::move(items));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/membership/node_sync.cpp
@@ -0,0 +1,121 @@
+#include "arbutusferry/node_sync.hpp"
+
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/message_json.hpp"
+#include "environment/json_support.hpp"
+
+#include <limits>
+
+namespace arbutusferry {
+
+namespace {
+
+constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+
+template<typename Item, typename Write>
+Json::Value
+WriteList(const std::vector<Item>& aItems, Write aWrite)
+{
+  Json::Value list(Json::arrayValue);
+  for (const Item& item : aItems) {
+    list.append(aWrite(item));
+  }
+  return list;
+}
+
+} // namespace
+
+Json::Value
+WriteNodeSyncRequest(const node_sync_request& aRequest)
+{
+  Json::Value value(Json::objectValue);
+  value["entry"] = WriteEntryInfo(aRequest.entry);
+  value["offset"] = Whole(aRequest.offset);
+  value["hold_ms"] = Whole(aRequest.holdMs);
+  value["demand"] = WriteList(aRequest.demand, WriteTenantDemand);
+  value["usage"] = WriteList(aRequest.usage, WriteUsageCounter);
+  value["in_flight"] = Json::Value(Json::objectValue);
+  for (const auto& [target, count] : aRequest.inFlight) {
+    value["in_flight"][target] = Whole(count);
+  }
+  return value;
+}
+
+result<node_sync_request>
+ReadNodeSyncRequest(const Json::Value& aValue, const std::string& aPeer)
+{
+  object_reader reader(aValue, aPeer);
+  AllowUnknown(reader, aValue);
+  const auto with = [&](auto aRead) {
+    return [&aPeer, aRead](const Json::Value& aItem, const std::string& aPath) {
+      return aRead(aItem, aPeer, aPath);
+    };
+  };
+  node_sync_request request;
+  BOOST_LEAF_ASSIGN(request.entry,
+                    ReadEntryInfo(reader.Object("entry"), aPeer, "entry"));
+  request.offset = reader.Integer("offset", kNoOffset, kMax);
+  request.holdMs = reader.Integer("hold_ms", 0, 600'000, 500);
+  BOOST_LEAF_ASSIGN(request.demand,
+                    ReadList(reader, "demand", with(ReadTenantDemand)));
+  BOOST_LEAF_ASSIGN(request.usage,
+                    ReadList(reader, "usage", with(ReadUsageCounter)));
+  const Json::Value& inFlight = reader.Object("in_flight");
+  object_reader counts(inFlight, aPeer, "in_flight");
+  for (const std::string& target : inFlight.getMemberNames()) {
+    request.inFlight[target] = counts.Integer(target.c_str(), 0, kMax);
+  }
+  BOOST_LEAF_CHECK(counts.Finish());
+  BOOST_LEAF_CHECK(reader.Finish());
+  return request;
+}
+
+Json::Value
+WriteNodeSyncResponse(const node_sync_response& aResponse)
+{
+  Json::Value value(Json::objectValue);
+  if (!aResponse.state.isNull()) {
+    value["state"] = aResponse.state;
+  }
+  value["records"] = WriteList(aResponse.records, WriteRawRecord);
+  value["offset"] = Whole(aResponse.offset);
+  value["view_age_ms"] = Whole(aResponse.viewAgeMs);
+  value["stale_after_ms"] = Whole(aResponse.staleAfterMs);
+  value["grant_ttl_ms"] = Whole(aResponse.grantTtlMs);
+  value["has_grants"] = aResponse.hasGrants;
+  value["grants"] = WriteList(aResponse.grants, WriteSlotGrant);
+  value["entries"] = WriteList(aResponse.entries, WriteEntryInfo);
+  value["targets"] = WriteList(aResponse.targets, WriteTargetInfo);
+  return value;
+}
+
+result<node_sync_response>
+ReadNodeSyncResponse(const Json::Value& aValue, const std::string& aPeer)
+{
+  object_reader reader(aValue, aPeer);
+  AllowUnknown(reader, aValue);
+  const auto with = [&](auto aRead) {
+    return [&aPeer, aRead](const Json::Value& aItem, const std::string& aPath) {
+      return aRead(aItem, aPeer, aPath);
+    };
+  };
+  node_sync_response response;
+  response.state = reader.Any("state");
+  BOOST_LEAF_ASSIGN(response.records,
+                    ReadList(reader, "records", with(ReadRawRecord)));
+  response.offset = reader.Integer("offset", kNoOffset, kMax);
+  response.viewAgeMs = reader.Integer("view_age_ms", -1, kMax);
+  response.staleAfterMs = reader.Integer("stale_after_ms", 0, kMax, 4000);
+  response.grantTtlMs = reader.Integer("grant_ttl_ms", 0, kMax, 5000);
+  response.hasGrants = reader.Boolean("has_grants", false);
+  BOOST_LEAF_ASSIGN(response.grants,
+                    ReadList(reader, "grants", with(ReadSlotGrant)));
+  BOOST_LEAF_ASSIGN(response.entries,
+                    ReadList(reader, "entries", with(ReadEntryInfo)));
+  BOOST_LEAF_ASSIGN(response.targets,
+                    ReadList(reader, "targets", with(ReadTargetInfo)));
+  BOOST_LEAF_CHECK(reader.Finish());
+  return response;
+}
+
+} // namespace arbutusferry
