--- a/src/environment/environment.cpp
+++ b/src/environment/environment.cpp
@@ -15,7 +15,6 @@
 constexpr std::int64_t kMaxVersion = std::int64_t{ 1 } << 53;
 constexpr std::int64_t kMaxTargets = 100'000;
 constexpr std::int64_t kMaxSeconds = 31 * 86'400;
-constexpr std::size_t kMaxNameLength = 64;
 /// Paths that the entry process serves itself.
 constexpr std::array<std::string_view, 5> kReservedPaths = { "/v1",
                                                              "/internal",
@@ -23,29 +22,6 @@
                                                              "/readyz",
                                                              "/metrics" };
 
-/// Names become metric labels, log fields and parts of role names.
-bool
-IsName(std::string_view aName)
-{
-  return !aName.empty() && aName.size() <= kMaxNameLength &&
-         std::all_of(aName.begin(), aName.end(), [](char aLetter) {
-           return (aLetter >= 'a' && aLetter <= 'z') ||
-                  (aLetter >= 'A' && aLetter <= 'Z') ||
-                  (aLetter >= '0' && aLetter <= '9') || aLetter == '-' ||
-                  aLetter == '_' || aLetter == '.';
-         });
-}
-
-std::string
-ReadName(object_reader& aReader, const char* aField)
-{
-  std::string name = aReader.String(aField);
-  if (!IsName(name)) {
-    aReader.Fail(aField, "expected 1 to 64 letters, digits, '-', '_' or '.'");
-  }
-  return name;
-}
-
 /// @return True if `aPath` is `aPrefix` or lies below it.
 bool
 MatchesPrefix(std::string_view aPath, std::string_view aPrefix)
--- a/src/environment/json_support.hpp
+++ b/src/environment/json_support.hpp
@@ -2,7 +2,9 @@
 
 #include "arbutusferry/json.hpp"
 
+#include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -27,6 +29,31 @@
   }
 }
 
+/// Names become metric labels, log fields and parts of role names.
+[[nodiscard]] inline bool
+IsName(std::string_view aName)
+{
+  constexpr std::size_t kMaxLength = 64;
+  return !aName.empty() && aName.size() <= kMaxLength &&
+         std::all_of(aName.begin(), aName.end(), [](char aLetter) {
+           return (aLetter >= 'a' && aLetter <= 'z') ||
+                  (aLetter >= 'A' && aLetter <= 'Z') ||
+                  (aLetter >= '0' && aLetter <= '9') || aLetter == '-' ||
+                  aLetter == '_' || aLetter == '.';
+         });
+}
+
+/// Reads a name that must be present.
+[[nodiscard]] inline std::string
+ReadName(object_reader& aReader, const char* aField)
+{
+  std::string name = aReader.String(aField);
+  if (!IsName(name)) {
+    aReader.Fail(aField, "expected 1 to 64 letters, digits, '-', '_' or '.'");
+  }
+  return name;
+}
+
 /// Reads a list of objects.
 /// @param aReader Reader of the object that has the list.
 /// @param aName Name of the list.
