Add HTTP client of the platform

The control process needs the log, the directory, orders and usage reports. Fenced sends use a connection of their own and a content provider that writes the last byte only after the check passed. Errors separate requests that were never sent from those that may have taken effect.

--- /dev/null
+++ b/src/platform/platform_http.cpp
@@ -0,0 +1,484 @@
+#include "arbutusferry/platform_http.hpp"
+
+#include "arbutusferry/json.hpp"
+
+#include <httplib.h>
+#include <mutex>
+#include <optional>
+
+namespace arbutusferry {
+
+namespace {
+
+/// True when nothing of the request can have reached the platform.
+bool
+NothingSent(httplib::Error aError)
+{
+  return aError == httplib::Error::Connection ||
+         aError == httplib::Error::BindIPAddress ||
+         aError == httplib::Error::ConnectionTimeout;
+}
+
+/// Maps a failed exchange to an error that tells whether the request may have
+/// taken effect.
+leaf::error_id
+TransportError(httplib::Error aError,
+               const std::string& aStep,
+               const std::string& aPeer)
+{
+  error_code code = error_code::BrokenExchange;
+  if (NothingSent(aError)) {
+    code = error_code::Unreachable;
+  } else if (aError == httplib::Error::Read) {
+    // The library reports a reset and an expired read time alike.
+    code = error_code::Timeout;
+  }
+  return MakeError(code, aStep, aPeer, httplib::to_string(aError));
+}
+
+/// Maps a refusal. 503 means that the platform did nothing; any other status
+/// of the 5xx range leaves open whether it acted.
+leaf::error_id
+StatusError(const httplib::Response& aResponse,
+            const std::string& aStep,
+            const std::string& aPeer)
+{
+  error_code code = error_code::BrokenExchange;
+  switch (aResponse.status) {
+    case 400:
+    case 413:
+      code = error_code::InvalidArgument;
+      break;
+    case 404:
+      code = error_code::NotFound;
+      break;
+    case 409:
+      code = error_code::Conflict;
+      break;
+    case 429:
+      code = error_code::Overloaded;
+      break;
+    case 503:
+      code = error_code::Unavailable;
+      break;
+    default:
+      break;
+  }
+  return MakeError(code,
+                   aStep,
+                   aPeer,
+                   "HTTP status " + std::to_string(aResponse.status) + ": " +
+                     aResponse.body.substr(0, 200));
+}
+
+std::unique_ptr<httplib::Client>
+MakeClient(const std::string& aAddress, duration aTimeout, bool aKeepAlive)
+{
+  auto client = std::make_unique<httplib::Client>("http://" + aAddress);
+  client->set_keep_alive(aKeepAlive);
+  client->set_tcp_nodelay(true);
+  client->set_connection_timeout(aTimeout);
+  client->set_read_timeout(aTimeout);
+  client->set_write_timeout(aTimeout);
+  return client;
+}
+
+/// One kept connection to the platform; calls are made one after the other.
+class http_peer
+{
+public:
+  http_peer(std::string aAddress, duration aTimeout)
+    : mAddress(std::move(aAddress))
+    , mTimeout(aTimeout)
+    , mClient(MakeClient(mAddress, mTimeout, true))
+  {
+  }
+
+  [[nodiscard]] const std::string& Address() const noexcept { return mAddress; }
+  [[nodiscard]] duration Timeout() const noexcept { return mTimeout; }
+
+  httplib::Result Get(const std::string& aPath, duration aWait = {})
+  {
+    const std::lock_guard lock(mMutex);
+    mClient->set_read_timeout(mTimeout + aWait);
+    return mClient->Get(aPath);
+  }
+
+  httplib::Result Post(const std::string& aPath, const std::string& aBody)
+  {
+    const std::lock_guard lock(mMutex);
+    return mClient->Post(aPath, aBody, "application/json");
+  }
+
+private:
+  std::string mAddress;
+  duration mTimeout;
+  std::mutex mMutex;
+  std::unique_ptr<httplib::Client> mClient;
+};
+
+result<Json::Value>
+ParseAnswer(const httplib::Result& aAnswer,
+            const std::string& aStep,
+            const std::string& aPeer)
+{
+  if (!aAnswer) {
+    return TransportError(aAnswer.error(), aStep, aPeer);
+  }
+  if (aAnswer->status != 200) {
+    return StatusError(*aAnswer, aStep, aPeer);
+  }
+  auto parsed = Capture([&] { return ParseJson(aAnswer->body, aPeer); });
+  if (const auto* failure = std::get_if<error_info>(&parsed)) {
+    return MakeError(
+      error_code::BrokenExchange, aStep, aPeer, failure->message);
+  }
+  auto& value = std::get<Json::Value>(parsed);
+  if (!value.isObject()) {
+    return MakeError(
+      error_code::BrokenExchange, aStep, aPeer, "expected an object");
+  }
+  return std::move(value);
+}
+
+std::string
+Text(const Json::Value& aValue, const char* aName)
+{
+  return aValue.isObject() && aValue[aName].isString()
+           ? aValue[aName].asString()
+           : std::string();
+}
+
+std::int64_t
+Number(const Json::Value& aValue, const char* aName, std::int64_t aDefault)
+{
+  return aValue.isObject() && aValue[aName].isInt64() ? aValue[aName].asInt64()
+                                                      : aDefault;
+}
+
+const Json::Value&
+List(const Json::Value& aValue, const char* aName)
+{
+  static const Json::Value kEmpty(Json::arrayValue);
+  return aValue.isObject() && aValue[aName].isArray() ? aValue[aName] : kEmpty;
+}
+
+/// Sends a body on a connection of its own. The last byte is held back until
+/// all other bytes are written and the check passed, so that a receiver that
+/// ignores fencing tokens never has a complete request of a sender that lost
+/// its role.
+result<void>
+FencedPut(const std::string& aAddress,
+          duration aTimeout,
+          const std::string& aPath,
+          const std::string& aBody,
+          const send_check& aCheck,
+          const std::string& aStep)
+{
+  bool refused = false;
+  bool released = false;
+  auto client = MakeClient(aAddress, aTimeout, false);
+  const auto answer = client->Put(
+    aPath,
+    aBody.size(),
+    [&](std::size_t aOffset, std::size_t aLength, httplib::DataSink& aSink) {
+      if (aLength > 1) {
+        return aSink.write(aBody.data() + aOffset, aLength - 1);
+      }
+      if (!aCheck()) {
+        refused = true;
+        return false;
+      }
+      released = true;
+      return aSink.write(aBody.data() + aOffset, 1);
+    },
+    "application/json");
+  if (refused) {
+    return MakeError(error_code::LeaseLost,
+                     aStep,
+                     aAddress,
+                     "the role was lost before the last byte was sent");
+  }
+  if (!answer) {
+    if (!released) {
+      return MakeError(error_code::Unreachable,
+                       aStep,
+                       aAddress,
+                       httplib::to_string(answer.error()));
+    }
+    return TransportError(answer.error(), aStep, aAddress);
+  }
+  if (answer->status != 200) {
+    return StatusError(*answer, aStep, aAddress);
+  }
+  return {};
+}
+
+class http_log final : public platform_log
+{
+public:
+  http_log(const std::string& aAddress, duration aTimeout)
+    : mWriter(aAddress, aTimeout)
+    , mReader(aAddress, aTimeout)
+  {
+  }
+
+  result<log_offset> Append(const std::string& aId,
+                            const Json::Value& aRecord) override
+  {
+    Json::Value body(Json::objectValue);
+    body["id"] = aId;
+    body["record"] = aRecord;
+    BOOST_LEAF_AUTO(
+      answer,
+      ParseAnswer(mWriter.Post("/log/append", WriteJson(body)),
+                  "append to the log",
+                  mWriter.Address()));
+    const log_offset offset = Number(answer, "offset", kNoOffset);
+    if (offset < 0) {
+      return MakeError(error_code::BrokenExchange,
+                       "append to the log",
+                       mWriter.Address(),
+                       "expected field \"offset\"");
+    }
+    return offset;
+  }
+
+  result<log_batch> Read(log_offset aFrom,
+                         std::size_t aLimit,
+                         duration aWait) override
+  {
+    static const std::string kStep = "read the log";
+    const auto answer =
+      mReader.Get("/log/read?from=" + std::to_string(aFrom) +
+                    "&limit=" + std::to_string(aLimit) +
+                    "&wait_ms=" + std::to_string(ToMilliseconds(aWait)),
+                  aWait);
+    log_batch batch;
+    if (answer && answer->status == 410) {
+      BOOST_LEAF_AUTO(gone, ParseJson(answer->body, mReader.Address()));
+      batch.truncated = true;
+      batch.first = Number(gone, "first", 0);
+      batch.next = batch.first;
+      return batch;
+    }
+    BOOST_LEAF_AUTO(body, ParseAnswer(answer, kStep, mReader.Address()));
+    batch.first = Number(body, "first", 0);
+    batch.next = Number(body, "next", aFrom);
+    for (const Json::Value& item : List(body, "records")) {
+      raw_log_record record;
+      record.offset = Number(item, "offset", kNoOffset);
+      record.id = Text(item, "id");
+      if (item.isObject()) {
+        record.record = item["record"];
+      }
+      const log_offset least =
+        batch.records.empty() ? aFrom : batch.records.back().offset + 1;
+      if (record.offset < least || record.offset >= batch.next) {
+        return MakeError(error_code::BrokenExchange,
+                         kStep,
+                         mReader.Address(),
+                         "records are out of order");
+      }
+      batch.records.push_back(std::move(record));
+    }
+    return batch;
+  }
+
+private:
+  // Appends must not wait behind a held read.
+  http_peer mWriter;
+  http_peer mReader;
+};
+
+class http_directory final : public vm_directory
+{
+public:
+  http_directory(const std::string& aAddress, duration aTimeout)
+    : mPeer(aAddress, aTimeout)
+  {
+  }
+
+  result<std::vector<vm_info>> ListVms() override
+  {
+    BOOST_LEAF_AUTO(
+      body, ParseAnswer(mPeer.Get("/vms"), "list VMs", mPeer.Address()));
+    std::vector<vm_info> vms;
+    for (const Json::Value& item : List(body, "vms")) {
+      vm_info vm;
+      vm.id = Text(item, "id");
+      vm.zone = Text(item, "zone");
+      vm.entryAddress = Text(item, "entry_address");
+      vm.controlAddress = Text(item, "control_address");
+      vm.leaving = Text(item, "state") == "leaving";
+      if (!vm.id.empty()) {
+        vms.push_back(std::move(vm));
+      }
+    }
+    return vms;
+  }
+
+  result<std::vector<target_info>> ListTargets() override
+  {
+    BOOST_LEAF_AUTO(
+      body,
+      ParseAnswer(mPeer.Get("/targets"), "list targets", mPeer.Address()));
+    std::vector<target_info> targets;
+    for (const Json::Value& item : List(body, "targets")) {
+      const auto pool = ParseEnum<target_pool>(Text(item, "pool"));
+      const auto kind = ParseEnum<target_kind>(Text(item, "kind"));
+      const auto state = ParseEnum<target_state>(Text(item, "state"));
+      target_info target;
+      target.id = Text(item, "id");
+      target.zone = Text(item, "zone");
+      target.targetClass = Text(item, "class");
+      target.address = Text(item, "address");
+      target.slots = Number(item, "slots", 1);
+      target.checksFencing =
+        item.isObject() && item["checks_fencing"].isBool() &&
+        item["checks_fencing"].asBool();
+      // A target that cannot be understood is left out; the others stay usable.
+      if (!pool || !kind || !state || target.id.empty()) {
+        continue;
+      }
+      target.pool = *pool;
+      target.kind = *kind;
+      target.state = *state;
+      targets.push_back(std::move(target));
+    }
+    return targets;
+  }
+
+private:
+  http_peer mPeer;
+};
+
+Json::Value
+WriteOrder(const target_order& aOrder)
+{
+  Json::Value body(Json::objectValue);
+  body["order_id"] = aOrder.orderId;
+  body["fencing"] = Json::Int64(aOrder.fencing);
+  body["counts"] = Json::Value(Json::arrayValue);
+  for (const target_count& count : aOrder.counts) {
+    Json::Value item(Json::objectValue);
+    item["class"] = count.targetClass;
+    item["pool"] = std::string(EnumName(count.pool));
+    item["count"] = Json::Int64(count.count);
+    body["counts"].append(std::move(item));
+  }
+  body["stop"] = Json::Value(Json::arrayValue);
+  for (const std::string& id : aOrder.stop) {
+    body["stop"].append(id);
+  }
+  return body;
+}
+
+class http_orders final : public target_orders
+{
+public:
+  http_orders(const std::string& aAddress, duration aTimeout)
+    : mPeer(aAddress, aTimeout)
+  {
+  }
+
+  result<void> Send(const target_order& aOrder,
+                    const send_check& aCheck) override
+  {
+    return FencedPut(mPeer.Address(),
+                     mPeer.Timeout(),
+                     "/orders/" + aOrder.zone,
+                     WriteJson(WriteOrder(aOrder)),
+                     aCheck,
+                     "order targets");
+  }
+
+  result<target_order> Last(const std::string& aZone) override
+  {
+    target_order order;
+    order.zone = aZone;
+    const auto answer = mPeer.Get("/orders/" + aZone);
+    if (answer && answer->status == 404) {
+      return order;
+    }
+    BOOST_LEAF_AUTO(
+      body, ParseAnswer(answer, "read the last order", mPeer.Address()));
+    order.orderId = Text(body, "order_id");
+    order.fencing = Number(body, "fencing", kNoOffset);
+    for (const Json::Value& item : List(body, "counts")) {
+      const auto pool = ParseEnum<target_pool>(Text(item, "pool"));
+      if (pool) {
+        order.counts.push_back(
+          { Text(item, "class"), *pool, Number(item, "count", 0) });
+      }
+    }
+    for (const Json::Value& id : List(body, "stop")) {
+      if (id.isString()) {
+        order.stop.push_back(id.asString());
+      }
+    }
+    return order;
+  }
+
+private:
+  http_peer mPeer;
+};
+
+Json::Value
+WriteReport(const usage_report& aReport)
+{
+  Json::Value body(Json::objectValue);
+  body["window"] = Json::Int64(aReport.window);
+  body["fencing"] = Json::Int64(aReport.fencing);
+  body["lines"] = Json::Value(Json::arrayValue);
+  for (const usage_line& line : aReport.lines) {
+    Json::Value item(Json::objectValue);
+    item["tenant"] = line.tenant;
+    item["requests"] = Json::Int64(line.requests);
+    item["prompt_tokens"] = Json::Int64(line.promptTokens);
+    item["generated_tokens"] = Json::Int64(line.generatedTokens);
+    if (line.carriedFrom >= 0) {
+      item["carried_from"] = Json::Int64(line.carriedFrom);
+    }
+    body["lines"].append(std::move(item));
+  }
+  return body;
+}
+
+class http_usage final : public usage_sink
+{
+public:
+  http_usage(std::string aAddress, duration aTimeout)
+    : mAddress(std::move(aAddress))
+    , mTimeout(aTimeout)
+  {
+  }
+
+  result<void> Send(const usage_report& aReport,
+                    const send_check& aCheck) override
+  {
+    return FencedPut(mAddress,
+                     mTimeout,
+                     "/usage/" + std::to_string(aReport.window),
+                     WriteJson(WriteReport(aReport)),
+                     aCheck,
+                     "report usage");
+  }
+
+private:
+  std::string mAddress;
+  duration mTimeout;
+};
+
+} // namespace
+
+platform_clients
+MakeHttpPlatform(const std::string& aAddress, duration aTimeout)
+{
+  return { std::make_shared<http_log>(aAddress, aTimeout),
+           std::make_shared<http_directory>(aAddress, aTimeout),
+           std::make_shared<http_orders>(aAddress, aTimeout),
+           std::make_shared<http_usage>(aAddress, aTimeout) };
+}
+
+} // namespace arbutusferry
