--- /dev/null
+++ b/include/arbutusferry/control_node.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "arbutusferry/error.hpp"
+#include "arbutusferry/lease.hpp"
+#include "arbutusferry/platform_http.hpp"
+#include "arbutusferry/time.hpp"
+
+#include <memory>
+#include <string>
+
+namespace arbutusferry {
+
+/// What one control process needs to know at its start.
+struct control_options
+{
+  std::string vm;          ///< Id of the VM it runs on.
+  std::string zone;        ///< Availability zone of the VM.
+  std::string environment; ///< Environment whose targets it orders.
+  std::string listen;      ///< "IP:port"; port 0 lets the system choose.
+  lease_timing lease;
+  duration syncInterval = std::chrono::milliseconds(1000);
+  duration staleAfter = std::chrono::milliseconds(4000);
+  duration usageBatch = std::chrono::seconds(10);
+  duration checkpoint = std::chrono::minutes(10);
+};
+
+/// The running control process: HTTP server and supervised duties.
+class control_node
+{
+public:
+  virtual ~control_node() = default;
+
+  /// @return Address it listens on, with the port that was chosen.
+  [[nodiscard]] virtual std::string Address() const = 0;
+
+  /// @return Id that is unique for this start of the process.
+  [[nodiscard]] virtual std::string Instance() const = 0;
+
+  /// Stops gracefully: answers held requests, releases the leases, ends the
+  /// duties. Takes up to about two platform timeouts.
+  virtual void Stop() = 0;
+};
+
+/// Starts a control process.
+/// @param aPlatform Clients of the platform.
+/// @param aClock Must outlive the node.
+/// @return The node, or an error when the address cannot be bound.
+[[nodiscard]] result<std::unique_ptr<control_node>>
+StartControlNode(const control_options& aOptions,
+                 const platform_clients& aPlatform,
+                 const clock_source& aClock);
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/control/control_node.cpp
@@ -0,0 +1,90 @@
+#include "arbutusferry/control_node.hpp"
+
+#include "arbutusferry/logging.hpp"
+#include "control/duty.hpp"
+#include "control/http_front.hpp"
+#include "control/log_follower.hpp"
+#include "control/rpc_methods.hpp"
+
+namespace arbutusferry {
+
+namespace {
+
+class running_node final : public control_node
+{
+public:
+  running_node(const control_options& aOptions,
+               const platform_clients& aPlatform,
+               const clock_source& aClock)
+    : mState(aOptions, aClock)
+    , mPlatform(aPlatform)
+    , mDispatcher(MakeRpcDispatcher(MakeControlMethods(mState, aPlatform)))
+  {
+  }
+
+  ~running_node() override { Stop(); }
+
+  result<void> Start()
+  {
+    http_front_handlers handlers;
+    handlers.rpc = [this](const std::string& aText) {
+      return mDispatcher->Handle(aText);
+    };
+    handlers.ready = [this] { return mState.Ready(); };
+    handlers.metrics = [this] { return mState.Metrics().Export(); };
+    BOOST_LEAF_ASSIGN(
+      mFront, StartHttpFront(mState.Options().listen, std::move(handlers)));
+    std::vector<duty_factory> duties;
+    duties.push_back(
+      { "log", [this] { return MakeLogFollower(mState, mPlatform.log); } });
+    duties.push_back({ "directory", [this] {
+                        return MakeDirectoryReader(mState, mPlatform.directory);
+                      } });
+    duties.push_back({ "load", [this] { return MakeLoadPoller(mState); } });
+    mSupervisor = StartSupervisor(
+      std::move(duties),
+      [this](const std::string& aDuty, const std::string& aReason) {
+        mState.Metrics().Count("duty_failures", { { "duty", aDuty } });
+        Log(log_level::Error,
+            "duty_failed",
+            { { "step", aDuty }, { "message", aReason } });
+      });
+    return {};
+  }
+
+  std::string Address() const override { return mFront->Address(); }
+  std::string Instance() const override { return mState.Instance(); }
+
+  void Stop() override
+  {
+    mState.Stop();
+    if (mSupervisor) {
+      mSupervisor->Stop();
+      mSupervisor.reset();
+    }
+    if (mFront) {
+      mFront->Stop();
+    }
+  }
+
+private:
+  node_state mState;
+  platform_clients mPlatform;
+  std::unique_ptr<rpc_dispatcher> mDispatcher;
+  std::unique_ptr<http_front> mFront;
+  std::unique_ptr<supervisor> mSupervisor;
+};
+
+} // namespace
+
+result<std::unique_ptr<control_node>>
+StartControlNode(const control_options& aOptions,
+                 const platform_clients& aPlatform,
+                 const clock_source& aClock)
+{
+  auto node = std::make_unique<running_node>(aOptions, aPlatform, aClock);
+  BOOST_LEAF_CHECK(node->Start());
+  return std::unique_ptr<control_node>(std::move(node));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/control/log_follower.cpp
@@ -0,0 +1,99 @@
+#include "control/log_follower.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+namespace arbutusferry {
+
+namespace {
+
+constexpr std::size_t kReadLimit = 256;
+/// Held reads end after this time, so that an idle log still proves once a
+/// second that the view is complete.
+constexpr std::chrono::milliseconds kReadWait{ 1000 };
+constexpr std::chrono::milliseconds kRetryDelay{ 300 };
+/// A change of a target must reach every entry within 3 s, through two syncs.
+constexpr std::chrono::milliseconds kListDelay{ 500 };
+
+class log_follower final : public duty
+{
+public:
+  log_follower(node_state& aState, std::shared_ptr<platform_log> aLog)
+    : mState(aState)
+    , mLog(std::move(aLog))
+  {
+  }
+
+  duration Step() override
+  {
+    const log_offset from =
+      mState.WithFeed([](config_feed& aFeed) { return aFeed.ReadFrom(); });
+    const time_point sent = mState.Clock().Now();
+    auto read =
+      Capture([&] { return mLog->Read(from, kReadLimit, kReadWait); });
+    if (const auto* failure = std::get_if<error_info>(&read)) {
+      if (mReached) {
+        LogError(log_level::Warning, "log_unreachable", *failure);
+      }
+      mReached = false;
+      mState.SetLogReach(false);
+      return kRetryDelay;
+    }
+    const time_point now = mState.Clock().Now();
+    mReached = true;
+    mState.SetLogReach(true);
+    const auto& batch = std::get<log_batch>(read);
+    mState.UpdateFeed([&](config_feed& aFeed) {
+      return aFeed.OnLogBatch(batch, kReadLimit, sent, now);
+    });
+    return {};
+  }
+
+private:
+  node_state& mState;
+  std::shared_ptr<platform_log> mLog;
+  bool mReached = true;
+};
+
+class directory_reader final : public duty
+{
+public:
+  directory_reader(node_state& aState, std::shared_ptr<vm_directory> aDirectory)
+    : mState(aState)
+    , mDirectory(std::move(aDirectory))
+  {
+  }
+
+  duration Step() override
+  {
+    auto vms = Capture([&] { return mDirectory->ListVms(); });
+    if (auto* list = std::get_if<std::vector<vm_info>>(&vms)) {
+      mState.SetVms(std::move(*list));
+    }
+    auto targets = Capture([&] { return mDirectory->ListTargets(); });
+    if (auto* list = std::get_if<std::vector<target_info>>(&targets)) {
+      mState.SetTargets(std::move(*list));
+    }
+    return kListDelay;
+  }
+
+private:
+  node_state& mState;
+  std::shared_ptr<vm_directory> mDirectory;
+};
+
+} // namespace
+
+std::unique_ptr<duty>
+MakeLogFollower(node_state& aState, std::shared_ptr<platform_log> aLog)
+{
+  return std::make_unique<log_follower>(aState, std::move(aLog));
+}
+
+std::unique_ptr<duty>
+MakeDirectoryReader(node_state& aState,
+                    std::shared_ptr<vm_directory> aDirectory)
+{
+  return std::make_unique<directory_reader>(aState, std::move(aDirectory));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/control/rpc_methods.cpp
@@ -0,0 +1,181 @@
+#include "control/rpc_methods.hpp"
+
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/logging.hpp"
+
+namespace arbutusferry {
+
+namespace {
+
+/// An append whose answer was lost is looked for this long; after it the
+/// operator is told that the outcome is unknown.
+constexpr std::chrono::seconds kReadBackTimeout{ 10 };
+
+/// Unwraps a result; a failure becomes a JSON-RPC error.
+template<typename Function>
+auto
+Unwrap(Function&& aFunction)
+{
+  auto outcome = Capture(std::forward<Function>(aFunction));
+  if (const auto* failure = std::get_if<error_info>(&outcome)) {
+    const bool invalid = failure->code == error_code::InvalidArgument;
+    throw rpc_failure(FormatError(*failure),
+                      !invalid,
+                      invalid ? kRpcInvalidParams : kRpcUnavailable);
+  }
+  return std::get<0>(std::move(outcome));
+}
+
+class operator_methods
+{
+public:
+  operator_methods(node_state& aState, const platform_clients& aPlatform)
+    : mState(aState)
+    , mPlatform(aPlatform)
+  {
+  }
+
+  /// Appends the record that the parameters describe and reads it back. The
+  /// parameters are those of the record, with the id in "record_id" and the
+  /// stage in "stage".
+  Json::Value Change(const char* aType, const Json::Value& aParams)
+  {
+    Json::Value fields = aParams;
+    const std::string id = TakeId(fields);
+    fields["type"] = aType;
+    if (fields.isMember("document") && !fields.isMember("environment") &&
+        fields["document"].isObject()) {
+      fields["environment"] = fields["document"]["environment"];
+    }
+    const auto record = Unwrap([&]() -> result<log_record> {
+      BOOST_LEAF_AUTO(read, ReadLogRecord(fields));
+      if (!read) {
+        return MakeError(
+          error_code::InvalidArgument, "read record", "operator", "type");
+      }
+      return std::move(*read);
+    });
+    return Append(id, record);
+  }
+
+  Json::Value Append(const std::string& aId, const log_record& aRecord)
+  {
+    if (mState.Stopping()) {
+      throw rpc_failure("the process is stopping", false, kRpcUnavailable);
+    }
+    auto appended = Capture(
+      [&] { return mPlatform.log->Append(aId, WriteLogRecord(aRecord)); });
+    log_offset offset = kNoOffset;
+    if (const auto* known = std::get_if<log_offset>(&appended)) {
+      offset = *known;
+    } else {
+      const auto& failure = std::get<error_info>(appended);
+      if (failure.code != error_code::Timeout &&
+          failure.code != error_code::BrokenExchange) {
+        throw rpc_failure(FormatError(failure), false, kRpcUnavailable);
+      }
+      LogError(log_level::Warning, "append_answer_lost", failure);
+    }
+    return Outcome(aId, offset, kReadBackTimeout);
+  }
+
+  Json::Value Record(const Json::Value& aParams)
+  {
+    Json::Value fields = aParams;
+    return Outcome(TakeId(fields), kNoOffset, {});
+  }
+
+  Json::Value Document(const Json::Value& aParams)
+  {
+    object_reader reader(aParams, "operator");
+    const std::string environment = reader.String("environment");
+    const stage which = reader.Enumerator<stage>("stage");
+    Unwrap([&] { return reader.Finish(); });
+    return mState.WithFeed([&](const config_feed& aFeed) {
+      const stage_config* config = aFeed.State().Find(environment, which);
+      if (config == nullptr || !config->document) {
+        throw rpc_failure(
+          "no document of this environment and stage", false, kRpcNotFound);
+      }
+      Json::Value answer(Json::objectValue);
+      answer["revision"] = Json::Int64(config->revision);
+      answer["sha256"] = EnvironmentHash(*config->document);
+      answer["document"] = WriteEnvironment(*config->document);
+      return answer;
+    });
+  }
+
+private:
+  Json::Value Outcome(const std::string& aId,
+                      log_offset aOffset,
+                      duration aTimeout)
+  {
+    const auto found = mState.WaitForRecord(aId, aOffset, aTimeout);
+    Json::Value answer(Json::objectValue);
+    answer["record_id"] = aId;
+    answer["outcome"] =
+      found ? std::string(EnumName(found->second)) : std::string("unknown");
+    answer["offset"] = Json::Int64(found ? found->first : aOffset);
+    return answer;
+  }
+
+  static std::string TakeId(Json::Value& aFields)
+  {
+    if (!aFields.isObject() || !aFields["record_id"].isString() ||
+        aFields["record_id"].asString().empty()) {
+      throw rpc_failure(
+        "field \"record_id\": expected a string", false, kRpcInvalidParams);
+    }
+    const std::string id = aFields["record_id"].asString();
+    aFields.removeMember("record_id");
+    return id;
+  }
+
+  node_state& mState;
+  platform_clients mPlatform;
+};
+
+} // namespace
+
+std::map<std::string, rpc_method>
+MakeControlMethods(node_state& aState, const platform_clients& aPlatform)
+{
+  auto operators = std::make_shared<operator_methods>(aState, aPlatform);
+  const auto change = [operators](const char* aType) {
+    return [operators, aType](const Json::Value& aParams) {
+      return operators->Change(aType, aParams);
+    };
+  };
+  std::map<std::string, rpc_method> methods;
+  methods["node.sync"] = [&aState](const Json::Value& aParams) {
+    const auto request =
+      Unwrap([&] { return ReadNodeSyncRequest(aParams, "entry"); });
+    return WriteNodeSyncResponse(aState.NodeSync(request));
+  };
+  methods["operator.apply"] = change("environment_applied");
+  methods["operator.promote"] = change("environment_promoted");
+  methods["operator.grant"] = change("key_granted");
+  methods["operator.withdraw"] = change("key_withdrawn");
+  // A published version is repeated by the entry until it is in force, so the
+  // record id may be left out.
+  methods["weights.publish"] = [operators](const Json::Value& aParams) {
+    Json::Value fields = aParams;
+    if (!fields.isMember("record_id")) {
+      fields["record_id"] = "weights-" + RandomHex(12);
+    }
+    return operators->Change("weights_published", fields);
+  };
+  methods["operator.record"] = [operators](const Json::Value& aParams) {
+    return operators->Record(aParams);
+  };
+  methods["operator.document"] = [operators](const Json::Value& aParams) {
+    return operators->Document(aParams);
+  };
+  methods["operator.status"] = [&aState](const Json::Value&) {
+    return aState.Status();
+  };
+  return methods;
+}
+
+} // namespace arbutusferry
