--- a/src/platform/platform_http.cpp
+++ b/src/platform/platform_http.cpp
@@ -229,11 +229,10 @@
     Json::Value body(Json::objectValue);
     body["id"] = aId;
     body["record"] = aRecord;
-    BOOST_LEAF_AUTO(
-      answer,
-      ParseAnswer(mWriter.Post("/log/append", WriteJson(body)),
-                  "append to the log",
-                  mWriter.Address()));
+    BOOST_LEAF_AUTO(answer,
+                    ParseAnswer(mWriter.Post("/log/append", WriteJson(body)),
+                                "append to the log",
+                                mWriter.Address()));
     const log_offset offset = Number(answer, "offset", kNoOffset);
     if (offset < 0) {
       return MakeError(error_code::BrokenExchange,
@@ -334,9 +333,9 @@
       target.targetClass = Text(item, "class");
       target.address = Text(item, "address");
       target.slots = Number(item, "slots", 1);
-      target.checksFencing =
-        item.isObject() && item["checks_fencing"].isBool() &&
-        item["checks_fencing"].asBool();
+      target.checksFencing = item.isObject() &&
+                             item["checks_fencing"].isBool() &&
+                             item["checks_fencing"].asBool();
       // A target that cannot be understood is left out; the others stay usable.
       if (!pool || !kind || !state || target.id.empty()) {
         continue;
