--- /dev/null
+++ b/src/entry/http_server.cpp
@@ -0,0 +1,485 @@
+#include "entry/http_server.hpp"
+
+#include "arbutusferry/logging.hpp"
+#include "entry/thread_pool.hpp"
+#include "exchange/socket_stream.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace arbutusferry {
+
+namespace {
+
+/// Time and bytes spent on reading what a caller still sends after the answer
+/// was written. Closing with unread data makes the kernel send a reset, which
+/// can destroy the answer on its way.
+constexpr duration kLingerTime = std::chrono::milliseconds(500);
+constexpr std::size_t kLingerBytes = 16U << 20U;
+
+/// Waiting refusals; more connections are closed without an answer.
+constexpr std::size_t kMaxRefusals = 128;
+
+/// Length of the queue of the kernel; cpp-httplib asks for 5 only.
+constexpr int kBacklog = 512;
+
+/// State of the connection that the present thread serves.
+struct connection_state
+{
+  bool mustClose = false;
+  std::string problem; ///< Why the head of the request is refused.
+};
+
+thread_local connection_state* tConnection = nullptr;
+thread_local bool tRefusing = false;
+
+/// Hands connections to a bounded pool and refuses those beyond the bounds.
+class connection_queue final : public httplib::TaskQueue
+{
+public:
+  explicit connection_queue(const http_limits& aLimits)
+    : mServing(aLimits.maxConnections, aLimits.maxWaiting)
+    , mRefusing(1, kMaxRefusals)
+  {
+  }
+
+  void enqueue(std::function<void()> aConnection) override
+  {
+    if (mServing.Run(aConnection)) {
+      return;
+    }
+    std::function<void()> refusal = [aConnection] {
+      tRefusing = true;
+      aConnection();
+      tRefusing = false;
+    };
+    if (!mRefusing.Run(refusal)) {
+      refusal();
+    }
+  }
+
+  void shutdown() override
+  {
+    mServing.Stop();
+    mRefusing.Stop();
+  }
+
+private:
+  thread_pool mServing;
+  thread_pool mRefusing;
+};
+
+bool
+IsNumber(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= 15 &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aDigit) {
+           return std::isdigit(aDigit) != 0;
+         });
+}
+
+/// @return What is wrong with the framing of a request; empty if nothing.
+/// cpp-httplib reads a malformed length as 0 and takes the body for the next
+/// request, which would let one caller prepend bytes to another's request
+/// behind a shared proxy.
+std::string
+FramingProblem(const httplib::Request& aRequest)
+{
+  const std::size_t lengths = aRequest.get_header_value_count("Content-Length");
+  const std::size_t encodings =
+    aRequest.get_header_value_count("Transfer-Encoding");
+  if (lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1)) {
+    return "ambiguous length of the body";
+  }
+  if (lengths == 1 && !IsNumber(aRequest.get_header_value("Content-Length"))) {
+    return "header Content-Length: expected a number";
+  }
+  if (encodings == 1 &&
+      aRequest.get_header_value("Transfer-Encoding") != "chunked") {
+    return "header Transfer-Encoding: expected chunked";
+  }
+  const std::string& method = aRequest.method;
+  const bool takesBody = method == "POST" || method == "PUT" ||
+                         method == "PATCH" || method == "DELETE";
+  const bool hasBody =
+    encodings == 1 ||
+    (lengths == 1 && aRequest.get_header_value("Content-Length") != "0");
+  if (hasBody && !takesBody) {
+    return "method " + method + " takes no body";
+  }
+  // DELETE without a length would be read up to the end of the connection.
+  if (takesBody && lengths + encodings == 0 && method != "DELETE") {
+    return "header Content-Length: expected with method " + method;
+  }
+  if (aRequest.has_header("Content-Encoding")) {
+    return "header Content-Encoding: expected none";
+  }
+  return {};
+}
+
+class listening_server final : public httplib::Server
+{
+public:
+  listening_server(const http_limits& aLimits, const clock_source& aClock)
+    : mLimits(aLimits)
+    , mClock(aClock)
+    , mWake(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+  {
+  }
+
+  ~listening_server() override
+  {
+    if (mWake >= 0) {
+      ::close(mWake);
+    }
+  }
+
+  void SetRefusal(std::string aRefusal) { mRefusal = std::move(aRefusal); }
+
+  void RaiseBacklog() { ::listen(svr_sock_, kBacklog); }
+
+  void WakeIdle()
+  {
+    mStopping = true;
+    const std::uint64_t one = 1;
+    if (::write(mWake, &one, sizeof(one)) < 0) {
+      Log(log_level::Warning, "wake_failed");
+    }
+  }
+
+private:
+  bool process_and_close_socket(socket_t aSocket) override
+  {
+    socket_stream stream(aSocket, mClock);
+    if (tRefusing) {
+      stream.SetDeadline(mClock.Now() + kLingerTime,
+                         mClock.Now() + kLingerTime);
+      stream.write(mRefusal.data(), mRefusal.size());
+    } else {
+      ServeConnection(stream);
+    }
+    Linger(aSocket, stream);
+    return true;
+  }
+
+  void ServeConnection(socket_stream& aStream)
+  {
+    connection_state state;
+    tConnection = &state;
+    aStream.SetWriteStall(mLimits.writeStall);
+    bool open = true;
+    while (open && !mStopping &&
+           aStream.WaitReadable(mLimits.idleTimeout, mWake)) {
+      const time_point start = mClock.Now();
+      aStream.SetDeadline(start + mLimits.headTimeout, time_point::max());
+      aStream.SetReadBudget(mLimits.maxHeadBytes);
+      const std::size_t written = aStream.Written();
+      bool closed = false;
+      const bool served = process_request(
+        aStream, mStopping, closed, [&](httplib::Request& aRequest) {
+          aStream.SetDeadline(mClock.Now() + mLimits.bodyTimeout,
+                              time_point::max());
+          // Room for the framing of a body that comes in small chunks.
+          aStream.SetReadBudget(mLimits.maxBodyBytes * 2 + 65'536);
+          Prepare(state, aRequest);
+        });
+      if (!served && aStream.Written() == written) {
+        WriteHeadError(aStream);
+      }
+      open = served && !closed && !state.mustClose;
+    }
+    tConnection = nullptr;
+  }
+
+  static void Prepare(connection_state& aState, httplib::Request& aRequest)
+  {
+    aState.problem = FramingProblem(aRequest);
+    if (!aState.problem.empty()) {
+      aState.mustClose = true;
+      aRequest.headers.emplace("Connection", "close");
+    }
+    // The library would compress answers and cut them into ranges, and would
+    // parse multipart bodies instead of handing them on.
+    aRequest.headers.erase("Accept-Encoding");
+    aRequest.ranges.clear();
+    const auto type = aRequest.headers.find("Content-Type");
+    if (type != aRequest.headers.end() &&
+        type->second.starts_with("multipart/form-data")) {
+      aRequest.headers.emplace(kMultipartType, type->second);
+      type->second = "application/octet-stream";
+    }
+  }
+
+  void WriteHeadError(socket_stream& aStream) const
+  {
+    if (aStream.OverBudget()) {
+      aStream.write(mHeadTooLarge.data(), mHeadTooLarge.size());
+    } else if (aStream.TimedOut()) {
+      aStream.write(mHeadTooSlow.data(), mHeadTooSlow.size());
+    }
+  }
+
+  void Linger(socket_t aSocket, socket_stream& aStream) const
+  {
+    ::shutdown(aSocket, SHUT_WR);
+    aStream.SetDeadline(mClock.Now() + kLingerTime, time_point::max());
+    aStream.SetReadBudget(kLingerBytes);
+    std::array<char, 4096> rest{};
+    while (!mStopping && aStream.read(rest.data(), rest.size()) > 0) {
+    }
+    httplib::detail::close_socket(aSocket);
+  }
+
+public:
+  static constexpr const char* kMultipartType = "X-Internal-Multipart-Type";
+
+  void SetHeadErrors(std::string aTooLarge, std::string aTooSlow)
+  {
+    mHeadTooLarge = std::move(aTooLarge);
+    mHeadTooSlow = std::move(aTooSlow);
+  }
+
+private:
+  http_limits mLimits;
+  const clock_source& mClock;
+  int mWake;
+  std::atomic<bool> mStopping{ false };
+  std::string mRefusal;
+  std::string mHeadTooLarge;
+  std::string mHeadTooSlow;
+};
+
+std::string
+RawAnswer(const http_answer& aAnswer, const std::string& aReason)
+{
+  std::string text =
+    "HTTP/1.1 " + std::to_string(aAnswer.status) + " " + aReason + "\r\n";
+  for (const auto& [name, value] : aAnswer.headers) {
+    text += name + ": " + value + "\r\n";
+  }
+  text += "Content-Type: " + aAnswer.contentType +
+          "\r\nContent-Length: " + std::to_string(aAnswer.body.size()) +
+          "\r\nConnection: close\r\n\r\n";
+  return text + aAnswer.body;
+}
+
+class http_server_impl final : public http_server
+{
+public:
+  http_server_impl(const http_limits& aLimits,
+                   const clock_source& aClock,
+                   http_handler aHandler,
+                   http_error_handler aErrors)
+    : mLimits(aLimits)
+    , mServer(aLimits, aClock)
+    , mHandler(std::move(aHandler))
+    , mErrors(std::move(aErrors))
+  {
+    mServer.SetRefusal(
+      RawAnswer(mErrors(503, "too many connections"), "Service Unavailable"));
+    mServer.SetHeadErrors(
+      RawAnswer(mErrors(431, "the head of the request is too large"),
+                "Request Header Fields Too Large"),
+      RawAnswer(mErrors(408, "the head of the request came too slowly"),
+                "Request Timeout"));
+    mServer.new_task_queue = [this] { return new connection_queue(mLimits); };
+    mServer.set_tcp_nodelay(true);
+    mServer.set_payload_max_length(mLimits.maxBodyBytes);
+    Route();
+  }
+
+  result<std::string> Bind(const std::string& aAddress) override;
+  void Serve() override { mServer.listen_after_bind(); }
+
+  void Stop() override
+  {
+    mServer.WakeIdle();
+    mServer.stop();
+  }
+
+private:
+  void Route();
+  void Handle(const httplib::Request& aRequest,
+              const httplib::ContentReader* aReader,
+              httplib::Response& aResponse);
+  static void Fill(http_answer aAnswer, httplib::Response& aResponse);
+
+  http_limits mLimits;
+  listening_server mServer;
+  http_handler mHandler;
+  http_error_handler mErrors;
+};
+
+result<std::string>
+http_server_impl::Bind(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  const std::string host = aAddress.substr(0, colon);
+  const std::string portText =
+    colon == std::string::npos ? "" : aAddress.substr(colon + 1);
+  if (!IsNumber(portText) || portText.size() > 5 ||
+      std::stoi(portText) > 65'535) {
+    return MakeError(error_code::InvalidSettings,
+                     "bind",
+                     aAddress,
+                     "field \"listen\": expected IP:port");
+  }
+  int port = std::stoi(portText);
+  const bool bound = port == 0 ? (port = mServer.bind_to_any_port(host)) > 0
+                               : mServer.bind_to_port(host, port);
+  if (!bound) {
+    return MakeError(
+      error_code::Unavailable, "bind", aAddress, "cannot listen here");
+  }
+  mServer.RaiseBacklog();
+  return host + ":" + std::to_string(port);
+}
+
+void
+http_server_impl::Route()
+{
+  const auto plain = [this](const httplib::Request& aRequest,
+                            httplib::Response& aResponse) {
+    Handle(aRequest, nullptr, aResponse);
+  };
+  const auto reading = [this](const httplib::Request& aRequest,
+                              httplib::Response& aResponse,
+                              const httplib::ContentReader& aReader) {
+    Handle(aRequest, &aReader, aResponse);
+  };
+  const char* everything = R"([\s\S]*)";
+  mServer.set_pre_routing_handler(
+    [this](const httplib::Request&, httplib::Response& aResponse) {
+      if (tConnection == nullptr || tConnection->problem.empty()) {
+        return httplib::Server::HandlerResponse::Unhandled;
+      }
+      Fill(mErrors(400, tConnection->problem), aResponse);
+      return httplib::Server::HandlerResponse::Handled;
+    });
+  mServer.Get(everything, plain);
+  mServer.Options(everything, plain);
+  mServer.Post(everything, reading);
+  mServer.Put(everything, reading);
+  mServer.Patch(everything, reading);
+  mServer.Delete(everything, reading);
+  // Called for every status from 400 up; only answers that the library made
+  // itself lack the outcome.
+  mServer.set_error_handler(
+    [this](const httplib::Request&, httplib::Response& aResponse) {
+      if (!aResponse.has_header(kOutcomeHeader)) {
+        if (tConnection != nullptr) {
+          tConnection->mustClose = true;
+        }
+        Fill(mErrors(aResponse.status, "malformed request"), aResponse);
+      }
+    });
+  mServer.set_exception_handler([this](const httplib::Request&,
+                                       httplib::Response& aResponse,
+                                       const std::exception_ptr& aException) {
+    try {
+      std::rethrow_exception(aException);
+    } catch (const std::exception& exception) {
+      Log(log_level::Error,
+          "handler_failed",
+          { { "message", exception.what() } });
+    } catch (...) {
+      Log(log_level::Error, "handler_failed");
+    }
+    Fill(mErrors(500, "internal error"), aResponse);
+  });
+}
+
+void
+http_server_impl::Handle(const httplib::Request& aRequest,
+                         const httplib::ContentReader* aReader,
+                         httplib::Response& aResponse)
+{
+  http_call call;
+  call.method = aRequest.method;
+  call.target = aRequest.target;
+  call.path = aRequest.path;
+  const std::string multipart =
+    aRequest.get_header_value(listening_server::kMultipartType);
+  for (const auto& [name, value] : aRequest.headers) {
+    if (name == "Content-Type" && !multipart.empty()) {
+      call.headers.emplace_back(name, multipart);
+    } else if (name != listening_server::kMultipartType) {
+      call.headers.emplace_back(name, value);
+    }
+  }
+  const bool hasBody = aRequest.has_header("Content-Length") ||
+                       aRequest.has_header("Transfer-Encoding");
+  if (aReader != nullptr && hasBody) {
+    bool tooLarge = false;
+    const bool read = (*aReader)([&](const char* aData, std::size_t aSize) {
+      tooLarge = call.body.size() + aSize > mLimits.maxBodyBytes;
+      if (!tooLarge) {
+        call.body.append(aData, aSize);
+      }
+      return !tooLarge;
+    });
+    if (!read) {
+      tConnection->mustClose = true;
+      tooLarge = tooLarge || aResponse.status == 413;
+      Fill(mErrors(tooLarge ? 413 : 400,
+                   tooLarge ? "the body is larger than " +
+                                std::to_string(mLimits.maxBodyBytes) + " bytes"
+                            : "the body is incomplete or malformed"),
+           aResponse);
+      return;
+    }
+  }
+  Fill(mHandler(call), aResponse);
+}
+
+void
+http_server_impl::Fill(http_answer aAnswer, httplib::Response& aResponse)
+{
+  aResponse.status = aAnswer.status;
+  for (const auto& [name, value] : aAnswer.headers) {
+    aResponse.set_header(name, value);
+  }
+  if (!aAnswer.next) {
+    aResponse.set_content(aAnswer.body, aAnswer.contentType);
+    if (aAnswer.ended) {
+      aAnswer.ended(true);
+    }
+    return;
+  }
+  aResponse.set_chunked_content_provider(
+    aAnswer.contentType,
+    [next = std::move(aAnswer.next)](std::size_t, httplib::DataSink& aSink) {
+      std::string part;
+      const bool more = next(part);
+      if (!part.empty() && !aSink.write(part.data(), part.size())) {
+        return false;
+      }
+      if (!more) {
+        aSink.done();
+        return true;
+      }
+      return aSink.is_writable();
+    },
+    [ended = std::move(aAnswer.ended)](bool aSuccess) {
+      if (ended) {
+        ended(aSuccess);
+      }
+    });
+}
+
+} // namespace
+
+std::unique_ptr<http_server>
+MakeHttpServer(const http_limits& aLimits,
+               const clock_source& aClock,
+               http_handler aHandler,
+               http_error_handler aErrors)
+{
+  return std::make_unique<http_server_impl>(
+    aLimits, aClock, std::move(aHandler), std::move(aErrors));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/entry/sync_loop.cpp
@@ -0,0 +1,137 @@
+#include "entry/sync_loop.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+
+namespace arbutusferry {
+
+namespace {
+
+/// Longest hold of one call. Short, so that demand and usage figures stay
+/// fresh and a withdrawn key is known well within its 5 s.
+constexpr std::int64_t kHoldMs = 500;
+
+constexpr duration kFirstBackoff = std::chrono::milliseconds(50);
+constexpr duration kMaxBackoff = std::chrono::seconds(1);
+
+void
+WaitStoppable(const std::stop_token& aStop, duration aWait)
+{
+  std::mutex mutex;
+  std::condition_variable_any wake;
+  std::unique_lock lock(mutex);
+  wake.wait_for(lock, aStop, aWait, [] { return false; });
+}
+
+} // namespace
+
+sync_loop::sync_loop(sync_parts aParts)
+  : mParts(std::move(aParts))
+{
+}
+
+void
+sync_loop::Run(const std::stop_token& aStop)
+{
+  duration backoff = kFirstBackoff;
+  while (!aStop.stop_requested()) {
+    if (Once(kHoldMs)) {
+      backoff = kFirstBackoff;
+      continue;
+    }
+    WaitStoppable(aStop, backoff);
+    backoff = std::min(backoff * 2, kMaxBackoff);
+  }
+}
+
+bool
+sync_loop::Once(std::int64_t aHoldMs)
+{
+  if (mParts.controls.empty()) {
+    return false;
+  }
+  const std::string& address = mParts.controls[mCurrent];
+  node_sync_request request;
+  request.entry = mParts.describe();
+  request.offset = mParts.view->Offset();
+  request.holdMs = aHoldMs;
+  request.demand = mParts.work->Demand();
+  request.inFlight = mParts.work->InFlight();
+  request.usage = mParts.takeUsage();
+  const time_point sent = mParts.clock->Now();
+  std::string problem;
+  try {
+    if (!mClient) {
+      mClient = mParts.makeClient(address);
+    }
+    const Json::Value answer =
+      mClient->Call("node.sync", WriteNodeSyncRequest(request));
+    const auto response =
+      Capture([&] { return ReadNodeSyncResponse(answer, address); });
+    if (const auto* error = std::get_if<1>(&response)) {
+      problem = FormatError(*error);
+    } else {
+      mParts.confirmUsage(request.usage);
+      Apply(std::get<0>(response), sent);
+      return true;
+    }
+  } catch (const rpc_failure& failure) {
+    problem = failure.what();
+  }
+  Log(log_level::Warning,
+      "sync_failed",
+      { { "step", "node.sync" }, { "peer", address }, { "message", problem } });
+  mClient.reset();
+  mCurrent = (mCurrent + 1) % mParts.controls.size();
+  return false;
+}
+
+void
+sync_loop::Apply(const node_sync_response& aResponse, time_point aSent)
+{
+  const auto folded =
+    Capture([&] { return mParts.view->Fold(aResponse, aSent); });
+  if (const auto* error = std::get_if<1>(&folded)) {
+    LogError(log_level::Error, "configuration_refused", *error);
+    return;
+  }
+  if (std::get<0>(folded)) {
+    std::map<std::string, double> shares;
+    const auto state = mParts.view->State();
+    for (const stage each : { stage::Trial, stage::Production }) {
+      const stage_config* config = state->Find(mParts.environment, each);
+      if (config != nullptr && config->document) {
+        for (const tenant_config& tenant : config->document->tenants) {
+          shares[tenant.name] = tenant.share;
+        }
+      }
+    }
+    mParts.work->UpdateShares(shares);
+  }
+  const entry_info self = mParts.describe();
+  std::vector<std::string> live{ self.instance };
+  for (const entry_info& entry : aResponse.entries) {
+    if (entry.zone == self.zone && !entry.draining &&
+        entry.instance != self.instance) {
+      live.push_back(entry.instance);
+    }
+  }
+  std::sort(live.begin(), live.end());
+  const auto index =
+    std::find(live.begin(), live.end(), self.instance) - live.begin();
+  const time_point now = mParts.clock->Now();
+  // The time of the grant is not known exactly; counting from the send time
+  // can only make it expire earlier.
+  mParts.work->UpdateTargets(
+    aResponse.targets,
+    aResponse.hasGrants ? std::optional(aResponse.grants) : std::nullopt,
+    aSent + std::chrono::milliseconds(aResponse.grantTtlMs),
+    static_cast<std::size_t>(index),
+    live.size(),
+    now);
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/entry/sync_loop.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "arbutusferry/dispatcher.hpp"
+#include "arbutusferry/node_sync.hpp"
+#include "arbutusferry/rpc.hpp"
+#include "arbutusferry/time.hpp"
+#include "entry/config_view.hpp"
+
+#include <functional>
+#include <memory>
+#include <stop_token>
+#include <string>
+#include <vector>
+
+namespace arbutusferry {
+
+/// Makes a client of the control process at an address.
+using rpc_factory =
+  std::function<std::unique_ptr<rpc_client>(const std::string&)>;
+
+/// What the sync loop works with; everything outlives it.
+struct sync_parts
+{
+  const clock_source* clock = nullptr;
+  config_view* view = nullptr;
+  dispatcher* work = nullptr;
+  std::string environment;
+  std::vector<std::string> controls; ///< Addresses in order of preference.
+  rpc_factory makeClient;
+  std::function<entry_info()> describe;
+  std::function<std::vector<usage_counter>()> takeUsage;
+  /// Called with counters that an answer confirmed.
+  std::function<void(const std::vector<usage_counter>&)> confirmUsage;
+};
+
+/// Keeps a `node.sync` call open at a control process and applies its answers.
+class sync_loop
+{
+public:
+  explicit sync_loop(sync_parts aParts);
+
+  /// Runs until stopped.
+  void Run(const std::stop_token& aStop);
+
+  /// Makes one call.
+  /// @param aHoldMs Longest time the control process may hold the call.
+  /// @return False if it failed; the next call goes to the next address.
+  bool Once(std::int64_t aHoldMs);
+
+private:
+  void Apply(const node_sync_response& aResponse, time_point aSent);
+
+  sync_parts mParts;
+  std::size_t mCurrent = 0;
+  std::unique_ptr<rpc_client> mClient;
+};
+
+} // namespace arbutusferry
