--- /dev/null
+++ b/standins/common/http_record.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "common/recorder.hpp"
+
+#include <httplib.h>
+
+namespace arbutusferry::standin {
+
+/// @return The request as recorded for `GET /admin/seen`.
+[[nodiscard]] seen_request
+RecordOf(const httplib::Request& aRequest);
+
+} // namespace arbutusferry::standin
--- /dev/null
+++ b/standins/common/tcp_proxy.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "arbutusferry/enum_names.hpp"
+
+#include <cstdint>
+#include <json/value.h>
+#include <memory>
+#include <string>
+
+namespace arbutusferry::standin {
+
+/// What a proxy does to connections.
+enum class fault_mode
+{
+  Pass,
+  Cut,         ///< Holds all bytes back and accepts nothing, as a partition.
+  CutToServer, ///< Holds back what the client sends.
+  CutToClient, ///< Holds back what the server sends.
+  Delay,       ///< Forwards every piece `delayMs` later.
+  ResetAfter,  ///< Resets both sides after `bytes` in the given direction.
+  Truncate,    ///< Ends both sides in order after `bytes` to the client.
+  LoseAnswer,  ///< Discards the answer and closes, once the server sends it.
+  Refuse,      ///< Closes the listener and resets open connections.
+};
+
+} // namespace arbutusferry::standin
+
+namespace arbutusferry {
+
+template<>
+inline constexpr enum_name_table<standin::fault_mode, 9>
+  kEnumNames<standin::fault_mode>{ {
+    { standin::fault_mode::Pass, "pass" },
+    { standin::fault_mode::Cut, "cut" },
+    { standin::fault_mode::CutToServer, "cut_to_server" },
+    { standin::fault_mode::CutToClient, "cut_to_client" },
+    { standin::fault_mode::Delay, "delay" },
+    { standin::fault_mode::ResetAfter, "reset_after" },
+    { standin::fault_mode::Truncate, "truncate" },
+    { standin::fault_mode::LoseAnswer, "lose_answer" },
+    { standin::fault_mode::Refuse, "refuse" },
+  } };
+
+} // namespace arbutusferry
+
+namespace arbutusferry::standin {
+
+struct fault_setting
+{
+  fault_mode mode = fault_mode::Pass;
+  std::int64_t bytes = 0;
+  std::int64_t delayMs = 0;
+  bool toClient = false; ///< Direction that `ResetAfter` counts.
+  /// New connections the fault applies to; -1 for all, open ones included.
+  std::int64_t count = -1;
+};
+
+/// Forwards TCP connections to one address and injects faults.
+class tcp_proxy
+{
+public:
+  tcp_proxy();
+  tcp_proxy(const tcp_proxy&) = delete;
+  tcp_proxy& operator=(const tcp_proxy&) = delete;
+  ~tcp_proxy();
+
+  /// @param aListen "IP:port"; port 0 lets the system choose.
+  /// @param aTo "IP:port" to forward to.
+  /// @return False if an address is malformed or cannot be bound.
+  [[nodiscard]] bool Start(const std::string& aListen, const std::string& aTo);
+  [[nodiscard]] std::string Address() const;
+
+  /// Replaces the fault; bytes are counted from here.
+  void Set(const fault_setting& aSetting);
+
+  /// @return `{"accepted","open","to_server","to_client","faults"}`: bytes in
+  /// each direction, and connections a fault ended.
+  [[nodiscard]] Json::Value Stats() const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> mImpl;
+};
+
+} // namespace arbutusferry::standin
