--- /dev/null
+++ b/tests/support/harness_http.cpp
@@ -0,0 +1,125 @@
+#include "support/harness.hpp"
+
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/outcome.hpp"
+
+#include <httplib.h>
+#include <stdexcept>
+
+namespace arbutusferry::harness {
+
+namespace {
+
+/// Reached only by processes that hang.
+constexpr int kTimeoutSeconds = 60;
+
+http_reply
+SendOnce(const std::string& aAddress,
+         const std::string& aMethod,
+         const std::string& aPath,
+         const std::string& aBody,
+         const header_list& aHeaders,
+         const std::function<bool(const std::string&)>& aPiece)
+{
+  httplib::Client client("http://" + aAddress);
+  client.set_connection_timeout(kTimeoutSeconds);
+  client.set_read_timeout(kTimeoutSeconds);
+  client.set_write_timeout(kTimeoutSeconds);
+  client.set_tcp_nodelay(true);
+  httplib::Request request;
+  request.method = aMethod;
+  request.path = aPath;
+  request.body = aBody;
+  for (const auto& [name, value] : aHeaders) {
+    request.headers.emplace(name, value);
+  }
+  if (!aBody.empty() && !request.has_header("Content-Type")) {
+    request.headers.emplace("Content-Type", "application/json");
+  }
+  std::string received;
+  if (aPiece) {
+    request.content_receiver =
+      [&](const char* aData, std::size_t aSize, std::uint64_t, std::uint64_t) {
+        received.append(aData, aSize);
+        return aPiece(std::string(aData, aSize));
+      };
+  }
+  http_reply reply;
+  const httplib::Result result = client.send(request);
+  if (!result) {
+    reply.failure = httplib::to_string(result.error());
+    reply.body = received;
+    return reply;
+  }
+  reply.status = result->status;
+  reply.body = aPiece ? received : result->body;
+  for (const auto& [name, value] : result->headers) {
+    reply.headers[name] = value;
+  }
+  return reply;
+}
+
+} // namespace
+
+Json::Value
+Parse(const std::string& aText)
+{
+  const auto value = Capture([&] { return ParseJson(aText, "text"); });
+  if (const auto* error = std::get_if<error_info>(&value)) {
+    throw std::runtime_error(FormatError(*error) + ": " + aText);
+  }
+  return std::get<Json::Value>(value);
+}
+
+std::string
+http_reply::Outcome() const
+{
+  const auto found = headers.find(kOutcomeHeader);
+  return found == headers.end() ? "" : found->second;
+}
+
+Json::Value
+http_reply::Parsed() const
+{
+  const auto value = Capture([&] { return ParseJson(body, "reply"); });
+  const auto* parsed = std::get_if<Json::Value>(&value);
+  return parsed != nullptr ? *parsed : Json::Value();
+}
+
+http_reply
+Send(const std::string& aAddress,
+     const std::string& aMethod,
+     const std::string& aPath,
+     const std::string& aBody,
+     const header_list& aHeaders)
+{
+  return SendOnce(aAddress, aMethod, aPath, aBody, aHeaders, {});
+}
+
+http_reply
+SendStreaming(const std::string& aAddress,
+              const std::string& aPath,
+              const std::string& aBody,
+              const header_list& aHeaders,
+              const std::function<bool(const std::string&)>& aPiece)
+{
+  return SendOnce(aAddress, "POST", aPath, aBody, aHeaders, aPiece);
+}
+
+Json::Value
+SendJson(const std::string& aAddress,
+         const std::string& aMethod,
+         const std::string& aPath,
+         const Json::Value& aBody)
+{
+  const http_reply reply =
+    Send(aAddress, aMethod, aPath, aBody.isNull() ? "" : WriteJson(aBody), {});
+  if (reply.status != 200) {
+    throw std::runtime_error(aMethod + " " + aAddress + aPath + ": status " +
+                             std::to_string(reply.status) + " " +
+                             reply.failure + " " + reply.body);
+  }
+  return reply.Parsed();
+}
+
+} // namespace arbutusferry::harness
