Add queue tests, and bound credit only for tenants that were passed over

The bound on credit, meant for tenants that wait for particular targets, was counted in items of the mean length of all tenants and cut short tenants that only waited for corrections of others.

The sync messages carry the round of the grants and the slots by tenant.

--- a/include/arbutusferry/message_json.hpp
+++ b/include/arbutusferry/message_json.hpp
@@ -50,6 +50,13 @@
               const std::string& aSource,
               const std::string& aPath);
 
+[[nodiscard]] Json::Value
+WriteTenantGrant(const tenant_grant& aGrant);
+[[nodiscard]] result<tenant_grant>
+ReadTenantGrant(const Json::Value& aValue,
+                const std::string& aSource,
+                const std::string& aPath);
+
 [[nodiscard]] Json::Value
 WriteEntryInfo(const entry_info& aEntry);
 [[nodiscard]] result<entry_info>
--- a/include/arbutusferry/node_sync.hpp
+++ b/include/arbutusferry/node_sync.hpp
@@ -54,6 +54,7 @@
   std::vector<tenant_demand> demand;
   std::vector<usage_counter> usage; ///< Cumulative, changed since last answer.
   std::map<std::string, std::int64_t> inFlight; ///< By target id.
+  std::int64_t grantRound = -1; ///< Round of the grants in use; -1 if none.
 };
 
 /// Answer to `node_sync_request`.
@@ -68,6 +69,8 @@
   std::int64_t grantTtlMs = 5000;
   bool hasGrants = false;
   std::vector<slot_grant> grants;
+  std::int64_t grantRound = -1; ///< Told back to the planner in the next sync.
+  std::vector<tenant_grant> tenantGrants;
   std::vector<entry_info> entries;
   std::vector<target_info> targets;
 };
--- a/src/environment/message_json.cpp
+++ b/src/environment/message_json.cpp
@@ -219,6 +219,31 @@
   return grant;
 }
 
+Json::Value
+WriteTenantGrant(const tenant_grant& aGrant)
+{
+  Json::Value value(Json::objectValue);
+  value["tenant"] = aGrant.tenant;
+  value["class"] = aGrant.targetClass;
+  value["slots"] = aGrant.slots;
+  return value;
+}
+
+result<tenant_grant>
+ReadTenantGrant(const Json::Value& aValue,
+                const std::string& aSource,
+                const std::string& aPath)
+{
+  object_reader reader(aValue, aSource, aPath);
+  AllowUnknown(reader, aValue);
+  tenant_grant grant;
+  grant.tenant = reader.String("tenant", "");
+  grant.targetClass = reader.String("class", "");
+  grant.slots = reader.Number("slots", 0, 1e300, 0);
+  BOOST_LEAF_CHECK(reader.Finish());
+  return grant;
+}
+
 Json::Value
 WriteEntryInfo(const entry_info& aEntry)
 {
--- a/src/membership/node_sync.cpp
+++ b/src/membership/node_sync.cpp
@@ -38,6 +38,7 @@
   for (const auto& [target, count] : aRequest.inFlight) {
     value["in_flight"][target] = Whole(count);
   }
+  value["grant_round"] = Whole(aRequest.grantRound);
   return value;
 }
 
@@ -66,6 +67,7 @@
     request.inFlight[target] = counts.Integer(target.c_str(), 0, kMax);
   }
   BOOST_LEAF_CHECK(counts.Finish());
+  request.grantRound = reader.Integer("grant_round", -1, kMax, -1);
   BOOST_LEAF_CHECK(reader.Finish());
   return request;
 }
@@ -84,6 +86,8 @@
   value["grant_ttl_ms"] = Whole(aResponse.grantTtlMs);
   value["has_grants"] = aResponse.hasGrants;
   value["grants"] = WriteList(aResponse.grants, WriteSlotGrant);
+  value["grant_round"] = Whole(aResponse.grantRound);
+  value["tenant_grants"] = WriteList(aResponse.tenantGrants, WriteTenantGrant);
   value["entries"] = WriteList(aResponse.entries, WriteEntryInfo);
   value["targets"] = WriteList(aResponse.targets, WriteTargetInfo);
   return value;
@@ -110,6 +114,11 @@
   response.hasGrants = reader.Boolean("has_grants", false);
   BOOST_LEAF_ASSIGN(response.grants,
                     ReadList(reader, "grants", with(ReadSlotGrant)));
+  response.grantRound = reader.Integer("grant_round", -1, kMax, -1);
+  if (!reader.Any("tenant_grants").isNull()) {
+    BOOST_LEAF_ASSIGN(response.tenantGrants,
+                      ReadList(reader, "tenant_grants", with(ReadTenantGrant)));
+  }
   BOOST_LEAF_ASSIGN(response.entries,
                     ReadList(reader, "entries", with(ReadEntryInfo)));
   BOOST_LEAF_ASSIGN(response.targets,
--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -16,8 +16,10 @@
 constexpr int kAgingInterval = 8;
 
 /// A tenant that waits for particular targets may fall behind the others by
-/// this many items. Without a bound it would later take all targets until it
-/// had caught up.
+/// this many of its items. Without a bound it would later take all targets
+/// until it had caught up. The bound does not apply to tenants that any target
+/// could serve: they fall behind by wrong estimates of others, which is
+/// corrected, and cutting that short cost them three quarters of their share.
 constexpr double kMaxCreditItems = 64;
 
 /// Weight of the newest observation in running means.
@@ -106,6 +108,8 @@
   double counter = 0; ///< Tokens served divided by weight.
   double lift = 0;    ///< Sum of raises to the minimum, which are not service.
   bool unservable = false; ///< No live target met its needs when last asked.
+  bool passedOver = false; ///< Was next, but had to wait for its targets.
+  double meanTokens = 0;   ///< Per item.
   std::uint64_t lastServed = 0;
   std::size_t waiting = 0;
   int sinceSample = 0;
@@ -117,8 +121,7 @@
 /// All tenants in one target class.
 struct class_queue
 {
-  double minimum = 0; ///< Highest counter that was the lowest when dispatched.
-  double meanTokens = 1;
+  double last = 0; ///< Counter of the tenant that was dispatched last.
   std::map<std::string, account> accounts;
   std::map<std::string, double> weights;
 };
@@ -173,6 +176,7 @@
       if (const auto id = Choose(queue, *account, aCheck)) {
         return Dispatch(queue, *tenant, *account, *id);
       }
+      account->passedOver = true;
     }
     return std::nullopt;
   }
@@ -193,6 +197,19 @@
     return found == aQueue.weights.end() ? Share(aTenant) : found->second;
   }
 
+  /// @return Lowest counter of the tenants that compete for any slot.
+  static double Minimum(const class_queue& aQueue)
+  {
+    auto minimum = std::numeric_limits<double>::infinity();
+    for (const auto& [tenant, account] : aQueue.accounts) {
+      if (account.waiting > 0 && !account.passedOver) {
+        minimum = std::min(minimum, account.counter);
+      }
+    }
+    return minimum == std::numeric_limits<double>::infinity() ? aQueue.last
+                                                              : minimum;
+  }
+
   static void LiftTo(account& aAccount, double aCounter)
   {
     if (aAccount.counter < aCounter) {
@@ -232,7 +249,7 @@
     }
     // A tenant that could not be served at all counts as idle.
     if (servable && aAccount.unservable) {
-      LiftTo(aAccount, aQueue.minimum);
+      LiftTo(aAccount, Minimum(aQueue));
     }
     aAccount.unservable = !servable;
     if (samples && (interactive.second == 0 ||
@@ -256,7 +273,13 @@
                        account& aAccount,
                        work_id aId)
   {
-    aQueue.minimum = std::max(aQueue.minimum, aAccount.counter);
+    if (aAccount.passedOver) {
+      LiftTo(aAccount,
+             Minimum(aQueue) -
+               kMaxCreditItems * aAccount.meanTokens / Weight(aQueue, aTenant));
+    }
+    aAccount.passedOver = false;
+    aQueue.last = aAccount.counter;
     const auto& item = Find(aId);
     if (item.kind == work_kind::Sample) {
       ++aAccount.groups[item.group].pending;
@@ -264,8 +287,6 @@
     Remove(aId, item);
     const double tokens = std::max(item.estimatedTokens, 0.0);
     const double weight = Weight(aQueue, aTenant);
-    LiftTo(aAccount,
-           aQueue.minimum - kMaxCreditItems * aQueue.meanTokens / weight);
     aAccount.counter += tokens / weight;
     aAccount.lastServed = ++mServed;
     return Start(aId, tokens, aAccount.lift);
@@ -275,9 +296,11 @@
   {
     auto& queue = mClasses[aItem.targetClass];
     auto& account = queue.accounts[aItem.tenant];
-    if (account.waiting++ == 0) {
-      LiftTo(account, queue.minimum);
+    if (account.waiting == 0) {
+      LiftTo(account, Minimum(queue));
+      account.passedOver = false;
     }
+    ++account.waiting;
     auto& bucket = account.buckets[NeedsOf(aItem)];
     if (aItem.kind == work_kind::Interactive) {
       bucket.interactive.emplace(DeadlineKey(aItem), aId);
@@ -313,7 +336,8 @@
   {
     auto& queue = mClasses[aItem.targetClass];
     auto& account = queue.accounts[aItem.tenant];
-    queue.meanTokens += kMeanGain * (aTokens - queue.meanTokens);
+    account.meanTokens += (account.meanTokens > 0 ? kMeanGain : 1.0) *
+                          (aTokens - account.meanTokens);
     // The account may have been raised to the minimum since the charge. Then
     // the raise already covers that much of the correction; a refund on top
     // of it would turn idle time into credit.
--- a/tests/unit/config_state_test.cpp
+++ b/tests/unit/config_state_test.cpp
@@ -217,6 +217,7 @@
   request.demand = { { "north", "sampler", 3, 4, 5.5 } };
   request.usage = { { "north", 60, "i1", 1, 2, 3 } };
   request.inFlight = { { "t1", 2 } };
+  request.grantRound = 9;
   const Json::Value first = WriteNodeSyncRequest(request);
   CHECK(WriteNodeSyncRequest(ReadNodeSyncRequest(first, "p").value()) == first);
 
@@ -226,6 +227,8 @@
   response.viewAgeMs = 12;
   response.hasGrants = true;
   response.grants = { { "t1", 3 } };
+  response.grantRound = 9;
+  response.tenantGrants = { { "north", "sampler", 1.5 } };
   response.entries = { request.entry };
   response.targets.resize(1);
   response.targets[0].id = "t1";
--- /dev/null
+++ b/tests/unit/fair_queue_test.cpp
@@ -0,0 +1,353 @@
+#include "arbutusferry/fair_queue.hpp"
+
+#include <algorithm>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <set>
+
+using namespace arbutusferry;
+using namespace std::chrono_literals;
+
+namespace {
+
+using random_engine = boost::random::mt19937_64;
+
+double
+Uniform(random_engine& aRandom, double aLow, double aHigh)
+{
+  return boost::random::uniform_real_distribution<double>(aLow, aHigh)(aRandom);
+}
+
+std::int64_t
+Draw(random_engine& aRandom, std::int64_t aLow, std::int64_t aHigh)
+{
+  return boost::random::uniform_int_distribution<std::int64_t>(aLow,
+                                                               aHigh)(aRandom);
+}
+
+work_item
+MakeItem(const std::string& aTenant,
+         double aEstimate,
+         const std::string& aClass = "c")
+{
+  work_item item;
+  item.tenant = aTenant;
+  item.targetClass = aClass;
+  item.idempotent = true;
+  item.estimatedTokens = aEstimate;
+  return item;
+}
+
+work_item
+MakeSample(const std::string& aGroup, std::int64_t aRemaining)
+{
+  auto item = MakeItem("a", 1);
+  item.kind = work_kind::Sample;
+  item.group = aGroup;
+  item.groupRemaining = aRemaining;
+  return item;
+}
+
+placement
+Anywhere(const placement_needs& /*aNeeds*/)
+{
+  return placement::Now;
+}
+
+/// Runs tenants that always have work through a queue onto slots that serve
+/// one token a second each.
+struct slot_simulation
+{
+  struct tenant_state
+  {
+    double share = 1;
+    double meanTokens = 1;
+    double estimateFactor = 1; ///< Estimate divided by the truth.
+    std::size_t depth = 20;    ///< Waiting items kept up.
+    double served = 0;
+    std::size_t waiting = 0;
+  };
+
+  random_engine random;
+  std::unique_ptr<queue_policy> queue;
+  std::vector<tenant_state> tenants;
+  std::map<work_id, std::pair<std::size_t, double>> tokens;
+  std::set<std::pair<double, work_id>> running; ///< By end.
+  double now = 0;
+  work_id lastId = 0;
+
+  slot_simulation(std::uint64_t aSeed, std::unique_ptr<queue_policy> aQueue)
+    : random(aSeed)
+    , queue(std::move(aQueue))
+  {
+  }
+
+  void Run(double aSeconds, std::size_t aSlots)
+  {
+    const double end = now + aSeconds;
+    while (now < end) {
+      for (std::size_t i = 0; i < tenants.size(); ++i) {
+        auto& tenant = tenants[i];
+        for (; tenant.waiting < tenant.depth; ++tenant.waiting) {
+          const double length = Uniform(random, 0.5, 1.5) * tenant.meanTokens;
+          auto item =
+            MakeItem(std::string(1, static_cast<char>('a' + i)),
+                     length * tenant.estimateFactor * Uniform(random, 0.5, 2));
+          tokens[++lastId] = { i, length };
+          if (!queue->Push(lastId, item)) {
+            FAIL("refused");
+          }
+        }
+      }
+      while (running.size() < aSlots) {
+        const auto next = queue->Pop("c", Anywhere);
+        if (!next) {
+          break;
+        }
+        const auto& [owner, length] = tokens[next->id];
+        --tenants[owner].waiting;
+        running.emplace(now + length, next->id);
+      }
+      const auto [ended, id] = *running.begin();
+      running.erase(running.begin());
+      now = ended;
+      const auto [owner, length] = tokens[id];
+      tokens.erase(id);
+      tenants[owner].served += length;
+      queue->Settle(id, length, true);
+    }
+  }
+
+  /// @return Served part of the entitled service of the worst-served tenant.
+  double Worst() const
+  {
+    double served = 0;
+    double shares = 0;
+    for (const auto& tenant : tenants) {
+      served += tenant.served;
+      shares += tenant.share;
+    }
+    double worst = 1e9;
+    for (const auto& tenant : tenants) {
+      worst = std::min(worst, tenant.served / (served * tenant.share / shares));
+    }
+    return worst;
+  }
+};
+
+} // namespace
+
+// Guards against a tenant below its share when another one floods, lengths
+// differ by a factor of 100 and estimates are wrong by up to a factor of 10.
+TEST_CASE("The worst-served of eight tenants gets its share")
+{
+  double worstFair = 1e9;
+  double worstFifo = 1e9;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    for (const bool fair : { true, false }) {
+      slot_simulation simulation(
+        seed, fair ? MakeFairQueue(100'000) : MakeFifoQueue(100'000));
+      random_engine random(seed);
+      std::map<std::string, double> shares;
+      for (int i = 0; i < 8; ++i) {
+        slot_simulation::tenant_state tenant;
+        tenant.share = static_cast<double>(Draw(random, 1, 4));
+        tenant.meanTokens = i % 2 == 0 ? 1 : 100;
+        tenant.estimateFactor = Uniform(random, 0.1, 10);
+        tenant.depth = i == 7 ? 2000 : 20;
+        simulation.tenants.push_back(tenant);
+        shares[std::string(1, static_cast<char>('a' + i))] = tenant.share;
+      }
+      simulation.queue->UpdateShares(shares);
+      simulation.Run(5000, 32);
+      (fair ? worstFair : worstFifo) =
+        std::min(fair ? worstFair : worstFifo, simulation.Worst());
+    }
+  }
+  CHECK(worstFair > 0.95);
+  CHECK(worstFifo < 0.5);
+}
+
+// Guards against credit from idle time: a tenant that comes back may not hold
+// all slots until it caught up.
+TEST_CASE("A tenant returns from idle at the minimum")
+{
+  for (const bool refund : { false, true }) {
+    const auto queue = MakeFairQueue(10'000);
+    work_id id = 0;
+    // Tenant a leaves exchanges behind that end while it is idle.
+    for (int i = 0; i < 5; ++i) {
+      REQUIRE(queue->Push(++id, MakeItem("a", 100)));
+      REQUIRE(queue->Pop("c", Anywhere));
+    }
+    for (int i = 0; i < 1000; ++i) {
+      REQUIRE(queue->Push(++id, MakeItem("b", 10)));
+    }
+    for (int i = 0; i < 500; ++i) {
+      REQUIRE(queue->Pop("c", Anywhere));
+    }
+    for (int i = 0; i < 500; ++i) {
+      REQUIRE(queue->Push(++id, MakeItem("a", 10)));
+    }
+    for (work_id each = 1; refund && each <= 5; ++each) {
+      queue->Settle(each, 0, true);
+    }
+    int served = 0;
+    for (int i = 0; i < 100; ++i) {
+      served += queue->Pop("c", Anywhere)->item.tenant == "a" ? 1 : 0;
+    }
+    CHECK(served == 50);
+  }
+}
+
+// Guards against a tenant that waits for one full class or target and holds
+// the minimum down, which would give returning tenants everything.
+TEST_CASE("A blocked tenant gives others no credit")
+{
+  const auto queue = MakeFairQueue(10'000);
+  work_id id = 0;
+  auto pinned = MakeItem("a", 10);
+  pinned.minVersion = 9;
+  REQUIRE(queue->Push(++id, pinned));
+  REQUIRE(queue->Push(++id, MakeItem("a", 10, "other")));
+  const auto blocked = [](const placement_needs& aNeeds) {
+    return aNeeds.minVersion == 9 ? placement::Never : placement::Now;
+  };
+  for (int i = 0; i < 1000; ++i) {
+    REQUIRE(queue->Push(++id, MakeItem("b", 10)));
+  }
+  for (int i = 0; i < 500; ++i) {
+    REQUIRE(queue->Pop("c", blocked)->item.tenant == "b");
+  }
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(queue->Push(++id, MakeItem("d", 10)));
+    REQUIRE(queue->Push(++id, pinned));
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 100; ++i) {
+    ++served[queue->Pop("c", blocked)->item.tenant];
+  }
+  CHECK(served["b"] == 50);
+  CHECK(served["d"] == 50);
+  // Once a target for it appears it gets its share and no more.
+  served.clear();
+  for (int i = 0; i < 90; ++i) {
+    ++served[queue->Pop("c", Anywhere)->item.tenant];
+  }
+  CHECK(served["a"] == Approx(30).margin(2));
+}
+
+// Guards against a wrong order within a tenant and against starvation there.
+TEST_CASE("Deadlines and groups order the work of a tenant")
+{
+  const auto queue = MakeFairQueue(100'000);
+  const auto late = [](duration aDeadline) {
+    auto item = MakeItem("a", 1);
+    item.deadline = time_point{ aDeadline };
+    return item;
+  };
+  REQUIRE(queue->Push(1, late(9s)));
+  REQUIRE(queue->Push(2, late(5s)));
+  REQUIRE(queue->Push(3, MakeItem("a", 1)));
+  CHECK(queue->Pop("c", Anywhere)->id == 2);
+  CHECK(queue->Pop("c", Anywhere)->id == 1);
+  CHECK(queue->Pop("c", Anywhere)->id == 3);
+
+  REQUIRE(queue->Push(11, MakeSample("g1", 8)));
+  REQUIRE(queue->Push(12, MakeSample("g1", 8)));
+  REQUIRE(queue->Push(13, MakeSample("g1", 8)));
+  REQUIRE(queue->Push(21, MakeSample("g2", 8)));
+  REQUIRE(queue->Push(31, MakeSample("g3", 2)));
+  CHECK(queue->Pop("c", Anywhere)->id == 31);
+  CHECK(queue->Pop("c", Anywhere)->id == 11);
+  queue->Settle(11, 1, true); // Seven of g1 are left, so it stays ahead.
+  REQUIRE(queue->Push(22, MakeSample("g2", 8)));
+  CHECK(queue->Pop("c", Anywhere)->id == 12);
+  REQUIRE(queue->Push(23, MakeSample("g2", 5)));
+  CHECK(queue->Pop("c", Anywhere)->id == 21);
+
+  // The oldest sample starts in spite of ever newer, nearer groups and calls.
+  work_id id = 100;
+  int passed = 0;
+  for (bool found = false; !found && passed < 1000; ++passed) {
+    REQUIRE(queue->Push(++id, late(1s)));
+    ++id;
+    REQUIRE(queue->Push(id, MakeSample("n" + std::to_string(id), 1)));
+    found = queue->Pop("c", Anywhere)->id == 13;
+  }
+  CHECK(passed <= 64);
+}
+
+// Guards against order and bookkeeping that differ from a plain list.
+TEST_CASE("Queues agree with a plain list about what waits")
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    for (const bool fair : { true, false }) {
+      random_engine random(seed);
+      const auto queue = fair ? MakeFairQueue(20) : MakeFifoQueue(20);
+      std::map<work_id, work_item> waiting;
+      std::vector<work_id> running;
+      time_point now{ 0s };
+      for (work_id id = 1; id <= 600; ++id) {
+        const auto action = Draw(random, 0, 9);
+        if (action < 5) {
+          auto item =
+            Draw(random, 0, 1) == 0
+              ? MakeItem("a", 1)
+              : MakeSample(
+                  std::string(1, static_cast<char>('g' + Draw(random, 0, 3))),
+                  Draw(random, 1, 4));
+          item.tenant =
+            std::string(1, static_cast<char>('a' + Draw(random, 0, 2)));
+          item.deadline = now + Draw(random, 1, 60) * 1s;
+          if (Draw(random, 0, 5) == 0) {
+            item.avoid = { "t2", "t1" };
+          }
+          const auto mine = std::count_if(
+            waiting.begin(), waiting.end(), [&](const auto& aEach) {
+              return aEach.second.tenant == item.tenant;
+            });
+          const bool pushed = queue->Push(id, item);
+          REQUIRE(pushed == (mine < 20));
+          if (pushed) {
+            waiting[id] = item;
+          }
+        } else if (action < 7) {
+          const bool avoided = Draw(random, 0, 1) == 0;
+          const auto next = queue->Pop("c", [&](const auto& aNeeds) {
+            return avoided == aNeeds.avoid.empty() ? placement::Now
+                                                   : placement::Later;
+          });
+          const auto possible = std::find_if(
+            waiting.begin(), waiting.end(), [&](const auto& aEach) {
+              return avoided == aEach.second.avoid.empty();
+            });
+          REQUIRE(next.has_value() == (possible != waiting.end()));
+          if (next) {
+            REQUIRE((fair || next->id == possible->first));
+            REQUIRE(waiting.erase(next->id) == 1);
+            running.push_back(next->id);
+          }
+        } else if (action == 7 && !running.empty()) {
+          queue->Settle(running.back(), 2, Draw(random, 0, 1) == 0);
+          running.pop_back();
+        } else if (action == 8) {
+          const auto erased = static_cast<work_id>(Draw(random, 1, 600));
+          REQUIRE(queue->Erase(erased) == (waiting.erase(erased) == 1));
+        } else {
+          now += Draw(random, 0, 5) * 1s;
+          for (const auto& expired : queue->Expire(now)) {
+            REQUIRE(waiting.at(expired.id).deadline <= now);
+            waiting.erase(expired.id);
+          }
+        }
+        REQUIRE(queue->WaitingInClass("c") == waiting.size());
+      }
+    }
+  }
+}
