Correct estimates by what a tenant's work really used

A tenant whose estimates are too high is charged too much for all that is in flight, and the refund comes late. Each tenant's estimates are now scaled by tokens served / tokens estimated of its recent work. Ruled out: charging at the end only, which lets a tenant with long requests take all slots before its first one ends.

--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -3,6 +3,7 @@
 #include "routing/queue_base.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <tuple>
 
@@ -102,6 +103,25 @@
   std::int64_t pending = 0; ///< Waiting and running items here.
 };
 
+/// Tokens served in relation to the estimates, with older items fading out.
+struct estimate_ratio
+{
+  double served = 0;
+  double estimated = 0;
+
+  void Add(double aServed, double aEstimated)
+  {
+    served += kMeanGain * (aServed - served);
+    estimated += kMeanGain * (aEstimated - estimated);
+  }
+
+  /// @return Factor for the next estimate.
+  [[nodiscard]] double Factor() const
+  {
+    return served > 0 && estimated > 0 ? served / estimated : 1.0;
+  }
+};
+
 /// One tenant in one target class.
 struct account
 {
@@ -110,6 +130,7 @@
   bool unservable = false; ///< No live target met its needs when last asked.
   bool passedOver = false; ///< Was next, but had to wait for its targets.
   double meanTokens = 0;   ///< Per item.
+  std::array<estimate_ratio, 2> ratios; ///< By kind of work.
   std::uint64_t lastServed = 0;
   std::size_t waiting = 0;
   int sinceSample = 0;
@@ -285,7 +306,10 @@
       ++aAccount.groups[item.group].pending;
     }
     Remove(aId, item);
-    const double tokens = std::max(item.estimatedTokens, 0.0);
+    // Estimates are often wrong in the same way for all work of a tenant.
+    const double tokens =
+      std::max(item.estimatedTokens, 0.0) *
+      aAccount.ratios[static_cast<std::size_t>(item.kind)].Factor();
     const double weight = Weight(aQueue, aTenant);
     aAccount.counter += tokens / weight;
     aAccount.lastServed = ++mServed;
@@ -336,6 +360,8 @@
   {
     auto& queue = mClasses[aItem.targetClass];
     auto& account = queue.accounts[aItem.tenant];
+    account.ratios[static_cast<std::size_t>(aItem.kind)].Add(
+      aTokens, std::max(aItem.estimate, 0.0));
     account.meanTokens += (account.meanTokens > 0 ? kMeanGain : 1.0) *
                           (aTokens - account.meanTokens);
     // The account may have been raised to the minimum since the charge. Then
