Test the dispatcher and the routing parts

The test of failing targets found that an exchange which started before the breaker opened, but at the same instant, counted as a failed probe and doubled the open time; only an exchange that starts after the open time is a probe now.

--- a/include/arbutusferry/circuit_breaker.hpp
+++ b/include/arbutusferry/circuit_breaker.hpp
@@ -54,7 +54,6 @@
   int mFailures = 0;
   bool mOpen = false;
   time_point mOpenUntil{};
-  time_point mOpenSince{};
   time_point mProbeUntil{};
   duration mOpenFor;
 };
--- a/src/routing/circuit_breaker.cpp
+++ b/src/routing/circuit_breaker.cpp
@@ -45,13 +45,12 @@
       return;
     }
     mOpen = true;
-  } else if (aStarted < mOpenSince) {
-    // Exchanges that started before the breaker opened say nothing new.
+  } else if (aStarted < mOpenUntil) {
+    // Not the probe: it started before the breaker opened.
     return;
   } else {
     mOpenFor = std::min(mOpenFor * 2, mOptions.maxOpenFor);
   }
-  mOpenSince = aNow;
   mOpenUntil = aNow + mOpenFor;
   mProbeUntil = {};
 }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -125,3 +125,201 @@
   CHECK(f.failed[2].code == error_code::Timeout);
   CHECK(f.assigned.size() == 2);
 }
+
+// Guards against new work for a target that leaves.
+TEST_CASE("A leaving target gets nothing new")
+{
+  fixture f;
+  auto leaving = MakeTarget("t1");
+  f.Targets({ leaving, MakeTarget("t2") });
+  for (int i = 0; i < 20; ++i) {
+    f.Submit(MakeItem());
+  }
+  REQUIRE(f.assigned.size() == 4);
+  leaving.state = target_state::Leaving;
+  f.Targets({ leaving, MakeTarget("t2") });
+  for (std::size_t i = 0; i < 4; ++i) {
+    f.End(i);
+  }
+  // The list may also drop it; its exchange still ends in order.
+  f.Targets({ MakeTarget("t2") });
+  REQUIRE(f.assigned.size() > 4);
+  for (std::size_t i = 4; i < f.assigned.size(); ++i) {
+    CHECK(f.assigned[i].target.id == "t2");
+    f.End(i);
+  }
+  CHECK(f.assigned.size() == 20);
+  CHECK(f.front->InFlight().empty());
+}
+
+// Guards against work on targets that may not run it, such as orders on
+// reclaimable targets or samples from old weights.
+TEST_CASE("Pool and weight version restrict the targets")
+{
+  fixture f;
+  auto cheap = MakeTarget("t1");
+  cheap.pool = target_pool::Reclaimable;
+  cheap.weightVersion = 4;
+  f.Targets({ cheap });
+  f.Submit(MakeItem());
+  auto sample = MakeItem();
+  sample.kind = work_kind::Sample;
+  sample.minVersion = 5;
+  f.Submit(sample);
+  CHECK(f.assigned.empty());
+  sample.minVersion = 4;
+  f.Submit(sample);
+  auto repeatable = MakeItem();
+  repeatable.idempotent = true;
+  f.Submit(repeatable);
+  REQUIRE(f.assigned.size() == 2);
+  f.Targets({ cheap, MakeTarget("t2") });
+  REQUIRE(f.assigned.size() == 3);
+  CHECK(f.assigned[2].target.id == "t2");
+  cheap.weightVersion = 5;
+  f.Targets({ cheap, MakeTarget("t2") });
+  f.End(0);
+  REQUIRE(f.assigned.size() == 4);
+  CHECK(f.assigned[3].target.id == "t1");
+}
+
+// Guards against work that waits for its deadline because every target that
+// is left failed it once.
+TEST_CASE("Targets to avoid are the last resort")
+{
+  fixture f;
+  auto item = MakeItem();
+  item.avoid = { "t1" };
+  f.Targets({ MakeTarget("t1"), MakeTarget("t2") });
+  for (int i = 0; i < 2; ++i) {
+    f.Submit(item);
+  }
+  f.Submit(item);
+  REQUIRE(f.assigned.size() == 2);
+  CHECK(f.assigned[0].target.id == "t2");
+  CHECK(f.assigned[1].target.id == "t2");
+  f.Targets({ MakeTarget("t1"), MakeTarget("far", "z2") });
+  REQUIRE(f.assigned.size() == 3);
+  CHECK(f.assigned[2].target.id == "far");
+  f.Targets({ MakeTarget("t1") });
+  f.Submit(item);
+  REQUIRE(f.assigned.size() == 4);
+  CHECK(f.assigned[3].target.id == "t1");
+}
+
+// Guards against leaving the own zone without need, and against staying in a
+// zone that cannot serve.
+TEST_CASE("Other zones help when the own zone is slower")
+{
+  fixture f;
+  f.Targets({ MakeTarget("t1"), MakeTarget("far", "z2") });
+  for (int i = 0; i < 3; ++i) {
+    f.Submit(MakeItem());
+  }
+  // Exchanges take no time so far: waiting is cheaper than the hops.
+  REQUIRE(f.assigned.size() == 2);
+  f.now += 2s;
+  f.End(0);
+  REQUIRE(f.assigned.size() == 3);
+  CHECK(f.assigned[2].target.id == "t1");
+  f.Submit(MakeItem());
+  REQUIRE(f.assigned.size() == 4);
+  CHECK(f.assigned[3].target.id == "far");
+  auto busy = MakeTarget("far", "z2");
+  busy.running = 3;
+  f.Targets({ MakeTarget("t1"), busy });
+  f.Submit(MakeItem());
+  CHECK(f.assigned.size() == 4);
+}
+
+// Guards against entries that are left without slots everywhere, and against
+// entries that together use more than a target has.
+TEST_CASE("Fallback slots cover each target exactly")
+{
+  std::vector<target_info> targets;
+  for (int t = 0; t < 100; ++t) {
+    targets.push_back(MakeTarget("t" + std::to_string(t)));
+    targets.back().slots = 1 + t % 8;
+  }
+  std::map<std::string, std::int64_t> all;
+  for (std::size_t index = 0; index < 28; ++index) {
+    fixture f;
+    f.Targets(targets, std::nullopt, index, 28);
+    for (int i = 0; i < 100; ++i) {
+      f.Submit(MakeItem());
+    }
+    CHECK(f.assigned.size() >= 8);
+    for (const auto& [target, count] : f.front->InFlight()) {
+      all[target] += count;
+    }
+  }
+  for (const auto& target : targets) {
+    CHECK(all[target.id] == target.slots);
+  }
+}
+
+// Guards against a crashed target that attracts all work, because it ends
+// every exchange at once.
+TEST_CASE("A target that fails repeatedly gets probes only")
+{
+  fixture f;
+  f.Targets({ MakeTarget("t1") });
+  for (int i = 0; i < 50; ++i) {
+    f.Submit(MakeItem());
+  }
+  const auto failAll = [&] {
+    for (std::size_t i = 0; i < f.assigned.size(); ++i) {
+      f.End(i, true);
+    }
+  };
+  failAll();
+  const auto before = f.assigned.size();
+  CHECK(before <= 5);
+  f.now += 999ms;
+  f.front->Tick(f.now);
+  CHECK(f.assigned.size() == before);
+  f.now += 1ms;
+  f.front->Tick(f.now);
+  REQUIRE(f.assigned.size() == before + 1);
+  f.End(before, true);
+  f.now += 1999ms;
+  f.front->Tick(f.now);
+  CHECK(f.assigned.size() == before + 1);
+  f.now += 1ms;
+  f.front->Tick(f.now);
+  REQUIRE(f.assigned.size() == before + 2);
+  f.End(before + 1);
+  CHECK(f.assigned.size() > before + 3);
+}
+
+// Guards against a tenant whose local share ignores its work elsewhere.
+TEST_CASE("Tenant grants replace the shares until they expire")
+{
+  fixture f;
+  f.Targets({ MakeTarget("t1") });
+  f.front->UpdateTenantGrants({ { "a", "c", 1 }, { "b", "c", 4 } }, f.now + 5s);
+  for (int i = 0; i < 400; ++i) {
+    f.Submit(MakeItem("a"));
+    f.Submit(MakeItem("b"));
+  }
+  std::map<std::string, int> served;
+  const auto serve = [&](std::size_t aFrom, std::size_t aTo) {
+    std::map<std::string, std::int64_t> before;
+    for (const auto& line : f.front->Demand()) {
+      before[line.tenant] = line.waiting;
+    }
+    for (std::size_t i = aFrom; i < aTo; ++i) {
+      f.End(i);
+    }
+    for (const auto& line : f.front->Demand()) {
+      served[line.tenant] =
+        static_cast<int>(before[line.tenant] - line.waiting);
+    }
+  };
+  serve(0, 100);
+  CHECK(served["a"] == Approx(20).margin(2));
+  f.now += 5s;
+  f.front->Tick(f.now);
+  serve(100, 200);
+  CHECK(served["a"] == Approx(50).margin(2));
+}
