Add the operators' client

Operators need to change the configuration and to learn for certain whether a change took effect. A change is sent to at most one process that may act on it; an answer that is lost is looked up by the record id for about 10 s, after which the client exits with 3 and prints the id to query. apply and promote require the revision in force as the base (or "current"), so that an operator cannot overwrite a change that he has not seen.

The code -32001 is not used for refusals: libjsonrpccpp gives it to answers it cannot read, so it proves nothing. The codes that do are in rpc_codes.hpp. gflags' own parser ends with code 1 and several lines on a wrong flag; its flags are set one by one instead.

--- /dev/null
+++ b/apps/arbutusferry/commands.cpp
@@ -0,0 +1,430 @@
+#include "commands.hpp"
+
+#include "arbutusferry/address.hpp"
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/key_table.hpp"
+#include "arbutusferry/operator_client.hpp"
+#include "arbutusferry/rpc_http.hpp"
+#include "arbutusferry/settings.hpp"
+#include "http_get.hpp"
+#include "output.hpp"
+
+#include <charconv>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <thread>
+
+namespace arbutusferry {
+
+namespace {
+
+leaf::error_id
+WrongInput(const std::string& aField, const std::string& aExpected)
+{
+  return MakeError(error_code::InvalidArgument,
+                   "command line",
+                   "",
+                   "field \"" + aField + "\": " + aExpected);
+}
+
+/// One run of the program.
+class command_run
+{
+public:
+  command_run(const command_options& aOptions,
+              std::vector<std::string> aArguments)
+    : mOptions(aOptions)
+    , mArguments(std::move(aArguments))
+    , mClient(
+        aOptions.control,
+        [timeout = aOptions.timeout](const std::string& aAddress) {
+          return MakeHttpRpcClient(aAddress, timeout);
+        },
+        [](duration aTime) { std::this_thread::sleep_for(aTime); })
+  {
+  }
+
+  result<exit_code> Check();
+  result<exit_code> Diff();
+  result<exit_code> Apply();
+  result<exit_code> Promote();
+  result<exit_code> Grant();
+  result<exit_code> Withdraw();
+  result<exit_code> Record();
+  result<exit_code> Status() { return Show("operator.status", {}); }
+  result<exit_code> Drain();
+  result<exit_code> Usage();
+  result<exit_code> Metrics();
+
+private:
+  result<environment_document> ReadFile() const
+  {
+    BOOST_LEAF_AUTO(text, ReadTextFile(mArguments[1]));
+    BOOST_LEAF_AUTO(value, ParseJson(text, mArguments[1]));
+    return ReadEnvironment(value, mArguments[1]);
+  }
+
+  result<stage> Stage(stage aDefault) const
+  {
+    const auto named = ParseEnum<stage>(mOptions.stage);
+    if (!named && !mOptions.stage.empty()) {
+      return WrongInput("--stage", "expected trial or production");
+    }
+    return named.value_or(aDefault);
+  }
+
+  result<log_offset> Base(log_offset aInForce) const;
+  result<exit_code> Change(const std::string& aMethod,
+                           const Json::Value& aParams,
+                           const generated_key* aKey = nullptr);
+  result<exit_code> Report(const change_result& aChange,
+                           const generated_key* aKey = nullptr) const;
+  result<exit_code> Show(const std::string& aMethod, Json::Value aParams);
+
+  void Print(const Json::Value& aValue, const std::string& aText) const
+  {
+    std::cout << (mOptions.json ? WriteJson(aValue) + "\n" : aText);
+  }
+
+  const command_options& mOptions;
+  std::vector<std::string> mArguments;
+  operator_client mClient;
+};
+
+/// An operator names the revision that the change starts from, so that two
+/// operators cannot overwrite each other without noticing.
+result<log_offset>
+command_run::Base(log_offset aInForce) const
+{
+  log_offset base = kNoOffset;
+  if (mOptions.base == "current") {
+    return aInForce;
+  }
+  if (!mOptions.base.empty()) {
+    const char* const end = mOptions.base.data() + mOptions.base.size();
+    const auto [stop, problem] =
+      std::from_chars(mOptions.base.data(), end, base);
+    if (problem != std::errc() || stop != end || base < kNoOffset) {
+      return WrongInput("--base", "expected a revision or \"current\"");
+    }
+  }
+  if (base != aInForce) {
+    return MakeError(error_code::Conflict,
+                     "command line",
+                     "",
+                     "field \"--base\": expected the revision in force, " +
+                       std::to_string(aInForce) +
+                       (mOptions.base.empty() ? "; see diff" : ""));
+  }
+  return base;
+}
+
+result<exit_code>
+command_run::Change(const std::string& aMethod,
+                    const Json::Value& aParams,
+                    const generated_key* aKey)
+{
+  const std::string recordId =
+    mOptions.recordId.empty() ? "op-" + RandomHex(12) : mOptions.recordId;
+  BOOST_LEAF_AUTO(change, mClient.Change(aMethod, aParams, recordId));
+  return Report(change, aKey);
+}
+
+result<exit_code>
+command_run::Report(const change_result& aChange,
+                    const generated_key* aKey) const
+{
+  Json::Value value(Json::objectValue);
+  value["outcome"] = std::string(EnumName(aChange.outcome));
+  value["offset"] = Json::Int64(aChange.offset);
+  value["record_id"] = aChange.recordId;
+  std::string text;
+  exit_code code = exit_code::Success;
+  if (aChange.outcome == change_outcome::InForce) {
+    text = "in force at revision " + std::to_string(aChange.offset) +
+           " (record " + aChange.recordId + ")\n";
+    if (aKey != nullptr) {
+      value["key"] = aKey->text;
+      text += "key (shown once): " + aKey->text + "\n";
+    }
+  } else if (aChange.outcome == change_outcome::Void) {
+    code = exit_code::Failed;
+    std::cerr << "record " << aChange.recordId << " at offset "
+              << aChange.offset
+              << ": void, nothing was changed; expected a base that is in "
+                 "force and names that exist\n";
+  } else {
+    code = exit_code::Unknown;
+    value["reason"] = aChange.reason;
+    std::cerr << "record " << aChange.recordId << ": outcome unknown ("
+              << aChange.reason << "); expected an answer, query it with: "
+              << "arbutusferry record " << aChange.recordId << "\n";
+  }
+  if (aKey != nullptr) {
+    value["key_id"] = aKey->keyId;
+    text += "key id: " + aKey->keyId + "\n";
+  }
+  Print(value, text);
+  return code;
+}
+
+result<exit_code>
+command_run::Show(const std::string& aMethod, Json::Value aParams)
+{
+  if (aParams.isNull()) {
+    aParams = Json::Value(Json::objectValue);
+  }
+  BOOST_LEAF_AUTO(answer, mClient.Query(aMethod, aParams));
+  Print(answer, FormatForPeople(answer));
+  return exit_code::Success;
+}
+
+result<exit_code>
+command_run::Check()
+{
+  BOOST_LEAF_AUTO(document, ReadFile());
+  Json::Value value(Json::objectValue);
+  value["valid"] = true;
+  value["environment"] = document.environment;
+  value["sha256"] = EnvironmentHash(document);
+  Print(value,
+        mArguments[1] + ": valid, environment " + document.environment +
+          ", sha256 " + value["sha256"].asString() + "\n");
+  return exit_code::Success;
+}
+
+result<exit_code>
+command_run::Diff()
+{
+  BOOST_LEAF_AUTO(document, ReadFile());
+  BOOST_LEAF_AUTO(which, Stage(stage::Trial));
+  BOOST_LEAF_AUTO(inForce, mClient.Document(document.environment, which));
+  const auto changes = CompareDocuments(
+    inForce.document ? WriteEnvironment(*inForce.document) : Json::Value(),
+    WriteEnvironment(document));
+  Json::Value value(Json::objectValue);
+  value["revision"] = Json::Int64(inForce.revision);
+  value["stage"] = std::string(EnumName(which));
+  value["changes"] = Json::Value(Json::arrayValue);
+  for (const document_change& change : changes) {
+    Json::Value item(Json::objectValue);
+    item["path"] = change.path;
+    item["before"] = change.before;
+    item["after"] = change.after;
+    value["changes"].append(item);
+  }
+  std::string text =
+    inForce.document
+      ? "in force: revision " + std::to_string(inForce.revision) + "\n"
+      : "in force: no document\n";
+  if (!inForce.document) {
+    text += "+ the whole document\n";
+  } else {
+    text += changes.empty() ? "no changes\n" : FormatChanges(changes);
+  }
+  Print(value, text);
+  return exit_code::Success;
+}
+
+result<exit_code>
+command_run::Apply()
+{
+  BOOST_LEAF_AUTO(document, ReadFile());
+  BOOST_LEAF_AUTO(which, Stage(stage::Trial));
+  BOOST_LEAF_AUTO(inForce, mClient.Document(document.environment, which));
+  BOOST_LEAF_AUTO(base, Base(inForce.revision));
+  Json::Value params(Json::objectValue);
+  params["environment"] = document.environment;
+  params["stage"] = std::string(EnumName(which));
+  params["base"] = Json::Int64(base);
+  params["document"] = WriteEnvironment(document);
+  return Change("operator.apply", params);
+}
+
+result<exit_code>
+command_run::Promote()
+{
+  const std::string& environment = mArguments[1];
+  BOOST_LEAF_AUTO(trial, mClient.Document(environment, stage::Trial));
+  if (!trial.document) {
+    return MakeError(error_code::NotFound,
+                     "promote",
+                     environment,
+                     "expected a trial document in force");
+  }
+  const std::string hash = EnvironmentHash(*trial.document);
+  if (!mOptions.sha256.empty() && mOptions.sha256 != hash) {
+    return MakeError(error_code::Conflict,
+                     "promote",
+                     environment,
+                     "field \"--sha256\": expected the hash of the trial "
+                     "document in force, " +
+                       hash);
+  }
+  BOOST_LEAF_AUTO(inForce, mClient.Document(environment, stage::Production));
+  BOOST_LEAF_AUTO(base, Base(inForce.revision));
+  Json::Value params(Json::objectValue);
+  params["environment"] = environment;
+  params["base"] = Json::Int64(base);
+  params["sha256"] = hash;
+  return Change("operator.promote", params);
+}
+
+result<exit_code>
+command_run::Grant()
+{
+  BOOST_LEAF_AUTO(which, Stage(stage::Production));
+  const generated_key key = GenerateKey();
+  Json::Value params(Json::objectValue);
+  params["environment"] = mArguments[1];
+  params["stage"] = std::string(EnumName(which));
+  params["tenant"] = mArguments[2];
+  params["key_id"] = key.keyId;
+  params["salt"] = key.salt;
+  params["hash"] = key.hash;
+  return Change("operator.grant", params, &key);
+}
+
+result<exit_code>
+command_run::Withdraw()
+{
+  BOOST_LEAF_AUTO(which, Stage(stage::Production));
+  // A whole key may be given; its secret is not sent.
+  const auto key = ParseKey(mArguments[2]);
+  Json::Value params(Json::objectValue);
+  params["environment"] = mArguments[1];
+  params["stage"] = std::string(EnumName(which));
+  params["key_id"] = key ? std::string(key->keyId) : mArguments[2];
+  return Change("operator.withdraw", params);
+}
+
+result<exit_code>
+command_run::Record()
+{
+  BOOST_LEAF_AUTO(change, mClient.FindRecord(mArguments[1]));
+  return Report(change);
+}
+
+result<exit_code>
+command_run::Drain()
+{
+  const std::string& kind = mArguments[1];
+  if (kind != "target" && kind != "vm") {
+    return WrongInput("drain", "expected \"target ID\" or \"vm ID\"");
+  }
+  Json::Value params(Json::objectValue);
+  params[kind] = mArguments[2];
+  return Show("operator.drain", params);
+}
+
+result<exit_code>
+command_run::Usage()
+{
+  Json::Value params(Json::objectValue);
+  if (mOptions.window) {
+    params["window"] = Json::Int64(*mOptions.window);
+  }
+  return Show("operator.usage", params);
+}
+
+result<exit_code>
+command_run::Metrics()
+{
+  const auto address = ParseAddress(mOptions.entry);
+  if (!address || address->port == 0) {
+    return WrongInput("--entry", "expected \"IP:port\" of an entry process");
+  }
+  BOOST_LEAF_AUTO(text, HttpGet(mOptions.entry, "/metrics", mOptions.timeout));
+  BOOST_LEAF_AUTO(histograms, ReadHistograms(text, mOptions.entry));
+  Json::Value list(Json::arrayValue);
+  std::string shown;
+  for (const metric_histogram& histogram : histograms) {
+    if (histogram.name.find(mOptions.name) == std::string::npos) {
+      continue;
+    }
+    shown += FormatHistogram(histogram);
+    Json::Value item(Json::objectValue);
+    item["name"] = histogram.name;
+    item["labels"] = Json::Value(Json::objectValue);
+    for (const auto& [name, value] : histogram.labels) {
+      item["labels"][name] = value;
+    }
+    item["count"] = Json::Int64(histogram.count);
+    item["sum"] = histogram.sum;
+    for (const int percent : { 50, 95, 99 }) {
+      item["p" + std::to_string(percent)] =
+        EstimateQuantile(histogram, percent / 100.0);
+    }
+    list.append(item);
+  }
+  Json::Value value(Json::objectValue);
+  value["histograms"] = list;
+  Print(value, shown.empty() ? "no histograms\n" : shown);
+  return exit_code::Success;
+}
+
+struct command
+{
+  std::size_t arguments; ///< Number of arguments after the name.
+  const char* usage;
+  bool needsControl;
+  result<exit_code> (command_run::*run)();
+};
+
+const std::map<std::string, command>&
+Commands()
+{
+  static const std::map<std::string, command> kCommands = {
+    { "check", { 1, "check FILE", false, &command_run::Check } },
+    { "diff", { 1, "diff FILE", true, &command_run::Diff } },
+    { "apply", { 1, "apply FILE", true, &command_run::Apply } },
+    { "promote", { 1, "promote ENVIRONMENT", true, &command_run::Promote } },
+    { "grant", { 2, "grant ENVIRONMENT TENANT", true, &command_run::Grant } },
+    { "withdraw",
+      { 2, "withdraw ENVIRONMENT KEY_ID", true, &command_run::Withdraw } },
+    { "record", { 1, "record RECORD_ID", true, &command_run::Record } },
+    { "status", { 0, "status", true, &command_run::Status } },
+    { "drain", { 2, "drain target|vm ID", true, &command_run::Drain } },
+    { "usage", { 0, "usage", true, &command_run::Usage } },
+    { "metrics", { 0, "metrics", false, &command_run::Metrics } },
+  };
+  return kCommands;
+}
+
+} // namespace
+
+result<exit_code>
+RunCommand(const command_options& aOptions,
+           const std::vector<std::string>& aArguments)
+{
+  const auto found =
+    aArguments.empty() ? Commands().end() : Commands().find(aArguments[0]);
+  if (found == Commands().end()) {
+    std::string names;
+    for (const auto& known : Commands()) {
+      names += (names.empty() ? "" : ", ") + known.first;
+    }
+    return WrongInput("command", "expected one of " + names);
+  }
+  const command& which = found->second;
+  if (aArguments.size() != which.arguments + 1) {
+    return WrongInput(found->first,
+                      std::string("expected: arbutusferry ") + which.usage);
+  }
+  if (which.needsControl && aOptions.control.empty()) {
+    return WrongInput("--control", "expected \"IP:port\"");
+  }
+  for (const std::string& address : aOptions.control) {
+    const auto parsed = ParseAddress(address);
+    if (!parsed || parsed->port == 0) {
+      return WrongInput("--control",
+                        "expected \"IP:port\", not \"" + address + "\"");
+    }
+  }
+  command_run run(aOptions, aArguments);
+  return (run.*which.run)();
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/apps/arbutusferry/commands.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "arbutusferry/error.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace arbutusferry {
+
+/// Exit codes of the programs.
+enum class exit_code
+{
+  Success = 0,
+  Failed = 1,      ///< Refused or failed; nothing was changed.
+  BadInput = 2,    ///< Wrong command line, file or settings.
+  Unknown = 3,     ///< The change may take effect.
+  Unreachable = 4, ///< No process could be reached; nothing was changed.
+};
+
+/// Values of the flags.
+struct command_options
+{
+  std::vector<std::string> control; ///< "IP:port" of control processes.
+  std::string stage;                ///< Empty for the command's default.
+  std::string base;                 ///< Revision, "current", or empty.
+  std::string recordId;             ///< Empty for a new one.
+  std::string sha256;
+  std::string entry; ///< "IP:port" of an entry process.
+  std::string name;  ///< Part of the name of the histograms to show.
+  std::optional<std::int64_t> window;
+  bool json = false;
+  std::chrono::seconds timeout{ 20 };
+};
+
+/// Runs a command and prints its result to standard output.
+/// @param aArguments Command and its arguments.
+/// @return The exit code, or an error to print on one line.
+[[nodiscard]] result<exit_code>
+RunCommand(const command_options& aOptions,
+           const std::vector<std::string>& aArguments);
+
+} // namespace arbutusferry
--- /dev/null
+++ b/apps/common/command_line.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "arbutusferry/error.hpp"
+
+#include <gflags/gflags.h>
+#include <string>
+#include <vector>
+
+namespace arbutusferry {
+
+/// Sets the flags that the program defines and returns the other arguments.
+/// gflags' own parser ends the process with code 1 and several lines on a
+/// wrong flag; the programs promise code 2 and one line.
+/// @return Arguments that are not flags; `InvalidArgument` for a wrong flag.
+[[nodiscard]] inline result<std::vector<std::string>>
+ReadCommandLine(int aCount, char** aArguments)
+{
+  const auto wrong = [](const std::string& aFlag, const std::string& aText) {
+    return MakeError(error_code::InvalidArgument,
+                     "command line",
+                     "",
+                     "flag \"" + aFlag + "\": " + aText);
+  };
+  std::vector<std::string> others;
+  for (int i = 1; i < aCount; ++i) {
+    const std::string argument = aArguments[i];
+    if (argument.size() < 2 || argument.front() != '-') {
+      others.push_back(argument);
+      continue;
+    }
+    const std::size_t begin = argument.find_first_not_of('-');
+    if (begin == std::string::npos) {
+      return wrong(argument, "expected a flag name");
+    }
+    const std::size_t equals = argument.find('=');
+    std::string name = argument.substr(begin, equals - begin);
+    for (char& letter : name) {
+      letter = letter == '-' ? '_' : letter;
+    }
+    gflags::CommandLineFlagInfo info;
+    const bool known = gflags::GetCommandLineFlagInfo(name.c_str(), &info) &&
+                       (name == "help" || name == "version" ||
+                        info.filename.find("gflags") == std::string::npos);
+    if (!known) {
+      return wrong(argument.substr(0, equals), "unknown flag; see --help");
+    }
+    std::string value = "true";
+    if (equals != std::string::npos) {
+      value = argument.substr(equals + 1);
+    } else if (info.type != "bool") {
+      if (i + 1 >= aCount) {
+        return wrong(argument, "expected a value of type " + info.type);
+      }
+      value = aArguments[++i];
+    }
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+      return wrong(argument.substr(0, equals),
+                   "expected a value of type " + info.type + ", not \"" +
+                     value + "\"");
+    }
+  }
+  return others;
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/operator/document_diff.cpp
@@ -0,0 +1,84 @@
+#include "arbutusferry/document_diff.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace arbutusferry {
+
+namespace {
+
+/// @return Items by name, or nothing if they are not objects with a name.
+std::optional<std::map<std::string, Json::Value>>
+ItemsByName(const Json::Value& aList)
+{
+  std::map<std::string, Json::Value> items;
+  for (const Json::Value& item : aList) {
+    bool named = false;
+    for (const char* key : { "name", "zone", "class" }) {
+      if (!named && item.isObject() && item[key].isString()) {
+        named = items.emplace(item[key].asString(), item).second;
+      }
+    }
+    if (!named) {
+      return std::nullopt;
+    }
+  }
+  return items;
+}
+
+void
+Compare(const std::string& aPath,
+        const Json::Value& aBefore,
+        const Json::Value& aAfter,
+        std::vector<document_change>& aChanges)
+{
+  if (aBefore == aAfter) {
+    return;
+  }
+  if (aBefore.isObject() && aAfter.isObject()) {
+    std::set<std::string> names;
+    for (const Json::Value* value : { &aBefore, &aAfter }) {
+      for (const std::string& name : value->getMemberNames()) {
+        names.insert(name);
+      }
+    }
+    for (const std::string& name : names) {
+      Compare(aPath.empty() ? name : aPath + "." + name,
+              aBefore[name],
+              aAfter[name],
+              aChanges);
+    }
+    return;
+  }
+  if (aBefore.isArray() && aAfter.isArray()) {
+    auto before = ItemsByName(aBefore);
+    auto after = ItemsByName(aAfter);
+    if (before && after) {
+      std::set<std::string> names;
+      for (const auto* items : { &*before, &*after }) {
+        for (const auto& item : *items) {
+          names.insert(item.first);
+        }
+      }
+      for (const std::string& name : names) {
+        Compare(
+          aPath + "[" + name + "]", (*before)[name], (*after)[name], aChanges);
+      }
+      return;
+    }
+  }
+  aChanges.push_back({ aPath, aBefore, aAfter });
+}
+
+} // namespace
+
+std::vector<document_change>
+CompareDocuments(const Json::Value& aBefore, const Json::Value& aAfter)
+{
+  std::vector<document_change> changes;
+  Compare("", aBefore, aAfter, changes);
+  return changes;
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/operator/operator_client.cpp
@@ -0,0 +1,208 @@
+#include "arbutusferry/operator_client.hpp"
+
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/rpc_codes.hpp"
+#include "environment/json_support.hpp"
+
+#include <limits>
+
+namespace arbutusferry {
+
+namespace {
+
+/// A control process waits up to 10 s for a record whose append answer it
+/// lost; the client looks for as long.
+constexpr int kLookUps = 6;
+constexpr std::chrono::seconds kLookUpInterval{ 2 };
+constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+
+error_code
+ToErrorCode(int aCode)
+{
+  switch (aCode) {
+    case kRpcCodeNotFound:
+      return error_code::NotFound;
+    case kRpcCodeUnavailable:
+      return error_code::Unavailable;
+    case kRpcCodeInvalidParams:
+    case kRpcCodeNoMethod:
+    case kRpcCodeInvalidRequest:
+      return error_code::InvalidArgument;
+    default:
+      return error_code::BrokenExchange;
+  }
+}
+
+std::string
+Describe(const rpc_failure& aFailure, const std::string& aAddress)
+{
+  std::string text = aFailure.what();
+  if (aFailure.Code() != 0) {
+    return text;
+  }
+  if (text.rfind(aAddress + ": ", 0) == 0) {
+    text.erase(0, aAddress.size() + 2);
+  }
+  return text + "; expected a control process that answers";
+}
+
+result<change_result>
+ReadChange(const Json::Value& aAnswer,
+           const std::string& aPeer,
+           const std::string& aRecordId)
+{
+  object_reader reader(aAnswer, aPeer);
+  AllowUnknown(reader, aAnswer);
+  change_result change;
+  change.outcome = reader.Enumerator<change_outcome>("outcome");
+  change.offset = reader.Integer("offset", kNoOffset, kMax, kNoOffset);
+  change.recordId = aRecordId;
+  if (change.outcome == change_outcome::Unknown) {
+    change.reason = "the record has not been read back from the log";
+  }
+  BOOST_LEAF_CHECK(reader.Finish(error_code::BrokenExchange));
+  return change;
+}
+
+} // namespace
+
+/// Outcome of a call at the first process that could be reached.
+struct operator_client::reply
+{
+  Json::Value answer;
+  std::string peer;
+  std::optional<error_info> failure;
+  bool mayHaveActed = false; ///< For a failed change.
+};
+
+operator_client::operator_client(std::vector<std::string> aAddresses,
+                                 connect_function aConnect,
+                                 std::function<void(duration)> aWait)
+  : mAddresses(std::move(aAddresses))
+  , mConnect(std::move(aConnect))
+  , mWait(std::move(aWait))
+{
+}
+
+operator_client::reply
+operator_client::CallAny(const std::string& aMethod,
+                         const Json::Value& aParams,
+                         bool aChanges)
+{
+  reply last;
+  last.failure = error_info{
+    error_code::InvalidArgument, aMethod, "", "expected a control address"
+  };
+  for (const std::string& address : mAddresses) {
+    last.peer = address;
+    try {
+      last.answer = mConnect(address)->Call(aMethod, aParams);
+      last.failure.reset();
+      return last;
+    } catch (const rpc_failure& failure) {
+      const bool transport = failure.Code() == 0;
+      const bool done =
+        transport ? failure.Sent() : !ProvesNothingDone(failure.Code());
+      last.failure =
+        error_info{ transport && !done ? error_code::Unreachable
+                                       : ToErrorCode(failure.Code()),
+                    aMethod,
+                    address,
+                    Describe(failure, address) };
+      last.mayHaveActed = done;
+      const bool tryNext =
+        transport ? !done || !aChanges : failure.Code() == kRpcCodeUnavailable;
+      if (!tryNext) {
+        return last;
+      }
+    }
+  }
+  return last;
+}
+
+result<Json::Value>
+operator_client::Query(const std::string& aMethod, const Json::Value& aParams)
+{
+  reply answer = CallAny(aMethod, aParams, false);
+  if (answer.failure) {
+    return leaf::new_error(*answer.failure);
+  }
+  return std::move(answer.answer);
+}
+
+result<change_result>
+operator_client::Change(const std::string& aMethod,
+                        Json::Value aParams,
+                        const std::string& aRecordId)
+{
+  aParams["record_id"] = aRecordId;
+  const reply answer = CallAny(aMethod, aParams, true);
+  if (answer.failure && !answer.mayHaveActed) {
+    return leaf::new_error(*answer.failure);
+  }
+  if (answer.failure) {
+    return LookUp(aRecordId, FormatError(*answer.failure));
+  }
+  const auto change =
+    Capture([&] { return ReadChange(answer.answer, answer.peer, aRecordId); });
+  if (const auto* failure = std::get_if<error_info>(&change)) {
+    return LookUp(aRecordId, FormatError(*failure));
+  }
+  return std::get<change_result>(change);
+}
+
+change_result
+operator_client::LookUp(const std::string& aRecordId,
+                        const std::string& aReason)
+{
+  for (int i = 0; i < kLookUps; ++i) {
+    if (i > 0) {
+      mWait(kLookUpInterval);
+    }
+    const auto found = Capture([&] { return FindRecord(aRecordId); });
+    const auto* change = std::get_if<change_result>(&found);
+    if (change != nullptr && change->outcome != change_outcome::Unknown) {
+      return *change;
+    }
+  }
+  return { change_outcome::Unknown, kNoOffset, aRecordId, aReason };
+}
+
+result<change_result>
+operator_client::FindRecord(const std::string& aRecordId)
+{
+  Json::Value params(Json::objectValue);
+  params["record_id"] = aRecordId;
+  const reply answer = CallAny("operator.record", params, false);
+  if (answer.failure) {
+    return leaf::new_error(*answer.failure);
+  }
+  return ReadChange(answer.answer, answer.peer, aRecordId);
+}
+
+result<document_in_force>
+operator_client::Document(const std::string& aEnvironment, stage aStage)
+{
+  Json::Value params(Json::objectValue);
+  params["environment"] = aEnvironment;
+  params["stage"] = std::string(EnumName(aStage));
+  const reply answer = CallAny("operator.document", params, false);
+  if (answer.failure && answer.failure->code == error_code::NotFound) {
+    return document_in_force{};
+  }
+  if (answer.failure) {
+    return leaf::new_error(*answer.failure);
+  }
+  object_reader reader(answer.answer, answer.peer);
+  AllowUnknown(reader, answer.answer);
+  document_in_force found;
+  found.revision = reader.Integer("revision", kNoOffset, kMax);
+  const Json::Value& document = reader.Any("document");
+  if (!document.isNull()) {
+    BOOST_LEAF_ASSIGN(found.document, ReadEnvironment(document, answer.peer));
+  }
+  BOOST_LEAF_CHECK(reader.Finish(error_code::BrokenExchange));
+  return found;
+}
+
+} // namespace arbutusferry
