--- /dev/null
+++ b/src/samples/cursor.cpp
@@ -0,0 +1,116 @@
+#include "arbutusferry/cursor.hpp"
+
+#include "arbutusferry/hash.hpp"
+
+namespace arbutusferry {
+
+namespace {
+
+/// First byte of the encoded form; raised when the form changes.
+constexpr char kFormat = 1;
+
+/// Seed that separates the checksum from other uses of the hash.
+constexpr std::uint64_t kChecksumSeed = 0x6375'7273'6f72'2031;
+
+void
+AppendNumber(std::string& aText, std::uint64_t aNumber, std::size_t aBytes)
+{
+  for (std::size_t i = 0; i < aBytes; ++i) {
+    aText += static_cast<char>(aNumber >> (8 * i) & 0xffU);
+  }
+}
+
+std::uint64_t
+ReadNumber(std::string_view aText, std::size_t aAt, std::size_t aBytes)
+{
+  std::uint64_t number = 0;
+  for (std::size_t i = 0; i < aBytes; ++i) {
+    number |=
+      static_cast<std::uint64_t>(static_cast<unsigned char>(aText[aAt + i]))
+      << (8 * i);
+  }
+  return number;
+}
+
+leaf::error_id
+Refuse(const char* aMessage)
+{
+  return MakeError(
+    error_code::InvalidArgument, "read cursor", "field \"cursor\"", aMessage);
+}
+
+} // namespace
+
+delivery_cursor::delivery_cursor(std::uint64_t aStepHash, std::size_t aSamples)
+  : mStepHash(aStepHash)
+  , mSamples(aSamples)
+  , mBits((aSamples + 7) / 8)
+{
+}
+
+bool
+delivery_cursor::Add(std::size_t aSample)
+{
+  if (aSample >= mSamples || Contains(aSample)) {
+    return false;
+  }
+  mBits[aSample / 8] |= static_cast<std::uint8_t>(1U << (aSample % 8));
+  ++mCount;
+  return true;
+}
+
+bool
+delivery_cursor::Contains(std::size_t aSample) const
+{
+  return aSample < mSamples && (mBits[aSample / 8] >> (aSample % 8) & 1U) != 0;
+}
+
+std::string
+delivery_cursor::Encode() const
+{
+  std::string data(1, kFormat);
+  AppendNumber(data, mStepHash, 8);
+  AppendNumber(data, mSamples, 4);
+  data.append(mBits.begin(), mBits.end());
+  AppendNumber(data, Hash64(data, kChecksumSeed), 8);
+  return EncodeBase64Url(data);
+}
+
+result<delivery_cursor>
+delivery_cursor::Decode(std::string_view aText,
+                        std::uint64_t aStepHash,
+                        std::size_t aSamples)
+{
+  delivery_cursor cursor(aStepHash, aSamples);
+  const std::size_t bits = cursor.mBits.size();
+  if (aText.size() > (kMaxSamples / 8 + 32) * 2) {
+    return Refuse("the cursor is too long");
+  }
+  const auto data = DecodeBase64Url(aText);
+  // One set has one text: unused bits of the last letter must be zero.
+  if (!data || EncodeBase64Url(*data) != aText || data->size() < 21) {
+    return Refuse("expected a cursor as it was received");
+  }
+  const std::size_t body = data->size() - 8;
+  const std::string_view view(*data);
+  if (view[0] != kFormat || ReadNumber(view, body, 8) !=
+                              Hash64(view.substr(0, body), kChecksumSeed)) {
+    return Refuse("the cursor is damaged");
+  }
+  if (ReadNumber(view, 1, 8) != aStepHash ||
+      ReadNumber(view, 9, 4) != aSamples || body != 13 + bits) {
+    return Refuse("the cursor belongs to another step");
+  }
+  for (std::size_t sample = 0; sample < bits * 8; ++sample) {
+    const auto byte = static_cast<unsigned char>(view[13 + sample / 8]);
+    if ((byte >> (sample % 8) & 1U) == 0) {
+      continue;
+    }
+    if (!cursor.Add(sample)) {
+      return Refuse("the cursor names samples that the step does not have");
+    }
+  }
+  return cursor;
+}
+
+} // namespace arbutusferry
