--- /dev/null
+++ b/src/entry/answers.cpp
@@ -0,0 +1,88 @@
+#include "arbutusferry/json.hpp"
+#include "entry/entry_context.hpp"
+
+namespace arbutusferry {
+
+Json::Value
+ErrorBody(outcome aOutcome, const error_info& aError)
+{
+  Json::Value body;
+  Json::Value& error = body["error"];
+  error["outcome"] = std::string(EnumName(aOutcome));
+  error["code"] = std::string(EnumName(aError.code));
+  error["step"] = aError.step;
+  error["peer"] = aError.peer;
+  error["message"] = aError.message;
+  return body;
+}
+
+http_answer
+ErrorAnswer(int aStatus, outcome aOutcome, const error_info& aError)
+{
+  http_answer answer;
+  answer.status = aStatus;
+  answer.headers.emplace_back(kOutcomeHeader, EnumName(aOutcome));
+  answer.body = WriteJson(ErrorBody(aOutcome, aError)) + "\n";
+  return answer;
+}
+
+http_answer
+JsonAnswer(const Json::Value& aBody)
+{
+  http_answer answer;
+  answer.headers.emplace_back(kOutcomeHeader, EnumName(outcome::Answered));
+  answer.body = WriteJson(aBody) + "\n";
+  return answer;
+}
+
+http_answer
+FailureAnswer(const upstream_answer& aAnswer)
+{
+  const error_info error = aAnswer.error.value_or(error_info{
+    error_code::BrokenExchange, "exchange", "", "the answer is incomplete" });
+  int status = 502;
+  if (aAnswer.result == outcome::NotRun) {
+    status = error.code == error_code::Overloaded ? 429
+             : error.code == error_code::Timeout  ? 504
+                                                  : 503;
+  } else if (error.code == error_code::Timeout) {
+    status = 504;
+  }
+  return ErrorAnswer(status,
+                     aAnswer.result == outcome::NotRun ? outcome::NotRun
+                                                       : outcome::Unknown,
+                     error);
+}
+
+work_item
+MakeWorkItem(const routed_call& aCall, work_kind aKind)
+{
+  work_item item;
+  item.tenant = aCall.caller.tenant.empty() ? kAnonymous : aCall.caller.tenant;
+  item.targetClass = aCall.route->targetClass;
+  item.kind = aKind;
+  item.idempotent = aCall.route->idempotent;
+  item.deadline = aCall.deadline;
+  return item;
+}
+
+void
+CountUsage(entry_context& aContext,
+           const routed_call& aCall,
+           std::int64_t aPromptTokens,
+           std::int64_t aGeneratedTokens)
+{
+  if (aCall.caller.tenant.empty()) {
+    return;
+  }
+  const std::int64_t length = aCall.config->document->usageWindow.count();
+  const unix_seconds now = aContext.parts.clock->UnixNow();
+  usage_event event;
+  event.tenant = aCall.caller.tenant;
+  event.window = now - now % length;
+  event.promptTokens = aPromptTokens;
+  event.generatedTokens = aGeneratedTokens;
+  aContext.usageEvents.Push(std::move(event));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/entry/completions.cpp
@@ -0,0 +1,362 @@
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/step.hpp"
+#include "entry/entry_context.hpp"
+#include "samples/prefix_blocks.hpp"
+
+namespace arbutusferry {
+
+namespace {
+
+/// Events between the exchange and a slow caller; a full ring slows the target
+/// down instead of using memory.
+constexpr std::size_t kStreamRing = 64;
+
+/// Longest wait of one call of a stream's source, after which the server looks
+/// whether the caller is still there.
+constexpr duration kStreamWait = std::chrono::milliseconds(500);
+
+constexpr std::int64_t kDefaultTokens = 256;
+constexpr double kBytesPerToken = 4.0;
+
+/// Collects the events of one attempt and checks that they are in order.
+class completion_events
+{
+public:
+  void Reset(const std::string& aId)
+  {
+    mId = aId;
+    mText.clear();
+    mTokens = Json::Value(Json::arrayValue);
+    mSegments = weight_segments();
+    mLabelled = true;
+    mFinish.clear();
+    mUsage = Json::Value();
+  }
+
+  /// @return False if the event cannot follow the ones before.
+  bool Add(const Json::Value& aEvent)
+  {
+    if (!mFinish.empty()) {
+      return false;
+    }
+    const Json::Value& tokens = aEvent["tokens"];
+    if (tokens.isArray() && !tokens.empty()) {
+      const Json::Value& index = aEvent["index"];
+      if (!index.isInt64() ||
+          index.asInt64() != static_cast<std::int64_t>(mTokens.size())) {
+        return false;
+      }
+      const Json::Value& version = aEvent["weight_version"];
+      mLabelled = mLabelled && version.isInt64() &&
+                  mSegments.Add(version.asInt64(),
+                                index.asInt64(),
+                                static_cast<std::int64_t>(tokens.size()));
+      for (const Json::Value& token : tokens) {
+        mTokens.append(token);
+      }
+    }
+    if (aEvent["text"].isString()) {
+      mText += aEvent["text"].asString();
+    }
+    if (aEvent["finish_reason"].isString()) {
+      mFinish = aEvent["finish_reason"].asString();
+    }
+    if (aEvent["usage"].isObject()) {
+      mUsage = aEvent["usage"];
+    }
+    return true;
+  }
+
+  /// @return True if the end came and no token is missing.
+  [[nodiscard]] bool Complete() const
+  {
+    const Json::Value& count = mUsage["completion_tokens"];
+    return !mFinish.empty() &&
+           (!count.isInt64() ||
+            count.asInt64() == static_cast<std::int64_t>(mTokens.size()));
+  }
+
+  [[nodiscard]] std::int64_t PromptTokens() const
+  {
+    const Json::Value& count = mUsage["prompt_tokens"];
+    return count.isInt64() ? count.asInt64() : 0;
+  }
+
+  [[nodiscard]] std::int64_t GeneratedTokens() const
+  {
+    return static_cast<std::int64_t>(mTokens.size());
+  }
+
+  [[nodiscard]] Json::Value Body(const std::string& aModel) const
+  {
+    Json::Value body;
+    body["id"] = mId;
+    body["model"] = aModel;
+    body["text"] = mText;
+    body["tokens"] = mTokens;
+    body["finish_reason"] = mFinish;
+    if (!mUsage.isNull()) {
+      body["usage"] = mUsage;
+    }
+    if (mLabelled) {
+      body["segments"] = Json::Value(Json::arrayValue);
+      for (const weight_segment& segment : mSegments.List()) {
+        Json::Value value;
+        value["version"] = static_cast<Json::Int64>(segment.version);
+        value["from"] = static_cast<Json::Int64>(segment.from);
+        value["to"] = static_cast<Json::Int64>(segment.to);
+        body["segments"].append(value);
+      }
+    }
+    return body;
+  }
+
+private:
+  std::string mId;
+  std::string mText;
+  Json::Value mTokens{ Json::arrayValue };
+  weight_segments mSegments;
+  bool mLabelled = true;
+  std::string mFinish;
+  Json::Value mUsage;
+};
+
+call_plan
+MakePlan(const routed_call& aCall, const Json::Value& aBody)
+{
+  call_plan plan;
+  plan.item = MakeWorkItem(aCall, work_kind::Interactive);
+  const model_config* model =
+    aCall.config->document->FindModel(aCall.route->model);
+  if (model != nullptr) {
+    plan.item.minVersion = model->minVersion;
+  }
+  const std::string prompt =
+    aBody["prompt"].isString() ? aBody["prompt"].asString() : std::string();
+  const Json::Value& maxTokens = aBody["max_tokens"];
+  plan.item.estimatedTokens =
+    static_cast<double>(maxTokens.isInt64() && maxTokens.asInt64() > 0
+                          ? maxTokens.asInt64()
+                          : kDefaultTokens) +
+    static_cast<double>(prompt.size()) / kBytesPerToken;
+  plan.item.prefix = PrefixBlocks(prompt);
+  Json::Value body = aBody;
+  body["stream"] = true;
+  plan.request.method = "POST";
+  plan.request.path = "/v1/completions";
+  plan.request.headers = { { "Content-Type", "application/json" } };
+  plan.request.body = WriteJson(body);
+  plan.request.events = true;
+  return plan;
+}
+
+std::function<double(const upstream_answer&)>
+CountTokens(const std::shared_ptr<completion_events>& aEvents)
+{
+  return [aEvents](const upstream_answer&) {
+    return static_cast<double>(aEvents->PromptTokens() +
+                               aEvents->GeneratedTokens());
+  };
+}
+
+/// An answer that ended properly but lacks tokens is not complete.
+void
+RequireComplete(upstream_answer& aAnswer, const completion_events& aEvents)
+{
+  if (aAnswer.result == outcome::Answered && aAnswer.status == 200 &&
+      !aEvents.Complete()) {
+    aAnswer.result = outcome::Unknown;
+    aAnswer.error = error_info{ error_code::BrokenExchange,
+                                "exchange",
+                                "",
+                                "tokens are missing in the answer" };
+  }
+}
+
+http_answer
+TargetError(const upstream_answer& aAnswer)
+{
+  http_answer answer;
+  answer.status = aAnswer.status;
+  answer.contentType = FindHeader(aAnswer.headers, "Content-Type");
+  answer.headers.emplace_back(kOutcomeHeader, EnumName(outcome::Answered));
+  answer.body = aAnswer.body;
+  return answer;
+}
+
+http_answer
+RunCollected(entry_context& aContext,
+             const routed_call& aCall,
+             const Json::Value& aBody)
+{
+  const auto events = std::make_shared<completion_events>();
+  call_plan plan = MakePlan(aCall, aBody);
+  std::string stream;
+  plan.onAttempt = [&](const std::string& aId) {
+    events->Reset(aId);
+    stream.clear();
+  };
+  const bool wantsStream = aBody["stream"].isBool() && aBody["stream"].asBool();
+  plan.onEvent = [&](const Json::Value& aEvent) {
+    if (wantsStream) {
+      stream += "data: " + WriteJson(aEvent) + "\n\n";
+    }
+    return events->Add(aEvent);
+  };
+  plan.tokens = CountTokens(events);
+  exchange_control control;
+  call_result ended = aContext.runner.Run(std::move(plan), control);
+  RequireComplete(ended.answer, *events);
+  if (ended.answer.result != outcome::Answered) {
+    return FailureAnswer(ended.answer);
+  }
+  if (ended.answer.status != 200) {
+    return TargetError(ended.answer);
+  }
+  CountUsage(
+    aContext, aCall, events->PromptTokens(), events->GeneratedTokens());
+  http_answer answer = JsonAnswer(events->Body(aCall.route->model));
+  if (wantsStream) {
+    answer.contentType = "text/event-stream";
+    answer.body = stream + "data: [DONE]\n\n";
+  }
+  return answer;
+}
+
+/// One completion that is passed on event by event.
+class completion_stream : public std::enable_shared_from_this<completion_stream>
+{
+public:
+  completion_stream(entry_context& aContext, const routed_call& aCall)
+    : mContext(aContext)
+    , mCall(aCall)
+    , mRing(kStreamRing)
+  {
+    mCall.call = nullptr; // Ends with the handler, before the stream does.
+  }
+
+  http_answer Start(const Json::Value& aBody)
+  {
+    call_plan plan = MakePlan(mCall, aBody);
+    plan.mayRepeatEvents = false;
+    plan.onAttempt = [this](const std::string& aId) { mEvents->Reset(aId); };
+    plan.onEvent = [this](const Json::Value& aEvent) {
+      return mEvents->Add(aEvent) && mRing.Push(aEvent);
+    };
+    plan.tokens = CountTokens(mEvents);
+    std::function<void()> work = [self = shared_from_this(),
+                                  plan = std::move(plan)]() mutable {
+      self->mResult =
+        self->mContext.runner.Run(std::move(plan), self->mControl);
+      RequireComplete(self->mResult.answer, *self->mEvents);
+      self->mRing.Close();
+    };
+    if (!mContext.exchanges.Run(work)) {
+      return ErrorAnswer(503,
+                         outcome::NotRun,
+                         { error_code::Overloaded,
+                           "start stream",
+                           "",
+                           "too many streams are open" });
+    }
+    while (!mFirst && !mRing.Drained()) {
+      mFirst = mRing.Pop(kStreamWait);
+    }
+    if (!mFirst && mResult.answer.result != outcome::Answered) {
+      return FailureAnswer(mResult.answer);
+    }
+    if (!mFirst && mResult.answer.status != 200) {
+      return TargetError(mResult.answer);
+    }
+    http_answer answer;
+    answer.contentType = "text/event-stream";
+    answer.headers.emplace_back(kOutcomeHeader, EnumName(outcome::Answered));
+    answer.headers.emplace_back("Cache-Control", "no-store");
+    answer.next = [self = shared_from_this()](std::string& aOut) {
+      return self->Next(aOut);
+    };
+    answer.ended = [self = shared_from_this()](bool) { self->Cancel(); };
+    return answer;
+  }
+
+private:
+  bool Next(std::string& aOut)
+  {
+    std::optional<Json::Value> event =
+      mFirst ? std::exchange(mFirst, std::nullopt) : mRing.Pop(kStreamWait);
+    if (mContext.view.Withdrawn(mContext.settings.environment, mCall.caller)) {
+      Cancel();
+      return Fail(
+        outcome::Unknown,
+        { error_code::Unauthorized, "check key", "", "key_withdrawn" },
+        aOut);
+    }
+    if (event) {
+      aOut += "data: " + WriteJson(*event) + "\n\n";
+      return true;
+    }
+    if (!mRing.Drained()) {
+      return true;
+    }
+    if (mResult.answer.result != outcome::Answered) {
+      return Fail(mResult.answer.result,
+                  mResult.answer.error.value_or(error_info{}),
+                  aOut);
+    }
+    CountUsage(
+      mContext, mCall, mEvents->PromptTokens(), mEvents->GeneratedTokens());
+    aOut += "data: [DONE]\n\n";
+    return false;
+  }
+
+  static bool Fail(outcome aOutcome,
+                   const error_info& aError,
+                   std::string& aOut)
+  {
+    aOut +=
+      "event: error\ndata: " + WriteJson(ErrorBody(aOutcome, aError)) + "\n\n";
+    return false;
+  }
+
+  void Cancel()
+  {
+    mControl.Cancel();
+    mRing.Close();
+  }
+
+  entry_context& mContext;
+  routed_call mCall;
+  std::shared_ptr<completion_events> mEvents =
+    std::make_shared<completion_events>();
+  bounded_ring<Json::Value> mRing;
+  exchange_control mControl;
+  call_result mResult; ///< Valid once the ring is closed by the exchange.
+  std::optional<Json::Value> mFirst;
+};
+
+} // namespace
+
+http_answer
+HandleCompletion(entry_context& aContext,
+                 const routed_call& aCall,
+                 const Json::Value& aBody)
+{
+  if (!aBody["prompt"].isString()) {
+    return ErrorAnswer(400,
+                       outcome::NotRun,
+                       { error_code::InvalidArgument,
+                         "read body",
+                         "",
+                         "field \"prompt\": expected a string" });
+  }
+  if (!aCall.route->idempotent) {
+    return WithPermit(
+      aContext, aCall, [&] { return RunCollected(aContext, aCall, aBody); });
+  }
+  if (aBody["stream"].isBool() && aBody["stream"].asBool()) {
+    return std::make_shared<completion_stream>(aContext, aCall)->Start(aBody);
+  }
+  return RunCollected(aContext, aCall, aBody);
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/entry/entry_server.cpp
@@ -0,0 +1,243 @@
+#include "arbutusferry/entry_server.hpp"
+
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/logging.hpp"
+#include "entry/duty_supervisor.hpp"
+#include "entry/entry_context.hpp"
+#include "entry/sync_loop.hpp"
+
+#include <algorithm>
+#include <thread>
+
+namespace arbutusferry {
+
+namespace {
+
+/// Interval at which the dispatcher expires deadlines.
+constexpr duration kTick = std::chrono::milliseconds(50);
+
+/// Threads for exchanges of streams and samples. Each waits for its target
+/// most of the time; their number is bounded by the slots this entry holds.
+constexpr std::size_t kExchangeThreads = 512;
+constexpr std::size_t kExchangeQueue = 4096;
+
+constexpr std::size_t kUsageRing = 8192;
+constexpr std::size_t kSecretBytes = 32;
+constexpr std::size_t kIdBytes = 6;
+
+/// Confirmed counters are kept this long, so that a late event of an old
+/// window adds to its counter instead of starting a new one.
+constexpr unix_seconds kKeepCounters = 2 * 86'400;
+
+/// Tries to report the last usage before the process ends.
+constexpr int kLastSyncs = 4;
+
+std::string
+MakeInstance(std::string aVm)
+{
+  std::replace(aVm.begin(), aVm.end(), '.', '-');
+  return aVm + "-" + RandomHex(kIdBytes);
+}
+
+http_limits
+MakeLimits(const entry_limits& aLimits)
+{
+  http_limits limits;
+  limits.maxBodyBytes = static_cast<std::size_t>(aLimits.maxBodyBytes);
+  limits.maxConnections = static_cast<std::size_t>(aLimits.maxConnections);
+  return limits;
+}
+
+class entry_server_impl final : public entry_server
+{
+public:
+  entry_server_impl(const entry_settings& aSettings, entry_parts aParts)
+    : mContext(aSettings, std::move(aParts), MakeInstance(aSettings.vm))
+    , mSync(MakeSync())
+    , mHttp(MakeHttpServer(
+        MakeLimits(aSettings.limits),
+        *mContext.parts.clock,
+        [this](const http_call& aCall) { return Serve(aCall); },
+        [](int aStatus, const std::string& aMessage) {
+          const error_code code = aStatus == 503 ? error_code::Overloaded
+                                  : aStatus >= 500
+                                    ? error_code::Internal
+                                    : error_code::InvalidArgument;
+          return ErrorAnswer(aStatus,
+                             aStatus == 500 ? outcome::Unknown
+                                            : outcome::NotRun,
+                             { code, "read request", "", aMessage });
+        }))
+  {
+  }
+
+  ~entry_server_impl() override { Shutdown(); }
+
+  result<void> Start() override
+  {
+    BOOST_LEAF_ASSIGN(mContext.address, mHttp->Bind(mContext.settings.listen));
+    mStarted = true;
+    mServing = std::thread([this] { mHttp->Serve(); });
+    mDuties.Start("sync",
+                  [this](const std::stop_token& aStop) { mSync.Run(aStop); });
+    mDuties.Start("tick",
+                  [this](const std::stop_token& aStop) { RunTick(aStop); });
+    mDuties.Start("usage",
+                  [this](const std::stop_token& aStop) { RunUsage(aStop); });
+    return {};
+  }
+
+  std::string Address() const override { return mContext.address; }
+  std::string Instance() const override { return mContext.instance; }
+  void Shutdown() override;
+
+private:
+  sync_loop MakeSync();
+  http_answer Serve(const http_call& aCall);
+  void RunTick(const std::stop_token& aStop);
+  void RunUsage(const std::stop_token& aStop);
+
+  entry_context mContext;
+  sync_loop mSync;
+  std::unique_ptr<http_server> mHttp;
+  duty_supervisor mDuties;
+  std::thread mServing;
+  bool mStarted = false;
+};
+
+sync_loop
+entry_server_impl::MakeSync()
+{
+  sync_parts parts;
+  parts.clock = mContext.parts.clock.get();
+  parts.view = &mContext.view;
+  parts.work = mContext.parts.work.get();
+  parts.environment = mContext.settings.environment;
+  parts.controls = mContext.settings.control;
+  parts.makeClient = mContext.parts.makeClient;
+  parts.describe = [this] {
+    entry_info self;
+    self.instance = mContext.instance;
+    self.zone = mContext.settings.zone;
+    self.address = mContext.address;
+    self.draining = mContext.draining;
+    const std::lock_guard lock(mContext.permitMutex);
+    self.adopted = mContext.permits.Adopted();
+    return self;
+  };
+  parts.takeUsage = [this] { return mContext.usage.Unconfirmed(); };
+  parts.confirmUsage = [this](const std::vector<usage_counter>& aCounters) {
+    mContext.usage.Confirm(aCounters);
+  };
+  return sync_loop(std::move(parts));
+}
+
+http_answer
+entry_server_impl::Serve(const http_call& aCall)
+{
+  {
+    const std::lock_guard lock(mContext.activeMutex);
+    ++mContext.active;
+  }
+  const auto leave = [this] {
+    const std::lock_guard lock(mContext.activeMutex);
+    --mContext.active;
+    mContext.activeChanged.notify_all();
+  };
+  http_answer answer;
+  try {
+    answer = HandleRequest(mContext, aCall);
+  } catch (...) {
+    leave();
+    throw;
+  }
+  // Entries that forward a request check that the answer is its own.
+  std::string id = FindHeader(aCall.headers, kExchangeHeader);
+  if (id.empty() || id.size() > 128) {
+    id = RandomHex(kIdBytes);
+  }
+  answer.headers.emplace_back(kExchangeHeader, id);
+  answer.ended = [leave, ended = std::move(answer.ended)](bool aSuccess) {
+    if (ended) {
+      ended(aSuccess);
+    }
+    leave();
+  };
+  return answer;
+}
+
+void
+entry_server_impl::RunTick(const std::stop_token& aStop)
+{
+  while (!aStop.stop_requested()) {
+    mContext.parts.work->Tick(mContext.Now());
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+void
+entry_server_impl::RunUsage(const std::stop_token& aStop)
+{
+  while (!aStop.stop_requested() || !mContext.usageEvents.Drained()) {
+    if (const auto event = mContext.usageEvents.Pop(kTick)) {
+      mContext.usage.Add(*event);
+    } else {
+      mContext.usage.DropBefore(mContext.parts.clock->UnixNow() -
+                                kKeepCounters);
+      if (aStop.stop_requested()) {
+        return;
+      }
+    }
+  }
+}
+
+void
+entry_server_impl::Shutdown()
+{
+  if (!mStarted) {
+    return;
+  }
+  mStarted = false;
+  mContext.draining = true;
+  {
+    std::unique_lock lock(mContext.activeMutex);
+    mContext.activeChanged.wait(lock, [this] { return mContext.active == 0; });
+  }
+  HandOverPermits(mContext);
+  mHttp->Stop();
+  mServing.join();
+  mContext.exchanges.Stop();
+  mDuties.Stop();
+  // The duty that counted has ended, so what is left is counted here.
+  while (const auto event = mContext.usageEvents.Pop(duration::zero())) {
+    mContext.usage.Add(*event);
+  }
+  for (int i = 0; i < kLastSyncs && !mContext.usage.Unconfirmed().empty();
+       ++i) {
+    mSync.Once(0);
+  }
+}
+
+} // namespace
+
+entry_context::entry_context(const entry_settings& aSettings,
+                             entry_parts aParts,
+                             std::string aInstance)
+  : settings(aSettings)
+  , parts(std::move(aParts))
+  , instance(std::move(aInstance))
+  , runner(*parts.work, *parts.transport, *parts.clock, *parts.metrics)
+  , exchanges(kExchangeThreads, kExchangeQueue)
+  , usage(instance)
+  , usageEvents(kUsageRing)
+  , permits(instance, RandomHex(kSecretBytes), permit_limits{})
+{
+}
+
+std::unique_ptr<entry_server>
+MakeEntryServer(const entry_settings& aSettings, entry_parts aParts)
+{
+  return std::make_unique<entry_server_impl>(aSettings, std::move(aParts));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/entry/front.cpp
@@ -0,0 +1,302 @@
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/key_table.hpp"
+#include "entry/entry_context.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace arbutusferry {
+
+namespace {
+
+http_answer
+Refuse(int aStatus, error_code aCode, const char* aStep, std::string aMessage)
+{
+  return ErrorAnswer(
+    aStatus, outcome::NotRun, { aCode, aStep, "", std::move(aMessage) });
+}
+
+/// @return The key of a call, empty if there is none.
+std::string
+PresentedKey(const http_call& aCall)
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string authorization = FindHeader(aCall.headers, "Authorization");
+  if (authorization.size() > kScheme.size() &&
+      std::equal(kScheme.begin(),
+                 kScheme.end(),
+                 authorization.begin(),
+                 [](unsigned char aOne, unsigned char aOther) {
+                   return std::tolower(aOne) == std::tolower(aOther);
+                 })) {
+    return authorization.substr(kScheme.size());
+  }
+  return FindHeader(aCall.headers, "X-Api-Key");
+}
+
+/// True for paths that a target could read as another path than the one the
+/// route was chosen by.
+bool
+AmbiguousPath(const http_call& aCall)
+{
+  const std::string& path = aCall.path;
+  if (path.empty() || path[0] != '/' || path.find('\\') != std::string::npos ||
+      path.find("//") != std::string::npos) {
+    return true;
+  }
+  const bool control = std::any_of(
+    path.begin(), path.end(), [](unsigned char aByte) { return aByte < ' '; });
+  std::string target = aCall.target.substr(0, aCall.target.find('?'));
+  std::transform(
+    target.begin(), target.end(), target.begin(), [](unsigned char aByte) {
+      return static_cast<char>(std::tolower(aByte));
+    });
+  const bool escaped = target.find("%2f") != std::string::npos ||
+                       target.find("%25") != std::string::npos;
+  const std::string ended = path + "/";
+  return control || escaped || ended.find("/./") != std::string::npos ||
+         ended.find("/../") != std::string::npos;
+}
+
+/// Routes one call whose stage has a document.
+class router
+{
+public:
+  router(entry_context& aContext, const http_call& aCall, stage aStage)
+    : mContext(aContext)
+    , mCall(aCall)
+    , mStage(aStage)
+  {
+  }
+
+  http_answer Run()
+  {
+    mRouted.call = &mCall;
+    mRouted.state = mContext.view.State();
+    mRouted.config =
+      mRouted.state ? mRouted.state->Find(mContext.settings.environment, mStage)
+                    : nullptr;
+    if (mRouted.config == nullptr || !mRouted.config->document) {
+      return Refuse(503,
+                    error_code::Unavailable,
+                    "route",
+                    "no environment document is in force for this stage");
+    }
+    const std::string& path = mCall.path;
+    if (path == "/v1/completions" || path == "/v1/permits" ||
+        path == "/v1/steps" || path == "/v1/weights") {
+      if (mCall.method != "POST") {
+        return Refuse(404, error_code::NotFound, "route", "expected POST");
+      }
+      auto parsed = Capture([&] { return ParseJson(mCall.body, "body"); });
+      if (const auto* error = std::get_if<1>(&parsed)) {
+        return ErrorAnswer(400, outcome::NotRun, *error);
+      }
+      mBody = std::move(std::get<0>(parsed));
+      if (!mBody.isObject()) {
+        return Refuse(400,
+                      error_code::InvalidArgument,
+                      "read body",
+                      "expected a JSON object");
+      }
+      return path == "/v1/permits" ? Permits() : ByModel();
+    }
+    mRouted.route = mRouted.config->document->FindServiceRoute(path);
+    if (mRouted.route == nullptr) {
+      return Refuse(
+        404, error_code::NotFound, "route", "no route has this path");
+    }
+    if (auto refusal = Enter(false)) {
+      return std::move(*refusal);
+    }
+    return HandleService(mContext, mRouted);
+  }
+
+private:
+  std::optional<http_answer> Enter(bool aNeedsKey)
+  {
+    auto who = Authorize(
+      mContext, mCall, *mRouted.config, mStage, *mRouted.route, aNeedsKey);
+    if (auto* refusal = std::get_if<http_answer>(&who)) {
+      return std::move(*refusal);
+    }
+    mRouted.caller = std::get<caller_identity>(who);
+    mRouted.deadline = mContext.Now() + mRouted.route->deadline;
+    return std::nullopt;
+  }
+
+  http_answer ByModel()
+  {
+    const std::string& path = mCall.path;
+    if (!mBody["model"].isString()) {
+      return Refuse(400,
+                    error_code::InvalidArgument,
+                    "read body",
+                    "field \"model\": expected a string");
+    }
+    mRouted.route = mRouted.config->document->FindModelRoute(
+      path == "/v1/completions" ? route_kind::Completions : route_kind::Steps,
+      mBody["model"].asString());
+    if (mRouted.route == nullptr) {
+      return Refuse(
+        404, error_code::NotFound, "route", "no route has this model");
+    }
+    if (auto refusal = Enter(path == "/v1/weights")) {
+      return std::move(*refusal);
+    }
+    return path == "/v1/completions"
+             ? HandleCompletion(mContext, mRouted, mBody)
+           : path == "/v1/steps" ? HandleStep(mContext, mRouted, mBody)
+                                 : HandleWeights(mContext, mRouted, mBody);
+  }
+
+  http_answer Permits()
+  {
+    std::int64_t count = 0;
+    std::string name;
+    const auto read = Capture([&]() -> result<void> {
+      object_reader reader(mBody, "body");
+      name = reader.String("route");
+      count = reader.Integer("count", 1, 4096, 1);
+      return reader.Finish();
+    });
+    if (const auto* error = std::get_if<1>(&read)) {
+      return ErrorAnswer(400, outcome::NotRun, *error);
+    }
+    for (const route_config& route : mRouted.config->document->routes) {
+      if (route.name == name) {
+        mRouted.route = &route;
+      }
+    }
+    if (mRouted.route == nullptr) {
+      return Refuse(
+        404, error_code::NotFound, "route", "no route has this name");
+    }
+    if (auto refusal = Enter(false)) {
+      return std::move(*refusal);
+    }
+    return HandlePermits(mContext, mRouted, count);
+  }
+
+  entry_context& mContext;
+  const http_call& mCall;
+  stage mStage;
+  routed_call mRouted;
+  Json::Value mBody;
+};
+
+std::optional<http_answer>
+HandleOwnPaths(entry_context& aContext, const http_call& aCall)
+{
+  if (aCall.path == "/healthz") {
+    Json::Value body;
+    body["ok"] = true;
+    return JsonAnswer(body);
+  }
+  if (aCall.path == "/readyz") {
+    if (aContext.draining) {
+      return Refuse(503, error_code::Unavailable, "ready", "draining");
+    }
+    if (!aContext.view.State()) {
+      return Refuse(
+        503, error_code::Unavailable, "ready", "no configuration yet");
+    }
+    Json::Value body;
+    body["ready"] = true;
+    return JsonAnswer(body);
+  }
+  if (aCall.path == "/metrics") {
+    http_answer answer = JsonAnswer({});
+    answer.contentType = "text/plain; version=0.0.4";
+    answer.body = aContext.parts.metrics->Export();
+    return answer;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::variant<caller_identity, http_answer>
+Authorize(entry_context& aContext,
+          const http_call& aCall,
+          const stage_config& aConfig,
+          stage aStage,
+          const route_config& aRoute,
+          bool aNeedsKey)
+{
+  const bool keyed = aNeedsKey || aRoute.access == route_access::Keyed;
+  caller_identity caller;
+  caller.callerStage = aStage;
+  const std::string key = PresentedKey(aCall);
+  if (!aContext.view.KeysUsable(aConfig.document->keyGrace, aContext.Now())) {
+    if (!keyed) {
+      return caller;
+    }
+    return Refuse(503,
+                  error_code::Unavailable,
+                  "check key",
+                  "configuration_stale: a withdrawal could be unknown here");
+  }
+  const auto checked = CheckKey(aConfig, key);
+  const auto* owner = std::get_if<key_owner>(&checked);
+  const bool listed =
+    owner != nullptr &&
+    (aRoute.tenants.empty() ||
+     std::find(aRoute.tenants.begin(), aRoute.tenants.end(), owner->tenant) !=
+       aRoute.tenants.end());
+  if (keyed && owner == nullptr) {
+    const key_refusal refusal = std::get<key_refusal>(checked);
+    return Refuse(401,
+                  error_code::Unauthorized,
+                  "check key",
+                  std::string(EnumName(refusal)) + ": " +
+                    std::string(DescribeRefusal(refusal)));
+  }
+  if (keyed && !listed) {
+    return Refuse(403,
+                  error_code::Unauthorized,
+                  "check key",
+                  "the route is not open to tenant " + owner->tenant);
+  }
+  if (owner != nullptr) {
+    caller.tenant = owner->tenant;
+    caller.keyId = owner->keyId;
+  }
+  return caller;
+}
+
+http_answer
+HandleRequest(entry_context& aContext, const http_call& aCall)
+{
+  if (auto answer = HandleOwnPaths(aContext, aCall)) {
+    return std::move(*answer);
+  }
+  if (AmbiguousPath(aCall)) {
+    return Refuse(400,
+                  error_code::InvalidArgument,
+                  "route",
+                  "the path has dot segments, empty segments or escaped "
+                  "separators");
+  }
+  if (aCall.path.starts_with("/internal/")) {
+    return aCall.path == "/internal/permits" && aCall.method == "POST"
+             ? HandleTakeOver(aContext, aCall)
+             : Refuse(404, error_code::NotFound, "route", "no such path");
+  }
+  // A repeat of a request that ran here is still answered while draining.
+  if (aContext.draining && FindHeader(aCall.headers, kPermitHeader).empty()) {
+    return Refuse(503, error_code::Unavailable, "route", "draining");
+  }
+  const std::string name = FindHeader(aCall.headers, kStageHeader);
+  const auto selected =
+    name.empty() ? std::optional(stage::Production) : ParseEnum<stage>(name);
+  if (!selected) {
+    return Refuse(400,
+                  error_code::InvalidArgument,
+                  "route",
+                  "header Arbutusferry-Stage: expected trial or production");
+  }
+  return router(aContext, aCall, *selected).Run();
+}
+
+} // namespace arbutusferry
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -401,6 +401,7 @@
   call.method = aRequest.method;
   call.target = aRequest.target;
   call.path = aRequest.path;
+  call.remoteIp = aRequest.remote_addr;
   const std::string multipart =
     aRequest.get_header_value(listening_server::kMultipartType);
   for (const auto& [name, value] : aRequest.headers) {
--- a/src/entry/http_server.hpp
+++ b/src/entry/http_server.hpp
@@ -19,6 +19,7 @@
   std::string path;   ///< Decoded path without query.
   header_list headers;
   std::string body;
+  std::string remoteIp; ///< Address of the peer of the connection.
 };
 
 /// Answer to a caller: a whole body, or a stream when `next` is set.
--- /dev/null
+++ b/src/entry/permit_calls.cpp
@@ -0,0 +1,370 @@
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/logging.hpp"
+#include "entry/entry_context.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry {
+
+namespace {
+
+/// Time limit of one attempt to hand over the permits.
+constexpr duration kHandOverTimeout = std::chrono::seconds(5);
+
+/// Waiting repeats look again at least this often, because the clock of the
+/// deadline is not the one that condition variables wait on.
+constexpr duration kRepeatWait = std::chrono::milliseconds(500);
+
+constexpr std::size_t kExchangeIdBytes = 16;
+
+http_answer
+Refuse(int aStatus, outcome aOutcome, error_code aCode, std::string aMessage)
+{
+  return ErrorAnswer(
+    aStatus, aOutcome, { aCode, "check permit", "", std::move(aMessage) });
+}
+
+/// Who a permit is valid for: the tenant, the stage and the route.
+std::string
+PermitUser(const routed_call& aCall)
+{
+  return std::string(EnumName(aCall.caller.callerStage)) + "/" +
+         aCall.caller.tenant + "/" + aCall.route->name;
+}
+
+std::string
+RequestHash(const http_call& aCall)
+{
+  return Sha256Hex(aCall.method + " " + RemoveKeyParameters(aCall.target) +
+                   "\n" + aCall.body);
+}
+
+http_answer
+FromStored(const stored_answer& aStored)
+{
+  http_answer answer;
+  answer.status = aStored.status;
+  answer.contentType = aStored.contentType;
+  answer.headers = aStored.headers;
+  answer.body = aStored.body;
+  return answer;
+}
+
+outcome
+OutcomeOf(const http_answer& aAnswer)
+{
+  return ParseEnum<outcome>(FindHeader(aAnswer.headers, kOutcomeHeader))
+    .value_or(outcome::Unknown);
+}
+
+std::string
+AddressOfOwner(entry_context& aContext, const std::string& aInstance)
+{
+  for (const entry_info& entry : aContext.view.Entries()) {
+    if (entry.instance == aContext.instance) {
+      continue;
+    }
+    if (std::find(entry.adopted.begin(), entry.adopted.end(), aInstance) !=
+        entry.adopted.end()) {
+      return entry.address;
+    }
+  }
+  for (const entry_info& entry : aContext.view.Entries()) {
+    if (entry.instance == aInstance) {
+      return entry.address;
+    }
+  }
+  return {};
+}
+
+/// Passes a request on to the entry that decides about its permit, once.
+http_answer
+Forward(entry_context& aContext,
+        const routed_call& aCall,
+        const std::string& aAddress)
+{
+  if (!FindHeader(aCall.call->headers, kForwardedHeader).empty()) {
+    return Refuse(502,
+                  outcome::Unknown,
+                  error_code::Unreachable,
+                  "another instance decides about this permit");
+  }
+  if (aAddress.empty()) {
+    return Refuse(502,
+                  outcome::Unknown,
+                  error_code::Unreachable,
+                  "the instance that issued the permit is gone");
+  }
+  target_info owner;
+  owner.id = aAddress;
+  owner.address = aAddress;
+  upstream_request request;
+  request.exchangeId = RandomHex(kExchangeIdBytes);
+  request.method = aCall.call->method;
+  request.path = aCall.call->target;
+  // The owner checks the key itself; it is not a target.
+  for (const char* name : { "Authorization",
+                            "X-Api-Key",
+                            "Content-Type",
+                            "Accept",
+                            kPermitHeader,
+                            kStageHeader }) {
+    const std::string value = FindHeader(aCall.call->headers, name);
+    if (!value.empty()) {
+      request.headers.emplace_back(name, value);
+    }
+  }
+  request.headers.emplace_back(kForwardedHeader, "1");
+  request.body = aCall.call->body;
+  request.deadline = aCall.deadline;
+  exchange_control control;
+  upstream_answer answer =
+    aContext.parts.transport->Exchange(owner, request, {}, control);
+  if (answer.result != outcome::Answered) {
+    // Earlier attempts with this permit may have run at the owner.
+    answer.result = outcome::Unknown;
+    return FailureAnswer(answer);
+  }
+  http_answer passed;
+  passed.status = answer.status;
+  passed.contentType = FindHeader(answer.headers, "Content-Type");
+  passed.headers = ForwardableAnswerHeaders(answer.headers);
+  std::erase_if(passed.headers, [](const auto& aHeader) {
+    return !FindHeader({ aHeader }, "Content-Type").empty();
+  });
+  const auto told =
+    ParseEnum<outcome>(FindHeader(answer.headers, kOutcomeHeader));
+  passed.headers.emplace_back(kOutcomeHeader,
+                              EnumName(told.value_or(outcome::Unknown)));
+  passed.body = std::move(answer.body);
+  return passed;
+}
+
+/// Runs the request of a claimed permit and settles the permit, even when the
+/// run ends with an exception.
+http_answer
+RunClaimed(entry_context& aContext,
+           const std::string& aPermit,
+           const std::function<http_answer()>& aRun)
+{
+  http_answer answer = Refuse(
+    502, outcome::Unknown, error_code::Internal, "the request failed here");
+  try {
+    answer = aRun();
+  } catch (const std::exception& exception) {
+    Log(
+      log_level::Error, "request_failed", { { "message", exception.what() } });
+  }
+  {
+    const std::lock_guard lock(aContext.permitMutex);
+    const outcome ended = OutcomeOf(answer);
+    if (ended == outcome::NotRun) {
+      aContext.permits.Release(aPermit);
+    } else {
+      aContext.permits.Finish(aPermit,
+                              { ended,
+                                answer.status,
+                                answer.contentType,
+                                answer.headers,
+                                answer.body },
+                              aContext.Now());
+    }
+  }
+  aContext.permitChanged.notify_all();
+  return answer;
+}
+
+} // namespace
+
+http_answer
+HandlePermits(entry_context& aContext,
+              const routed_call& aCall,
+              std::int64_t aCount)
+{
+  if (aCall.route->idempotent || aCall.route->kind == route_kind::Steps) {
+    return Refuse(400,
+                  outcome::NotRun,
+                  error_code::InvalidArgument,
+                  "field \"route\": expected a route that is not idempotent");
+  }
+  std::variant<std::vector<std::string>, error_info> issued;
+  {
+    const std::lock_guard lock(aContext.permitMutex);
+    issued = Capture([&] {
+      return aContext.permits.Issue(
+        static_cast<std::size_t>(aCount), PermitUser(aCall), aContext.Now());
+    });
+  }
+  if (const auto* error = std::get_if<error_info>(&issued)) {
+    return ErrorAnswer(503, outcome::NotRun, *error);
+  }
+  Json::Value body;
+  body["permits"] = Json::Value(Json::arrayValue);
+  for (const std::string& permit : std::get<0>(issued)) {
+    body["permits"].append(permit);
+  }
+  body["entry"] = aContext.address;
+  body["expires_s"] = 600;
+  return JsonAnswer(body);
+}
+
+http_answer
+WithPermit(entry_context& aContext,
+           const routed_call& aCall,
+           const std::function<http_answer()>& aRun)
+{
+  const std::string permit = FindHeader(aCall.call->headers, kPermitHeader);
+  if (permit.empty()) {
+    return Refuse(428,
+                  outcome::NotRun,
+                  error_code::InvalidArgument,
+                  "header Idempotency-Key: expected a permit of "
+                  "POST /v1/permits");
+  }
+  const std::string user = PermitUser(aCall);
+  const std::string hash = RequestHash(*aCall.call);
+  std::unique_lock lock(aContext.permitMutex);
+  for (;;) {
+    if (!aContext.handedTo.empty()) {
+      const std::string next = aContext.handedTo;
+      lock.unlock();
+      return Forward(aContext, aCall, next);
+    }
+    const permit_decision decision = aContext.permits.Claim(
+      permit, user, hash, aContext.Now(), !aContext.draining);
+    switch (decision.action) {
+      case permit_action::Run:
+        lock.unlock();
+        return RunClaimed(aContext, permit, aRun);
+      case permit_action::Replay:
+        return FromStored(*decision.answer);
+      case permit_action::Wait:
+        if (aContext.Now() >= aCall.deadline) {
+          return Refuse(504,
+                        outcome::Unknown,
+                        error_code::Timeout,
+                        "the first request with this permit still runs");
+        }
+        aContext.permitChanged.wait_for(lock, kRepeatWait);
+        break;
+      case permit_action::Foreign: {
+        lock.unlock();
+        const std::string owner = permit_table::IssuerOf(permit);
+        return Forward(aContext, aCall, AddressOfOwner(aContext, owner));
+      }
+      case permit_action::WrongBody:
+        return Refuse(409,
+                      outcome::NotRun,
+                      error_code::Conflict,
+                      "the permit was used with another request");
+      case permit_action::WrongUser:
+        return Refuse(403,
+                      outcome::NotRun,
+                      error_code::Unauthorized,
+                      "the permit was issued for another tenant or route");
+      case permit_action::Expired:
+        return Refuse(502,
+                      outcome::Unknown,
+                      error_code::NotFound,
+                      "the permit expired; its request may have run");
+      case permit_action::Forged:
+        return Refuse(400,
+                      outcome::NotRun,
+                      error_code::InvalidArgument,
+                      "header Idempotency-Key: expected a permit as issued");
+      case permit_action::Full:
+        return Refuse(503,
+                      outcome::NotRun,
+                      error_code::Overloaded,
+                      aContext.draining ? "draining"
+                                        : "no room for another answer");
+    }
+  }
+}
+
+http_answer
+HandleTakeOver(entry_context& aContext, const http_call& aCall)
+{
+  // The table holds answers and the key of permits, and whoever sends one
+  // decides about them: only addresses of known entries may.
+  const std::string sender = aCall.remoteIp + ":";
+  const auto entries = aContext.view.Entries();
+  const bool known =
+    std::any_of(entries.begin(), entries.end(), [&](const entry_info& aEntry) {
+      return aEntry.address.starts_with(sender);
+    });
+  if (!known || aContext.draining) {
+    return ErrorAnswer(known ? 503 : 403,
+                       outcome::NotRun,
+                       { error_code::Unavailable,
+                         "take over permits",
+                         aCall.remoteIp,
+                         known ? "draining" : "the sender is not an entry" });
+  }
+  const auto taken = Capture([&]() -> result<void> {
+    BOOST_LEAF_AUTO(table, ParseJson(aCall.body, aCall.remoteIp));
+    const std::lock_guard lock(aContext.permitMutex);
+    return aContext.permits.Import(table, aCall.remoteIp, aContext.Now());
+  });
+  if (const auto* error = std::get_if<error_info>(&taken)) {
+    return ErrorAnswer(400, outcome::NotRun, *error);
+  }
+  Log(log_level::Info, "permits_taken_over", { { "peer", aCall.remoteIp } });
+  Json::Value body;
+  body["accepted"] = true;
+  return JsonAnswer(body);
+}
+
+void
+HandOverPermits(entry_context& aContext)
+{
+  std::string table;
+  {
+    const std::lock_guard lock(aContext.permitMutex);
+    aContext.permits.Expire(aContext.Now());
+    if (aContext.permits.Size() == 0) {
+      return;
+    }
+    table = WriteJson(aContext.permits.Export(aContext.Now()));
+  }
+  for (const entry_info& entry : aContext.view.Entries()) {
+    if (entry.zone != aContext.settings.zone || entry.draining ||
+        entry.instance == aContext.instance) {
+      continue;
+    }
+    {
+      // From here on the other entry may decide, so this one does not.
+      const std::lock_guard lock(aContext.permitMutex);
+      aContext.handedTo = entry.address;
+    }
+    target_info peer;
+    peer.id = entry.instance;
+    peer.address = entry.address;
+    upstream_request request;
+    request.exchangeId = RandomHex(kExchangeIdBytes);
+    request.method = "POST";
+    request.path = "/internal/permits";
+    request.headers = { { "Content-Type", "application/json" } };
+    request.body = table;
+    request.deadline = aContext.Now() + kHandOverTimeout;
+    exchange_control control;
+    const upstream_answer answer =
+      aContext.parts.transport->Exchange(peer, request, {}, control);
+    const bool accepted =
+      answer.result == outcome::Answered && answer.status == 200;
+    if (accepted || answer.result == outcome::Unknown) {
+      // After a lost answer a second entry must not get the table too: both
+      // would run an unused permit.
+      Log(accepted ? log_level::Info : log_level::Warning,
+          accepted ? "permits_handed_over" : "permits_hand_over_unknown",
+          { { "peer", entry.address } });
+      return;
+    }
+    const std::lock_guard lock(aContext.permitMutex);
+    aContext.handedTo.clear();
+  }
+  Log(log_level::Warning, "permits_not_handed_over");
+}
+
+} // namespace arbutusferry
--- a/src/samples/prefix_blocks.hpp
+++ b/src/samples/prefix_blocks.hpp
@@ -6,8 +6,8 @@
 
 namespace arbutusferry {
 
-/// @return Hashes of the leading blocks of a prompt, each over everything up to
-/// the end of its block.
+/// @return Hashes of the leading blocks of a prompt as engines report them,
+/// each seeded with the hash of the block before.
 [[nodiscard]] std::vector<std::uint64_t>
 PrefixBlocks(std::string_view aPrompt);
 
