--- /dev/null
+++ b/tests/support/raw_server.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <functional>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace arbutusferry::test {
+
+/// Sends all of a text; stops silently when the peer is gone.
+inline void
+SendAll(int aSocket, const std::string& aText)
+{
+  std::size_t sent = 0;
+  while (sent < aText.size()) {
+    const ssize_t size =
+      ::send(aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
+    if (size <= 0) {
+      return;
+    }
+    sent += static_cast<std::size_t>(size);
+  }
+}
+
+/// Reads up to the end of the connection.
+inline std::string
+ReadAll(int aSocket)
+{
+  std::string text;
+  char buffer[4096];
+  for (;;) {
+    const ssize_t size = ::recv(aSocket, buffer, sizeof(buffer), 0);
+    if (size <= 0) {
+      return text;
+    }
+    text.append(buffer, static_cast<std::size_t>(size));
+  }
+}
+
+/// Connects to a port of this machine.
+inline int
+Connect(int aPort)
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  return socket;
+}
+
+/// Closes with a reset instead of an orderly end.
+inline void
+Reset(int aSocket)
+{
+  const linger now{ 1, 0 };
+  ::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+/// Server that hands each request to a function together with its socket, one
+/// connection after the other.
+class raw_server
+{
+public:
+  /// Gets the request as received; answers over the socket. The connection is
+  /// closed afterwards.
+  using handler = std::function<void(const std::string&, int)>;
+
+  explicit raw_server(handler aHandler)
+    : mHandler(std::move(aHandler))
+    , mListener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    ::listen(mListener, 64);
+    socklen_t size = sizeof(address);
+    ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this] { Serve(); });
+  }
+
+  ~raw_server()
+  {
+    ::shutdown(mListener, SHUT_RDWR);
+    mThread.join();
+    ::close(mListener);
+  }
+
+  [[nodiscard]] std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mPort);
+  }
+  [[nodiscard]] int Requests() const { return mRequests; }
+
+private:
+  void Serve()
+  {
+    for (;;) {
+      const int socket = ::accept(mListener, nullptr, nullptr);
+      if (socket < 0) {
+        return;
+      }
+      const std::string request = ReadRequest(socket);
+      if (!request.empty()) {
+        ++mRequests;
+        mHandler(request, socket);
+      }
+      ::close(socket);
+    }
+  }
+
+  static std::string ReadRequest(int aSocket)
+  {
+    std::string text;
+    char byte = 0;
+    while (text.find("\r\n\r\n") == std::string::npos) {
+      if (::recv(aSocket, &byte, 1, 0) <= 0) {
+        return {};
+      }
+      text += byte;
+    }
+    const std::size_t field = text.find("Content-Length: ");
+    std::size_t length =
+      field == std::string::npos ? 0 : std::stoul(text.substr(field + 16));
+    while (length > 0 && ::recv(aSocket, &byte, 1, 0) > 0) {
+      text += byte;
+      --length;
+    }
+    return text;
+  }
+
+  handler mHandler;
+  int mListener;
+  int mPort = 0;
+  std::atomic<int> mRequests{ 0 };
+  std::thread mThread;
+};
+
+} // namespace arbutusferry::test
