--- /dev/null
+++ b/standins/common/caller.cpp
@@ -0,0 +1,76 @@
+#include "common/caller.hpp"
+
+#include "arbutusferry/outcome.hpp"
+
+#include <chrono>
+#include <httplib.h>
+
+namespace arbutusferry::standin {
+
+struct caller::impl
+{
+  explicit impl(const std::string& aAddress)
+    : client("http://" + aAddress)
+  {
+  }
+  httplib::Client client;
+};
+
+caller::caller(const std::string& aAddress,
+               const std::string& aKey,
+               int aTimeoutSeconds)
+  : mImpl(std::make_unique<impl>(aAddress))
+{
+  httplib::Client& client = mImpl->client;
+  client.set_keep_alive(true);
+  client.set_tcp_nodelay(true);
+  client.set_connection_timeout(aTimeoutSeconds);
+  client.set_read_timeout(aTimeoutSeconds);
+  client.set_write_timeout(aTimeoutSeconds);
+  if (!aKey.empty()) {
+    client.set_default_headers({ { "Authorization", "Bearer " + aKey } });
+  }
+}
+
+caller::~caller() = default;
+
+call_result
+caller::Post(const std::string& aPath,
+             const std::string& aBody,
+             const header_list& aHeaders,
+             const std::function<bool(const std::string&)>& aPiece)
+{
+  httplib::Request request;
+  request.method = "POST";
+  request.path = aPath;
+  request.body = aBody;
+  request.headers.emplace("Content-Type", "application/json");
+  for (const auto& [name, value] : aHeaders) {
+    request.headers.emplace(name, value);
+  }
+  call_result call;
+  if (aPiece) {
+    request.content_receiver =
+      [&](const char* aData, std::size_t aSize, std::uint64_t, std::uint64_t) {
+        call.body.append(aData, aSize);
+        return aPiece(std::string(aData, aSize));
+      };
+  }
+  const auto start = std::chrono::steady_clock::now();
+  const httplib::Result answer = mImpl->client.send(request);
+  call.seconds =
+    std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+      .count();
+  if (!answer) {
+    call.failure = httplib::to_string(answer.error());
+    return call;
+  }
+  call.status = answer->status;
+  call.outcome = answer->get_header_value(kOutcomeHeader);
+  if (!aPiece) {
+    call.body = answer->body;
+  }
+  return call;
+}
+
+} // namespace arbutusferry::standin
