--- a/tests/support/harness_http.cpp
+++ b/tests/support/harness_http.cpp
@@ -106,6 +106,65 @@
   return SendOnce(aAddress, "POST", aPath, aBody, aHeaders, aPiece);
 }
 
+http_reply
+Call(const std::string& aEntry,
+     const std::string& aPath,
+     const std::string& aBody,
+     const std::string& aKey,
+     const header_list& aHeaders)
+{
+  header_list headers = aHeaders;
+  if (!aKey.empty()) {
+    headers.emplace_back("Authorization", "Bearer " + aKey);
+  }
+  return Send(aEntry, "POST", aPath, aBody, headers);
+}
+
+std::vector<std::string>
+TakePermits(const std::string& aEntry,
+            const std::string& aRoute,
+            const std::string& aKey,
+            int aCount)
+{
+  Json::Value body(Json::objectValue);
+  body["route"] = aRoute;
+  body["count"] = aCount;
+  const http_reply reply = Call(aEntry, "/v1/permits", WriteJson(body), aKey);
+  std::vector<std::string> permits;
+  for (const Json::Value& permit : reply.Parsed()["permits"]) {
+    permits.push_back(permit.asString());
+  }
+  if (reply.status != 200 || permits.size() != std::size_t(aCount)) {
+    throw std::runtime_error("no permits: status " +
+                             std::to_string(reply.status) + " " +
+                             reply.failure + " " + reply.body);
+  }
+  return permits;
+}
+
+http_reply
+CallOnce(const std::string& aEntry,
+         const std::string& aPath,
+         const std::string& aBody,
+         const std::string& aKey,
+         const std::string& aPermit)
+{
+  return Call(aEntry, aPath, aBody, aKey, { { "Idempotency-Key", aPermit } });
+}
+
+std::map<std::string, int>
+SeenBodies(const std::string& aTarget, const std::string& aPath)
+{
+  std::map<std::string, int> bodies;
+  const Json::Value seen = SendJson(aTarget, "GET", "/admin/seen");
+  for (const Json::Value& request : seen["requests"]) {
+    if (request["path"].asString() == aPath) {
+      ++bodies[request["body"].asString()];
+    }
+  }
+  return bodies;
+}
+
 Json::Value
 SendJson(const std::string& aAddress,
          const std::string& aMethod,
