Add demand forecast, target planner and weight rollout

Targets cost money, cheap ones are reclaimed a zone at a time, and weights must reach all engines while enough keep serving. The forecast combines arrival rate, queue and step deadlines; the planner keeps the protected minimum, spreads reclaimable targets over zones and replaces those that cannot be had; the drain planner stops a target only when it is empty and every entry knows that it is draining, and orders keep counting it until then; a class without a plan keeps its targets. The rollout bounds starts a second and engines that load at once and retries failed swaps.

--- /dev/null
+++ b/include/arbutusferry/weight_rollout.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "arbutusferry/target.hpp"
+#include "arbutusferry/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusferry {
+
+struct rollout_rules
+{
+  /// Loads that may start in a second, the zone's part of the weight store's
+  /// rate limit. 100 engines load within 14 s at 10 a second.
+  std::int64_t startsPerSecond = 10;
+  std::int64_t maxParallel = 40;
+  /// Share of the live engines that keeps serving; at least one engine may
+  /// always load, so that a zone with a single engine gets new weights too.
+  double keepServing = 0.6;
+  duration loadTimeout = std::chrono::seconds(10);
+  duration firstRetry = std::chrono::milliseconds(500);
+  duration lastRetry = std::chrono::seconds(8);
+  /// Age of a load report at which it counts more than the answer to an order.
+  duration reportLag = std::chrono::seconds(5);
+};
+
+/// An order to load weights, to be sent to an engine now.
+struct weight_order
+{
+  target_info target;
+  std::string model;
+  std::int64_t version = 0;
+};
+
+/// Decides which engines of one model and zone load a version now. Orders are
+/// idempotent; an order whose answer is lost is repeated after a time-out.
+class weight_rollout
+{
+public:
+  explicit weight_rollout(std::string aModel, const rollout_rules& aRules = {});
+
+  /// Plans and notes the orders as started.
+  /// @param aEngines Engines of the model's class in the zone, with their load
+  /// reports. Those that are not live are left out.
+  /// @param aVersion Newest published version. Lower versions than in earlier
+  /// calls are ignored, so that a rollout never goes back.
+  [[nodiscard]] std::vector<weight_order> Plan(
+    const std::vector<target_info>& aEngines,
+    std::int64_t aVersion,
+    time_point aNow);
+
+  /// Notes the answer to an order.
+  /// @param aLoaded Whether the engine reported success.
+  void Finished(const std::string& aTarget,
+                std::int64_t aVersion,
+                bool aLoaded,
+                time_point aNow);
+
+  /// @return Whether all live engines of the last plan have the version.
+  [[nodiscard]] bool Complete() const noexcept { return mComplete; }
+
+  /// @return Failed and timed-out loads.
+  [[nodiscard]] std::int64_t FailureCount() const noexcept { return mFailures; }
+
+private:
+  struct engine_state
+  {
+    std::int64_t loading = -1; ///< Version being loaded, or -1.
+    time_point started{};
+    std::int64_t loaded = -1; ///< Newest version that an answer confirmed.
+    time_point loadedAt{};
+    int failures = 0; ///< In a row.
+    time_point retryAt{};
+  };
+
+  void Fail(engine_state& aState, time_point aNow);
+  [[nodiscard]] std::int64_t KnownVersion(const target_info& aEngine,
+                                          const engine_state& aState,
+                                          time_point aNow) const;
+
+  std::string mModel;
+  rollout_rules mRules;
+  std::int64_t mVersion = -1;
+  bool mComplete = false;
+  std::int64_t mFailures = 0;
+  std::map<std::string, engine_state> mEngines;
+  std::deque<time_point> mStarts; ///< Of the last second.
+};
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/capacity/demand_forecast.cpp
@@ -0,0 +1,143 @@
+#include "arbutusferry/demand_forecast.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutusferry {
+
+namespace {
+
+/// Requests that must have ended before their time is estimated.
+constexpr double kLeastEnded = 20;
+
+double
+Seconds(duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/// Moves an exponential average towards a value.
+void
+Approach(double& aAverage, double aValue, double aSeconds, duration aConstant)
+{
+  aAverage +=
+    (aValue - aAverage) * (1.0 - std::exp(-aSeconds / Seconds(aConstant)));
+}
+
+} // namespace
+
+demand_forecast::demand_forecast(const forecast_rules& aRules)
+  : mRules(aRules)
+{
+}
+
+void
+demand_forecast::Average(class_state& aState,
+                         const class_observation& aObservation,
+                         double aSeconds) const
+{
+  Approach(aState.busySlots,
+           static_cast<double>(aObservation.running),
+           aSeconds,
+           mRules.fast);
+  if (aObservation.arrivals < 0 || aState.last.arrivals < 0) {
+    return;
+  }
+  // The sum over entry processes falls when one of them restarts.
+  const auto arrived = static_cast<double>(
+    std::max<std::int64_t>(0, aObservation.arrivals - aState.last.arrivals));
+  const auto present = [](const class_observation& aWork) {
+    return static_cast<double>(aWork.waiting + aWork.running);
+  };
+  const double ended =
+    std::max(0.0, arrived + present(aState.last) - present(aObservation));
+  Approach(aState.fastRate, arrived / aSeconds, aSeconds, mRules.fast);
+  Approach(aState.slowRate, arrived / aSeconds, aSeconds, mRules.slow);
+  Approach(aState.completionRate, ended / aSeconds, aSeconds, mRules.fast);
+  aState.ended += ended;
+}
+
+void
+demand_forecast::Observe(const class_observation& aObservation, time_point aNow)
+{
+  class_state& state = mClasses[aObservation.targetClass];
+  if (state.observed && aNow <= state.lastTime) {
+    return;
+  }
+  if (state.observed) {
+    Average(state, aObservation, Seconds(aNow - state.lastTime));
+  } else {
+    state.busySlots = static_cast<double>(aObservation.running);
+  }
+  state.observed = true;
+  state.last = aObservation;
+  state.lastTime = aNow;
+  const class_forecast need = Need(state, aNow);
+  while (!state.needs.empty() &&
+         state.needs.back().second.slots <= need.slots &&
+         state.needs.back().second.protectedSlots <= need.protectedSlots) {
+    state.needs.pop_back();
+  }
+  state.needs.emplace_back(aNow, need);
+  while (state.needs.front().first + mRules.holdTime < aNow) {
+    state.needs.pop_front();
+  }
+}
+
+/// Little's law: mean time = mean number at targets / completion rate.
+double
+demand_forecast::ServiceSeconds(const class_state& aState) const
+{
+  if (aState.ended < kLeastEnded || aState.completionRate <= 0 ||
+      aState.busySlots <= 0) {
+    return Seconds(mRules.serviceTime);
+  }
+  return aState.busySlots / aState.completionRate;
+}
+
+class_forecast
+demand_forecast::Need(const class_state& aState, time_point aNow) const
+{
+  const class_observation& seen = aState.last;
+  const double service = ServiceSeconds(aState);
+  const double rate = std::max(aState.fastRate, aState.slowRate);
+  // Without a known rate, the busy slots are the offered load as long as no
+  // queue forms; the queue adds the rest.
+  const double offered = seen.arrivals >= 0 && aState.ended >= kLeastEnded
+                           ? rate * service
+                           : aState.busySlots;
+  const double backlog =
+    static_cast<double>(seen.waiting) * service / Seconds(mRules.drainTime);
+  const double calls =
+    offered + mRules.spareDeviations * std::sqrt(offered) + backlog;
+  double samples = 0;
+  for (const step_demand& step : seen.steps) {
+    // The last sample must start one service time before the deadline.
+    const double left = Seconds(step.deadline - aNow) - service;
+    samples +=
+      static_cast<double>(step.remaining) * service / std::max(left, service);
+  }
+  return { calls + samples, calls * std::clamp(seen.protectedShare, 0.0, 1.0) };
+}
+
+class_forecast
+demand_forecast::Forecast(std::string_view aTargetClass, time_point aNow) const
+{
+  class_forecast highest;
+  const auto found = mClasses.find(aTargetClass);
+  if (found == mClasses.end()) {
+    return highest;
+  }
+  for (const auto& [time, need] : found->second.needs) {
+    // The newest need counts even when observations have stopped.
+    if (time + mRules.holdTime >= aNow ||
+        time == found->second.needs.back().first) {
+      highest.slots = std::max(highest.slots, need.slots);
+      highest.protectedSlots =
+        std::max(highest.protectedSlots, need.protectedSlots);
+    }
+  }
+  return highest;
+}
+
+} // namespace arbutusferry
--- a/tests/unit/usage_test.cpp
+++ b/tests/unit/usage_test.cpp
@@ -38,6 +38,7 @@
 {
   usage_ledger ledger;
   std::size_t read = 0;
+  unix_seconds skew = 0; ///< Of its wall clock.
 };
 
 /// Entry processes, a relay, a log and two closers that both believe they hold
@@ -48,15 +49,17 @@
   explicit usage_world(std::uint64_t aSeed)
     : mRandom(aSeed)
   {
+    // With different clocks they close different windows at the same time.
+    closers[1].skew = static_cast<unix_seconds>(mRandom() % 90);
   }
 
   void Run()
   {
-    for (mNow = kBegin; mNow < kBegin + 8 * 60; ++mNow) {
+    for (mNow = kBegin; mNow < kBegin + 8 * kWindow.count(); ++mNow) {
       Work();
       Step(false);
     }
-    for (; mNow < kBegin + 14 * 60; ++mNow) {
+    for (; mNow < kBegin + 14 * kWindow.count(); ++mNow) {
       Step(true);
     }
   }
@@ -137,7 +140,8 @@
         ReadAll(closer, log.size());
       }
       // A stale closer repeats itself; its records must have no effect.
-      if (const auto report = closer.ledger.PlanClosing(kRules, mNow)) {
+      if (const auto report =
+            closer.ledger.PlanClosing(kRules, mNow + closer.skew)) {
         log.push_back(WriteJson(WriteLogRecord(usage_closed{ *report })));
       }
     }
@@ -245,7 +249,7 @@
 {
   usage_ledger ledger;
   usage_counter_set counters;
-  for (int i = 0; i < 200; ++i) {
+  for (unix_seconds i = 0; i < 200; ++i) {
     const usage_counter counter{
       "north", i * 3600, "instance" + std::to_string(i), 1, 1, 1
     };
