--- /dev/null
+++ b/standins/experiment/control.cpp
@@ -0,0 +1,432 @@
+#include "experiment/simulation.hpp"
+
+#include "arbutusferry/fair_queue.hpp"
+#include "arbutusferry/target_selector.hpp"
+
+#include <algorithm>
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <numeric>
+
+namespace arbutusferry::experiment {
+
+namespace {
+
+constexpr seconds kTickPeriod = 0.05;
+constexpr seconds kSyncPeriod = 0.5;
+constexpr seconds kFleetPeriod = 5;
+constexpr seconds kStartTime = 20; ///< Of a target.
+constexpr seconds kWindow = 60;    ///< In which shares are compared.
+
+std::int64_t
+Sum(const std::vector<std::int64_t>& aValues)
+{
+  return std::accumulate(aValues.begin(), aValues.end(), std::int64_t{ 0 });
+}
+
+} // namespace
+
+simulation::simulation(const deployment& aDeployment,
+                       const policy_set& aPolicy,
+                       const scenario& aScenario,
+                       std::uint64_t aSeed,
+                       seconds aLength)
+  : mDeployment(aDeployment)
+  , mPolicy(aPolicy)
+  , mScenario(aScenario)
+  , mLength(aLength)
+  , mRandom(aSeed)
+{
+  const auto scale = static_cast<double>(Sum(aDeployment.samplers)) / 11;
+  const auto groups = [&](double aGroups) {
+    return static_cast<std::int64_t>(aGroups * scale);
+  };
+  mTenants = {
+    { "a", 4, groups(32), 30, 0.5, 1 },
+    { "b", 3, groups(24), 30, 0.5, 1 },
+    { "c", 2, groups(16), 30, 0.5, 1 },
+    { "d", 2, groups(16), 30, 0.5, 1 },
+    { "e", 1, groups(8), 30, 0.5, 1 },
+    { "f", 1, groups(8), 30, 0.5, 1 },
+    { "g", 1, 0, 0, 2, 1 },
+    { "h", 1, 0, 0, 2, 1 },
+  };
+  if (mScenario.flood) {
+    mTenants.back().samplerCalls = 60;
+    mTenants.back().deskCalls = 40;
+  }
+  for (const auto& tenant : mTenants) {
+    mShares[tenant.name] = tenant.share;
+  }
+  const auto zones = aDeployment.samplers.size();
+  mAvailable.assign(zones, 99);
+  mDrains.resize(zones);
+  for (std::size_t zone = 0; zone < zones; ++zone) {
+    mPlanners.emplace_back();
+    for (std::int64_t i = 0; i < aDeployment.entries[zone]; ++i) {
+      entry_node node;
+      node.name = "e" + std::to_string(zone) + "-" + std::to_string(i);
+      node.zone = zone;
+      node.index = static_cast<std::size_t>(i);
+      dispatcher_options options;
+      options.zone = std::to_string(zone);
+      options.seed = aSeed + mEntries.size();
+      options.zoneHop = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(aDeployment.hop));
+      node.front = MakeDispatcher(
+        options,
+        aPolicy.fairQueue ? MakeFairQueue(options.maxQueuePerTenant)
+                          : MakeFifoQueue(8 * options.maxQueuePerTenant),
+        aPolicy.twoChoices ? MakeTwoChoiceSelector(options.seed)
+                           : MakeRoundRobinSelector());
+      node.front->UpdateShares(mShares);
+      mEntries.push_back(std::move(node));
+    }
+    for (std::int64_t i = 0; i < aDeployment.samplers[zone]; ++i) {
+      AddEngine(kSampler, zone, target_pool::Protected);
+    }
+    for (std::int64_t i = 0; i < aDeployment.desks[zone]; ++i) {
+      AddEngine(kDesk, zone, target_pool::Protected);
+    }
+  }
+  switch (aPolicy.fleet) {
+    case fleet_kind::Forecast:
+      mScaling = MakeForecastScaling();
+      break;
+    case fleet_kind::Threshold:
+      mScaling = MakeThresholdScaling();
+      break;
+    case fleet_kind::Fixed:
+      mScaling = MakeFixedFleet({ { kSampler, Sum(aDeployment.samplers) },
+                                  { kDesk, Sum(aDeployment.desks) } });
+      break;
+  }
+}
+
+void
+simulation::After(seconds aDelay, std::function<void()> aAction)
+{
+  mEvents.push({ mNow + aDelay, ++mOrder, std::move(aAction) });
+}
+
+void
+simulation::Every(seconds aPeriod, std::function<void()> aAction)
+{
+  After(aPeriod, [this, aPeriod, aAction] {
+    aAction();
+    Every(aPeriod, aAction);
+  });
+}
+
+time_point
+simulation::Now() const
+{
+  return time_point{
+    std::chrono::seconds(1000)
+  } + std::chrono::duration_cast<duration>(std::chrono::duration<double>(mNow));
+}
+
+double
+simulation::Uniform(double aLow, double aHigh)
+{
+  return boost::random::uniform_real_distribution<double>(aLow, aHigh)(mRandom);
+}
+
+double
+simulation::Exponential(double aMean)
+{
+  return boost::random::exponential_distribution<double>(1 / aMean)(mRandom);
+}
+
+bool
+simulation::Cut(std::size_t aZone, std::size_t aOther) const
+{
+  return mPartitioned && (aZone == 0) != (aOther == 0);
+}
+
+std::size_t
+simulation::ZoneOf(const target_info& aInfo)
+{
+  return static_cast<std::size_t>(std::stoul(aInfo.zone));
+}
+
+/// One round of messages between entries, control processes and planners. The
+/// load that entries see is the one of the round before.
+void
+simulation::Sync()
+{
+  const auto seen = std::exchange(mView, {});
+  for (const auto& each : mEngines) {
+    mView.push_back(each->info);
+    auto& info = mView.back();
+    info.running = each->running;
+    info.waiting = static_cast<std::int64_t>(each->waiting.size());
+    info.weightVersion = each->version;
+    if (mDraining.contains(info.id)) {
+      info.state = target_state::Leaving;
+    }
+  }
+  for (std::size_t zone = 0; zone < mPlanners.size(); ++zone) {
+    std::vector<std::string> names;
+    for (const auto& entry : mEntries) {
+      if (entry.zone == zone) {
+        names.push_back(entry.name);
+        mPlanners[zone].Report({ entry.name,
+                                 entry.front->Demand(),
+                                 entry.front->InFlight(),
+                                 entry.round },
+                               Now());
+      }
+    }
+    std::vector<target_info> own;
+    std::vector<target_info> visible;
+    for (const auto& info : seen) {
+      if (ZoneOf(info) == zone) {
+        own.push_back(info);
+      }
+      if (!Cut(zone, ZoneOf(info))) {
+        visible.push_back(info);
+      }
+    }
+    const auto plans = mPlanners[zone].Plan(mShares, own, names, Now());
+    for (auto& entry : mEntries) {
+      if (entry.zone != zone) {
+        continue;
+      }
+      const auto plan = plans.find(entry.name);
+      if (!mPolicy.grants || plan == plans.end()) {
+        entry.front->UpdateTargets(
+          visible, std::nullopt, {}, entry.index, names.size(), Now());
+        continue;
+      }
+      entry.round = plan->second.round;
+      entry.front->UpdateTargets(visible,
+                                 plan->second.grants,
+                                 plan->second.expiry,
+                                 entry.index,
+                                 names.size(),
+                                 Now());
+      entry.front->UpdateTenantGrants(plan->second.tenants,
+                                      plan->second.expiry);
+    }
+  }
+}
+
+void
+simulation::PlanFleet()
+{
+  std::map<std::string, std::int64_t> inFlight;
+  std::map<std::string, class_observation> observed;
+  for (const auto& entry : mEntries) {
+    for (const auto& [id, count] : entry.front->InFlight()) {
+      inFlight[id] += count;
+    }
+    for (const auto& line : entry.front->Demand()) {
+      auto& seen = observed[line.targetClass];
+      seen.waiting += line.waiting;
+      seen.running += line.running;
+    }
+  }
+  std::vector<target_info> targets;
+  for (const auto& each : mEngines) {
+    targets.push_back(each->info);
+    targets.back().running = each->running;
+  }
+  const auto zones = mDeployment.samplers.size();
+  std::vector<std::map<std::string, pool_counts>> wanted(zones);
+  for (const std::string name : { kSampler, kDesk }) {
+    auto& seen = observed[name];
+    seen.targetClass = name;
+    seen.protectedShare = name == kDesk ? 1.0 : 0.0;
+    mForecast.Observe(seen, Now());
+    planning_input input;
+    input.targetClass = name;
+    input.slotsPerTarget = name == kSampler ? 16 : 8;
+    input.demand = mForecast.Forecast(name, Now());
+    input.waiting = seen.waiting;
+    input.running = seen.running;
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      const auto most =
+        name == kSampler ? mDeployment.samplers[zone] : std::int64_t{ 2 };
+      zone_supply supply;
+      supply.limits = { std::to_string(zone), 1, most, most - 1 };
+      supply.availableReclaimable = mAvailable[zone];
+      for (const auto& info : targets) {
+        if (ZoneOf(info) == zone && info.targetClass == name &&
+            info.state != target_state::Leaving) {
+          ++(info.pool == target_pool::Protected
+               ? supply.existing.protectedCount
+               : supply.existing.reclaimableCount);
+        }
+      }
+      input.zones.push_back(supply);
+    }
+    for (const auto& [zone, counts] : mScaling->Plan(input, Now())) {
+      wanted[std::stoul(zone)][name] = counts;
+    }
+  }
+  mDraining.clear();
+  for (std::size_t zone = 0; zone < zones; ++zone) {
+    const auto order = mDrains[zone].Plan(
+      std::to_string(zone), wanted[zone], targets, inFlight, Now());
+    mDraining.merge(mDrains[zone].Draining());
+    for (const auto& id : order.stop) {
+      for (const auto& each : std::vector(mEngines)) {
+        if (each->info.id == id) {
+          Remove(each);
+        }
+      }
+    }
+    for (const auto& count : order.counts) {
+      std::int64_t existing = 0;
+      for (const auto& info : targets) {
+        existing +=
+          ZoneOf(info) == zone && info.pool == count.pool &&
+              info.targetClass == count.targetClass &&
+              info.state != target_state::Leaving &&
+              std::find(order.stop.begin(), order.stop.end(), info.id) ==
+                order.stop.end()
+            ? 1
+            : 0;
+      }
+      for (; existing < count.count; ++existing) {
+        const auto added = AddEngine(count.targetClass, zone, count.pool);
+        added->info.state = target_state::Starting;
+        After(kStartTime, [this, added] {
+          if (added->info.state == target_state::Starting) {
+            added->info.state = target_state::Live;
+            added->version = mVersion;
+          }
+        });
+      }
+    }
+  }
+}
+
+/// Compares what each tenant holds with its max-min share of the live slots,
+/// in each part of the deployment that is connected.
+void
+simulation::Measure()
+{
+  if (!Measured()) {
+    return;
+  }
+  for (const bool first : { true, false }) {
+    const auto belongs = [&](std::size_t aZone) {
+      return mPartitioned ? (aZone == 0) == first : first;
+    };
+    std::map<std::string, double> slots;
+    for (const auto& each : mEngines) {
+      if (belongs(ZoneOf(each->info)) && each->up &&
+          each->info.state == target_state::Live) {
+        slots[each->info.targetClass] += static_cast<double>(each->info.slots);
+      }
+    }
+    std::map<std::string, std::map<std::string, std::pair<double, double>>>
+      demand; ///< Waiting and running by class and tenant.
+    for (const auto& entry : mEntries) {
+      if (belongs(entry.zone)) {
+        for (const auto& line : entry.front->Demand()) {
+          auto& [waiting, running] = demand[line.targetClass][line.tenant];
+          waiting += static_cast<double>(line.waiting);
+          running += static_cast<double>(line.running);
+        }
+      }
+    }
+    for (const auto& [name, tenants] : demand) {
+      std::vector<double> weights;
+      std::vector<double> wanted;
+      for (const auto& [tenant, work] : tenants) {
+        weights.push_back(mShares[tenant]);
+        wanted.push_back(work.first + work.second);
+      }
+      const auto parts = WeightedMaxMin(slots[name], weights, wanted);
+      std::size_t index = 0;
+      for (const auto& [tenant, work] : tenants) {
+        auto& record = mService[{ tenant, name }];
+        const double entitled = parts[index++];
+        if (work.first > 0) {
+          record.windowAttained += work.second * kSyncPeriod;
+          record.windowEntitled += entitled * kSyncPeriod;
+        }
+      }
+    }
+  }
+}
+
+void
+simulation::CloseWindow()
+{
+  for (auto& [key, record] : mService) {
+    // What exceeds the share in one window does not make up for another one.
+    record.attained += std::min(record.windowAttained, record.windowEntitled);
+    record.entitled += record.windowEntitled;
+    record.windowAttained = 0;
+    record.windowEntitled = 0;
+  }
+}
+
+run_result
+simulation::Run()
+{
+  StartLoad();
+  StartFaults();
+  Every(kTickPeriod, [this] {
+    for (auto& entry : mEntries) {
+      entry.front->Tick(Now());
+    }
+  });
+  Sync();
+  Every(kSyncPeriod, [this] {
+    Sync();
+    Measure();
+  });
+  Every(kFleetPeriod, [this] { PlanFleet(); });
+  Every(kWindow, [this] { CloseWindow(); });
+  Every(mScenario.weightPeriod, [this] { Publish(); });
+  while (mEvents.top().time <= mLength) {
+    auto next = mEvents.top();
+    mEvents.pop();
+    mNow = next.time;
+    next.action();
+  }
+  mNow = mLength;
+  for (const auto& each : mEngines) {
+    mCost += (each->info.pool == target_pool::Reclaimable ? 0.35 : 1.0) *
+             (mNow - std::max(each->since, mWarmUp));
+  }
+  CloseWindow();
+  mResult.worstShare = 1e9;
+  for (const auto& [key, record] : mService) {
+    // Shares of less than a minute of one slot are noise.
+    if (record.entitled >= 60 &&
+        record.attained / record.entitled < mResult.worstShare) {
+      mResult.worstShare = record.attained / record.entitled;
+      mResult.worstTenant = key.first + "/" + key.second;
+    }
+  }
+  const auto steps =
+    static_cast<double>(std::max<std::int64_t>(mResult.steps, 1));
+  mResult.stepWait = mWaits / steps;
+  mResult.idle = mWaits / std::max(mWaits + mTraining, 1.0);
+  mResult.inTime = static_cast<double>(mInTime) /
+                   static_cast<double>(std::max<std::int64_t>(mCalls, 1));
+  mResult.cost = mCost / std::max(mTokens / 1000, 1e-9);
+  mResult.reclaimable = mReclaimableTokens / std::max(mTokens, 1e-9);
+  mResult.retries = static_cast<double>(mAttempts) /
+                      static_cast<double>(std::max<std::int64_t>(mDone, 1)) -
+                    1;
+  return mResult;
+}
+
+run_result
+Run(const deployment& aDeployment,
+    const policy_set& aPolicy,
+    const scenario& aScenario,
+    std::uint64_t aSeed,
+    seconds aLength)
+{
+  return simulation(aDeployment, aPolicy, aScenario, aSeed, aLength).Run();
+}
+
+} // namespace arbutusferry::experiment
--- /dev/null
+++ b/standins/experiment/work.cpp
@@ -0,0 +1,218 @@
+#include "experiment/simulation.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutusferry::experiment {
+
+namespace {
+
+constexpr std::int64_t kGroupSize = 8;
+constexpr std::int64_t kStalenessBound = 1;
+constexpr seconds kStepDeadline = 2340; ///< 39 minutes.
+constexpr seconds kSamplerDeadline = 30;
+constexpr seconds kDeskDeadline = 5;
+constexpr double kSampleTokens = 200;
+constexpr double kDeskTokens = 50;
+/// Callers state the largest answer they accept, not the expected one.
+constexpr double kSampleEstimate = 512;
+constexpr double kDeskEstimate = 128;
+
+time_point
+At(seconds aTime)
+{
+  return time_point{ std::chrono::seconds(1000) } +
+         std::chrono::duration_cast<duration>(
+           std::chrono::duration<double>(aTime));
+}
+
+} // namespace
+
+void
+simulation::StartLoad()
+{
+  for (std::size_t i = 0; i < mTenants.size(); ++i) {
+    const auto& tenant = mTenants[i];
+    if (tenant.groups > 0) {
+      After(Uniform(0, 20), [this, i] { PostStep(i); });
+    }
+    Call(i, kSampler, tenant.samplerCalls);
+    Call(i, kDesk, tenant.deskCalls);
+  }
+}
+
+void
+simulation::Call(std::size_t aTenant, const std::string& aClass, double aRate)
+{
+  if (aRate <= 0) {
+    return;
+  }
+  After(Exponential(1 / aRate), [this, aTenant, aClass, aRate] {
+    const bool desk = aClass == kDesk;
+    const auto work = std::make_shared<request>();
+    work->item.tenant = mTenants[aTenant].name;
+    work->item.targetClass = aClass;
+    work->item.idempotent = !desk || Uniform(0, 1) < 0.6;
+    work->item.estimatedTokens = desk ? kDeskEstimate : kSampleEstimate;
+    work->tokens =
+      std::max(1.0, Uniform(0.5, 1.5) * (desk ? kDeskTokens : kSampleTokens));
+    work->submitted = mNow;
+    work->item.deadline = At(mNow + (desk ? kDeskDeadline : kSamplerDeadline));
+    work->entry = static_cast<std::size_t>(
+      Uniform(0, static_cast<double>(mEntries.size())));
+    mCalls += Measured() ? 1 : 0;
+    Send(work);
+    Call(aTenant, aClass, aRate);
+  });
+}
+
+void
+simulation::PostStep(std::size_t aTenant)
+{
+  const auto posted = std::make_shared<step>();
+  posted->tenant = aTenant;
+  posted->version = mVersion;
+  posted->posted = mNow;
+  posted->deadline = mNow + kStepDeadline;
+  posted->entry =
+    static_cast<std::size_t>(Uniform(0, static_cast<double>(mEntries.size())));
+  const auto groups = mTenants[aTenant].groups;
+  posted->remaining = groups * kGroupSize;
+  ++mLastStep;
+  for (std::int64_t g = 0; g < groups; ++g) {
+    const auto group = std::to_string(mLastStep) + "/" + std::to_string(g);
+    posted->groups[group] = kGroupSize;
+    for (std::int64_t i = 0; i < kGroupSize; ++i) {
+      const auto work = std::make_shared<request>();
+      work->item.tenant = mTenants[aTenant].name;
+      work->item.targetClass = kSampler;
+      work->item.kind = work_kind::Sample;
+      work->item.group = group;
+      work->item.estimatedTokens = kSampleEstimate;
+      work->item.minVersion =
+        std::max<std::int64_t>(1, posted->version - kStalenessBound);
+      work->item.deadline = At(posted->deadline);
+      for (std::uint64_t block = 0; block < 4; ++block) {
+        work->item.prefix.push_back(
+          static_cast<std::uint64_t>(mLastStep * 10'000 + g * 10) + block);
+      }
+      work->tokens = Uniform(0.5, 1.5) * kSampleTokens;
+      if (Uniform(0, 1) < mScenario.stragglers) {
+        work->tokens *= 10;
+      }
+      work->submitted = mNow;
+      work->owner = posted;
+      work->entry = posted->entry;
+      Send(work);
+    }
+  }
+}
+
+void
+simulation::Send(const std::shared_ptr<request>& aWork)
+{
+  if (aWork->owner) {
+    aWork->item.groupRemaining = aWork->owner->groups[aWork->item.group];
+  }
+  mEntries[aWork->entry].front->Submit(
+    aWork->item,
+    [this, aWork](std::variant<assignment, error_info> aOutcome) {
+      if (const auto* found = std::get_if<assignment>(&aOutcome)) {
+        Assigned(aWork, *found);
+      } else if (aWork->owner) {
+        After(1, [this, aWork] { Send(aWork); });
+      }
+    },
+    Now());
+}
+
+void
+simulation::Assigned(const std::shared_ptr<request>& aWork,
+                     const assignment& aAssignment)
+{
+  mAttempts += Measured() ? 1 : 0;
+  const auto begun = std::make_shared<exchange>();
+  begun->work = aWork;
+  begun->id = aAssignment.id;
+  const auto zone = mEntries[aWork->entry].zone;
+  const bool remote = ZoneOf(aAssignment.target) != zone;
+  const seconds hop = remote ? mDeployment.hop : mDeployment.hop / 10;
+  const auto found =
+    std::find_if(mEngines.begin(), mEngines.end(), [&](const auto& aEngine) {
+      return aEngine->info.id == aAssignment.target.id;
+    });
+  const auto receiver = found == mEngines.end() ? nullptr : *found;
+  After(hop, [this, begun, receiver, zone] {
+    if (!receiver || !receiver->up || Cut(zone, ZoneOf(receiver->info))) {
+      mEntries[begun->work->entry].front->Complete(
+        begun->id, { 0, true }, Now());
+      Retry(begun->work, receiver ? receiver->info.id : "");
+      return;
+    }
+    receiver->waiting.push_back(begun);
+    Admit(receiver);
+    if (Measured()) {
+      mResult.overSlots = std::max(
+        mResult.overSlots, static_cast<std::int64_t>(receiver->waiting.size()));
+    }
+  });
+}
+
+void
+simulation::Retry(const std::shared_ptr<request>& aWork,
+                  const std::string& aFailed)
+{
+  ++aWork->attempts;
+  if (!aWork->owner && !aWork->item.idempotent) {
+    return; // Its outcome is unknown.
+  }
+  if (!aFailed.empty() && aWork->item.avoid.size() < 4) {
+    aWork->item.avoid.push_back(aFailed);
+  }
+  if (mEntries[aWork->entry].front->TryRetry(aWork->item.tenant, Now())) {
+    Send(aWork);
+  } else if (aWork->owner) {
+    After(1, [this, aWork] {
+      --aWork->attempts;
+      Retry(aWork, "");
+    });
+  }
+}
+
+void
+simulation::Finished(const std::shared_ptr<request>& aWork,
+                     std::int64_t aVersion,
+                     const target_info& aTarget)
+{
+  if (aWork->owner) {
+    auto& owner = *aWork->owner;
+    if (owner.version - aVersion > kStalenessBound) {
+      mResult.overBound += Measured() ? 1 : 0;
+      Send(aWork);
+      return;
+    }
+    --owner.groups[aWork->item.group];
+    if (--owner.remaining == 0) {
+      if (Measured()) {
+        mWaits += mNow - owner.posted;
+        ++mResult.steps;
+      }
+      const auto tenant = owner.tenant;
+      const seconds training = Uniform(0.5, 1.5) * mTenants[tenant].trainTime;
+      mTraining += Measured() ? training : 0;
+      After(training, [this, tenant] { PostStep(tenant); });
+    }
+  } else if (At(mNow) > aWork->item.deadline) {
+    return;
+  } else {
+    mInTime += aWork->submitted >= mWarmUp ? 1 : 0;
+  }
+  if (Measured()) {
+    ++mDone;
+    mTokens += aWork->tokens;
+    mReclaimableTokens +=
+      aTarget.pool == target_pool::Reclaimable ? aWork->tokens : 0;
+  }
+}
+
+} // namespace arbutusferry::experiment
