Lend slots between zones by the max-min share over all zones

A step waits at one entry, so a tenant's demand sits in one zone while its share covers all zones. Planners now tell each other demand and slots by class, compute the same division over all zones, and lend what their own zone does not need for its part.

Ruled out: only using what other zones leave free (the state before), because under load nothing is free, and one planner for all zones, which a partition would cut off.

--- a/include/arbutusferry/slot_planner.hpp
+++ b/include/arbutusferry/slot_planner.hpp
@@ -42,6 +42,16 @@
   std::optional<std::int64_t> acknowledged;
 };
 
+/// What the planner of one zone reports to those of the other zones.
+struct zone_report
+{
+  std::string zone;
+  std::map<std::string, std::int64_t> slots; ///< Of live targets, by class.
+  std::vector<tenant_demand> demand;         ///< Of all its entries.
+  /// Exchanges of its entries at targets of the receiver's zone.
+  std::map<std::string, std::int64_t> inFlight;
+};
+
 /// Grants of one round for one entry.
 struct entry_plan
 {
@@ -54,12 +64,22 @@
 /// Settings of a slot planner.
 struct planner_options
 {
+  std::string zone;                        ///< Own availability zone.
   duration term = std::chrono::seconds(5); ///< Validity of grants.
   duration assumedDelivery = std::chrono::seconds(1);
   std::int64_t firstRound = 1; ///< Differs between planner processes.
 };
 
-/// Divides the slots of one availability zone among its entries. Any number
+/// @return Name under which the slots lent to a zone appear among the plans.
+[[nodiscard]] std::string
+ZoneInstance(const std::string& aZone);
+
+/// Divides the slots of one availability zone among its entries. A step waits
+/// at one entry, so the demand of the zones differs; what a zone does not need
+/// for its part of the max-min share over all zones is lent to zones that need
+/// more. Loans hold for one term and only cost efficiency when they are wrong.
+///
+/// Any number
 /// of planners may run at once: a planner lends the slots that belong to an
 /// entry without grant (`FallbackSlots`) only while that entry acknowledges
 /// this planner's grants, so the planners' grants do not overlap. Exchanges
@@ -77,12 +97,23 @@
   /// Takes in a report.
   void Report(const entry_report& aReport, time_point aNow);
 
+  /// Takes in a report of another zone. Zones that were not heard of for a
+  /// term neither lend nor borrow.
+  void ReportZone(const zone_report& aReport, time_point aNow);
+
+  /// @return The report for another zone.
+  /// @param aTargets Targets of all zones.
+  [[nodiscard]] zone_report ZoneReport(const std::string& aReceiver,
+                                       const std::vector<target_info>& aTargets,
+                                       time_point aNow) const;
+
   /// Plans a round.
   /// @param aShares Shares of the tenants; 1 where missing.
-  /// @param aTargets Targets of the own zone with their load reports.
+  /// @param aTargets Targets of the own zone with their load reports, and
+  /// targets of other zones with the slots that those zones lend.
   /// @param aEntries Sorted instances of all live entries of the zone.
-  /// @return Grants by instance. An entry that is missing here keeps what it
-  /// has.
+  /// @return Grants by instance, and loans by `ZoneInstance`. An entry that is
+  /// missing here keeps what it has.
   [[nodiscard]] std::map<std::string, entry_plan> Plan(
     const std::map<std::string, double>& aShares,
     const std::vector<target_info>& aTargets,
--- a/src/routing/scheduler.cpp
+++ b/src/routing/scheduler.cpp
@@ -281,8 +281,13 @@
         entry.localLimit +=
           info.state == target_state::Live ? target->limit : 0;
       } else {
-        // Grants cover the own zone only. What the load report leaves free is
+        // Without slots lent by that zone, what its load report leaves free is
         // divided among the entries of the other zones.
+        const auto lent = mGrants.find(info.id);
+        if (mPhase == grant_phase::Valid && lent != mGrants.end()) {
+          target->limit = std::min(lent->second, info.slots);
+          continue;
+        }
         const auto others = std::max<std::int64_t>(
           info.running + info.waiting - target->reported, 0);
         target->limit = FallbackSlots(
--- /dev/null
+++ b/src/routing/slot_plan.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "arbutusferry/slot_planner.hpp"
+
+#include <deque>
+
+namespace arbutusferry {
+
+struct issued_round
+{
+  std::int64_t round = 0;
+  time_point issued{};
+  std::map<std::string, std::int64_t> slots;
+};
+
+struct entry_state
+{
+  time_point firstReport{};
+  time_point lastReport{};
+  std::vector<tenant_demand> demand;
+  std::map<std::string, std::int64_t> inFlight;
+  std::optional<time_point> acknowledged; ///< When that round was issued.
+  std::optional<std::int64_t> otherRound; ///< Newest of another planner.
+  std::deque<issued_round> rounds;        ///< From the acknowledged round on.
+  std::map<std::string, double> carry;    ///< By class.
+  std::map<std::string, std::int64_t> desired;
+};
+
+/// Another zone. Its slots and demand are the newest report's; the rest is the
+/// state of a borrower, kept as for an entry.
+struct zone_state
+{
+  std::map<std::string, std::int64_t> slots;
+  entry_state borrower;
+};
+
+/// Working state of one class in one round; vectors are by entry, then target.
+struct class_plan
+{
+  std::string name;
+  std::vector<const target_info*> targets;
+  std::vector<bool> own; ///< Whether the target is in the own zone.
+  std::vector<std::int64_t> capacity;              ///< By target.
+  std::vector<std::vector<std::int64_t>> reserved; ///< Still usable by entry.
+  std::vector<std::vector<std::int64_t>> desired;
+  std::vector<std::size_t> grantable; ///< Entries that get grants.
+  std::vector<std::size_t> borrowers; ///< Other zones.
+  std::vector<std::size_t> served;    ///< Both.
+
+  /// Spreads the slots of each entry over the targets, moving as few as
+  /// possible.
+  void Spread(const std::vector<entry_state*>& aEntries,
+              const std::vector<std::int64_t>& aCounts);
+
+  /// Limits growth to slots that no other entry may still use.
+  /// @param aTurn Rotates who comes first.
+  [[nodiscard]] std::vector<std::vector<std::int64_t>> Issue(
+    std::size_t aTurn) const;
+};
+
+} // namespace arbutusferry
--- a/src/routing/slot_planner.cpp
+++ b/src/routing/slot_planner.cpp
@@ -1,12 +1,9 @@
-#include "arbutusferry/slot_planner.hpp"
+#include "routing/slot_plan.hpp"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <deque>
-#include <limits>
 #include <numeric>
-#include <set>
 
 namespace arbutusferry {
 
@@ -28,36 +25,6 @@
 /// rounds in a row, because reports and loads are not taken at the same time.
 constexpr std::size_t kForeignRounds = 4;
 
-struct issued_round
-{
-  std::int64_t round = 0;
-  time_point issued{};
-  std::map<std::string, std::int64_t> slots;
-};
-
-struct entry_state
-{
-  time_point firstReport{};
-  time_point lastReport{};
-  std::vector<tenant_demand> demand;
-  std::map<std::string, std::int64_t> inFlight;
-  std::optional<time_point> acknowledged; ///< When that round was issued.
-  std::optional<std::int64_t> otherRound; ///< Newest of another planner.
-  std::deque<issued_round> rounds;        ///< From the acknowledged round on.
-  std::map<std::string, double> carry;    ///< By class.
-  std::map<std::string, std::int64_t> desired;
-};
-
-/// Working state of one class in one round; vectors are by entry, then target.
-struct class_plan
-{
-  std::string name;
-  std::vector<const target_info*> targets;
-  std::vector<std::int64_t> capacity;              ///< By target.
-  std::vector<std::vector<std::int64_t>> reserved; ///< Still usable by entry.
-  std::vector<std::vector<std::int64_t>> desired;
-};
-
 } // namespace
 
 struct slot_planner::impl
@@ -65,6 +32,7 @@
   planner_options options;
   std::int64_t round;
   std::map<std::string, entry_state> entries;
+  std::map<std::string, zone_state> zones;
   std::map<std::string, std::array<std::int64_t, kForeignRounds>> foreign;
 
   explicit impl(const planner_options& aOptions)
@@ -109,6 +77,30 @@
     return slots;
   }
 
+  /// Drops the rounds before the newest one that arrived.
+  /// @return Whether one arrived.
+  bool Receive(entry_state& aEntry,
+               std::optional<std::int64_t> aAcknowledged,
+               time_point aNow) const
+  {
+    auto received = aEntry.rounds.end();
+    for (auto issued = aEntry.rounds.begin(); issued != aEntry.rounds.end();
+         ++issued) {
+      const bool known = aAcknowledged
+                           ? issued->round == *aAcknowledged
+                           : aNow - issued->issued >= options.assumedDelivery;
+      if (known) {
+        received = issued;
+      }
+    }
+    if (received == aEntry.rounds.end()) {
+      return false;
+    }
+    aEntry.acknowledged = received->issued;
+    aEntry.rounds.erase(aEntry.rounds.begin(), received);
+    return true;
+  }
+
   std::int64_t Foreign(const target_info& aTarget, std::int64_t aKnown)
   {
     auto& recent = foreign[aTarget.id];
@@ -117,47 +109,142 @@
     return *std::min_element(recent.begin(), recent.end());
   }
 
+  [[nodiscard]] std::map<std::string, double> Lend(
+    const class_plan& aPlan,
+    std::int64_t aSlots,
+    const std::map<std::string, std::vector<double>>& aDemand,
+    const std::map<std::string, double>& aShares,
+    time_point aNow,
+    std::map<std::string, double>& aParts) const;
   std::vector<std::int64_t> Counts(
-    class_plan& aPlan,
+    const class_plan& aPlan,
     const std::vector<entry_state*>& aEntries,
-    const std::vector<std::size_t>& aGrantable,
+    const std::vector<std::string>& aNames,
     const std::map<std::string, double>& aShares,
+    time_point aNow,
     std::vector<std::vector<tenant_grant>>& aTenants) const;
-  static void Spread(class_plan& aPlan,
-                     const std::vector<entry_state*>& aEntries,
-                     const std::vector<std::size_t>& aGrantable,
-                     const std::vector<std::int64_t>& aCounts);
-  std::vector<std::vector<std::int64_t>> Issue(
-    const class_plan& aPlan,
-    const std::vector<std::size_t>& aGrantable) const;
 };
 
-/// Decides how many slots of a class each entry gets.
+namespace {
+
+double
+ShareOf(const std::map<std::string, double>& aShares,
+        const std::string& aTenant)
+{
+  const auto found = aShares.find(aTenant);
+  return found == aShares.end() || found->second <= 0 ? 1.0 : found->second;
+}
+
+std::int64_t
+Held(const class_plan& aPlan, const entry_state& aEntry)
+{
+  std::int64_t held = 0;
+  for (const auto* target : aPlan.targets) {
+    const auto found = aEntry.desired.find(target->id);
+    held += found == aEntry.desired.end() ? 0 : found->second;
+  }
+  return held;
+}
+
+} // namespace
+
+/// Divides the slots of all zones among the tenants and finds what this zone
+/// can lend. Every zone computes the same from the same reports; differences
+/// last as long as the reports lag.
+/// @param aDemand Demand of the own zone by tenant and entry.
+/// @param aParts Receives the part of each tenant that belongs to this zone.
+/// @return Slots to lend by zone.
+std::map<std::string, double>
+slot_planner::impl::Lend(
+  const class_plan& aPlan,
+  std::int64_t aSlots,
+  const std::map<std::string, std::vector<double>>& aDemand,
+  const std::map<std::string, double>& aShares,
+  time_point aNow,
+  std::map<std::string, double>& aParts) const
+{
+  std::vector<std::string> names{ options.zone };
+  std::vector<double> surplus{ static_cast<double>(aSlots) };
+  std::map<std::string, std::vector<double>> demand; ///< By tenant and zone.
+  for (const auto& [tenant, entries] : aDemand) {
+    demand[tenant] = { std::accumulate(entries.begin(), entries.end(), 0.0) };
+  }
+  for (const auto& [zone, state] : zones) {
+    if (aNow - state.borrower.lastReport >= options.term) {
+      continue;
+    }
+    const auto slots = state.slots.find(aPlan.name);
+    names.push_back(zone);
+    surplus.push_back(
+      slots == state.slots.end() ? 0 : static_cast<double>(slots->second));
+    for (const auto& line : state.borrower.demand) {
+      if (line.targetClass == aPlan.name && line.waiting + line.running > 0) {
+        auto& byZone = demand[line.tenant];
+        byZone.resize(names.size());
+        byZone.back() += static_cast<double>(line.waiting + line.running);
+      }
+    }
+  }
+  std::vector<double> weights;
+  std::vector<double> totals;
+  for (auto& [tenant, byZone] : demand) {
+    byZone.resize(names.size());
+    weights.push_back(ShareOf(aShares, tenant));
+    totals.push_back(std::accumulate(byZone.begin(), byZone.end(), 0.0));
+  }
+  const auto parts = WeightedMaxMin(
+    std::accumulate(surplus.begin(), surplus.end(), 0.0), weights, totals);
+  std::size_t index = 0;
+  for (const auto& [tenant, byZone] : demand) {
+    const auto split = WeightedMaxMin(
+      parts[index++], std::vector<double>(byZone.size(), 1.0), byZone);
+    aParts[tenant] = split.front();
+    for (std::size_t z = 0; z < split.size(); ++z) {
+      surplus[z] -= split[z];
+    }
+  }
+  double spare = 0;
+  for (const double each : surplus) {
+    spare += std::max(each, 0.0);
+  }
+  std::map<std::string, double> lent;
+  for (std::size_t z = 1; z < names.size(); ++z) {
+    if (surplus.front() > 0 && surplus[z] < 0) {
+      lent[names[z]] = -surplus[z] * surplus.front() / spare;
+    }
+  }
+  return lent;
+}
+
+/// Decides how many slots of a class each entry and each borrowing zone gets.
 std::vector<std::int64_t>
 slot_planner::impl::Counts(
-  class_plan& aPlan,
+  const class_plan& aPlan,
   const std::vector<entry_state*>& aEntries,
-  const std::vector<std::size_t>& aGrantable,
+  const std::vector<std::string>& aNames,
   const std::map<std::string, double>& aShares,
+  time_point aNow,
   std::vector<std::vector<tenant_grant>>& aTenants) const
 {
   // Slots reserved for entries without grants are not divided.
-  std::int64_t capacity = std::accumulate(
-    aPlan.capacity.begin(), aPlan.capacity.end(), std::int64_t{ 0 });
-  std::set<std::size_t> grantable(aGrantable.begin(), aGrantable.end());
-  for (std::size_t e = 0; e < aEntries.size(); ++e) {
-    if (!grantable.contains(e)) {
-      for (std::size_t t = 0; t < aPlan.targets.size(); ++t) {
-        capacity -= std::min(aPlan.reserved[e][t], aPlan.capacity[t]);
-      }
+  std::vector<bool> isServed(aEntries.size());
+  for (const auto e : aPlan.served) {
+    isServed[e] = true;
+  }
+  std::int64_t own = 0;
+  std::int64_t borrowed = 0;
+  for (std::size_t t = 0; t < aPlan.targets.size(); ++t) {
+    auto slots = aPlan.capacity[t];
+    for (std::size_t e = 0; e < aEntries.size(); ++e) {
+      slots -= isServed[e] ? 0 : aPlan.reserved[e][t];
     }
+    (aPlan.own[t] ? own : borrowed) += std::max<std::int64_t>(slots, 0);
   }
-  capacity = std::max<std::int64_t>(capacity, 0);
 
   // Demand in slots by tenant, then by entry.
   std::map<std::string, std::vector<double>> demand;
   std::vector<bool> idle(aEntries.size(), true);
-  for (const auto e : aGrantable) {
+  for (const auto e : aPlan.grantable) {
     for (const auto& line : aEntries[e]->demand) {
       const auto slots = line.waiting + line.running;
       if (line.targetClass == aPlan.name && slots > 0) {
@@ -169,76 +256,90 @@
     }
   }
   std::vector<double> wanted(aEntries.size());
-  double left = static_cast<double>(capacity);
-  if (capacity >=
-      kSlotsForIdleReserve * static_cast<std::int64_t>(aGrantable.size())) {
-    for (const auto e : aGrantable) {
-      if (idle[e]) {
-        wanted[e] = 1;
-        left -= 1;
-      }
+  std::int64_t reserve = 0;
+  if (own >= kSlotsForIdleReserve *
+               static_cast<std::int64_t>(aPlan.grantable.size())) {
+    for (const auto e : aPlan.grantable) {
+      wanted[e] = idle[e] ? 1 : 0;
+      reserve += idle[e] ? 1 : 0;
     }
   }
 
+  std::vector<std::int64_t> counts(aEntries.size());
+  std::map<std::string, double> parts;
+  const auto lent = Lend(aPlan, own - reserve, demand, aShares, aNow, parts);
+  std::int64_t capacity = own + borrowed;
+  for (const auto z : aPlan.borrowers) {
+    const auto loan = lent.find(aNames[z]);
+    const double slots = loan == lent.end() ? 0 : loan->second;
+    // A loan that is right within a slot stays as it is.
+    const auto held = Held(aPlan, *aEntries[z]);
+    counts[z] = std::abs(slots - static_cast<double>(held)) < 1
+                  ? held
+                  : static_cast<std::int64_t>(std::llround(slots));
+    counts[z] = std::clamp<std::int64_t>(counts[z], 0, capacity - borrowed);
+    capacity -= counts[z];
+  }
+
   // Weighted max-min over tenants, then equal max-min over a tenant's entries.
   std::vector<double> weights;
   std::vector<double> totals;
   for (const auto& [tenant, entries] : demand) {
-    const auto share = aShares.find(tenant);
-    weights.push_back(
-      share == aShares.end() || share->second <= 0 ? 1.0 : share->second);
+    // The small term keeps the weights of tenants above 0 that get their whole
+    // part in other zones.
+    weights.push_back(parts[tenant] + 1e-6 * ShareOf(aShares, tenant));
     totals.push_back(std::accumulate(entries.begin(), entries.end(), 0.0));
   }
-  const auto parts = WeightedMaxMin(left, weights, totals);
+  double left = static_cast<double>(capacity - reserve);
+  const auto divided = WeightedMaxMin(left, weights, totals);
   double level = 0;
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    level = std::max(level, parts[i] / weights[i]);
-  }
   std::size_t index = 0;
   for (const auto& [tenant, entries] : demand) {
-    const auto split = WeightedMaxMin(
-      parts[index], std::vector<double>(entries.size(), 1.0), entries);
-    for (const auto e : aGrantable) {
+    level = std::max(level, divided[index++] / ShareOf(aShares, tenant));
+  }
+  index = 0;
+  for (const auto& [tenant, entries] : demand) {
+    const double part = divided[index++];
+    const auto split =
+      WeightedMaxMin(part, std::vector<double>(entries.size(), 1.0), entries);
+    for (const auto e : aPlan.grantable) {
       wanted[e] += split[e];
       left -= split[e];
-      if (entries[e] > 0 && parts[index] > 0) {
+      if (entries[e] > 0 && part > 0) {
         // A tenant whose demand is met keeps its whole weight: it may ask for
         // more before the next round.
         const double entitled =
-          level * weights[index] * split[e] / parts[index];
+          level * ShareOf(aShares, tenant) * split[e] / part;
+        const bool met = part >= totals[index - 1] - 1e-9;
         aTenants[e].push_back(
-          { tenant, aPlan.name, std::max(split[e], entitled) });
+          { tenant,
+            aPlan.name,
+            met ? std::max(split[e], entitled) : split[e] });
       }
     }
-    ++index;
   }
-  for (const auto e : aGrantable) {
-    wanted[e] += std::max(left, 0.0) / static_cast<double>(aGrantable.size());
+  for (const auto e : aPlan.grantable) {
+    wanted[e] +=
+      std::max(left, 0.0) / static_cast<double>(aPlan.grantable.size());
   }
 
   // Whole slots: the largest remainders round up.
-  std::vector<std::int64_t> counts(aEntries.size());
   std::vector<std::pair<double, std::size_t>> remainders;
   std::int64_t rest = capacity;
-  for (const auto e : aGrantable) {
+  for (const auto e : aPlan.grantable) {
     counts[e] = static_cast<std::int64_t>(std::floor(wanted[e] + 1e-9));
     rest -= counts[e];
-    const double fraction = wanted[e] - static_cast<double>(counts[e]);
-    std::int64_t previous = 0;
-    for (const auto* target : aPlan.targets) {
-      const auto found = aEntries[e]->desired.find(target->id);
-      previous += found == aEntries[e]->desired.end() ? 0 : found->second;
-    }
-    remainders.emplace_back(-fraction -
+    const bool more = Held(aPlan, *aEntries[e]) > counts[e];
+    remainders.emplace_back(static_cast<double>(counts[e]) - wanted[e] -
                               kCarryWeight * aEntries[e]->carry[aPlan.name] -
-                              (previous > counts[e] ? kStickiness : 0),
+                              (more ? kStickiness : 0),
                             e);
   }
   std::sort(remainders.begin(), remainders.end());
   for (std::size_t i = 0; i < remainders.size() && rest > 0; ++i, --rest) {
     ++counts[remainders[i].second];
   }
-  for (const auto e : aGrantable) {
+  for (const auto e : aPlan.grantable) {
     auto& carry = aEntries[e]->carry[aPlan.name];
     carry = std::clamp(
       carry + wanted[e] - static_cast<double>(counts[e]), -100.0, 100.0);
@@ -246,136 +347,10 @@
   return counts;
 }
 
-/// Spreads each entry's slots over the targets, moving as few as possible.
-void
-slot_planner::impl::Spread(class_plan& aPlan,
-                           const std::vector<entry_state*>& aEntries,
-                           const std::vector<std::size_t>& aGrantable,
-                           const std::vector<std::int64_t>& aCounts)
-{
-  const auto size = aPlan.targets.size();
-  aPlan.desired.assign(aEntries.size(), std::vector<std::int64_t>(size));
-  std::vector<std::int64_t> nominal = aPlan.capacity;
-  std::vector<bool> grantable(aEntries.size());
-  for (const auto e : aGrantable) {
-    grantable[e] = true;
-    for (std::size_t t = 0; t < size; ++t) {
-      const auto found = aEntries[e]->desired.find(aPlan.targets[t]->id);
-      aPlan.desired[e][t] =
-        found == aEntries[e]->desired.end() ? 0 : found->second;
-      nominal[t] -= aPlan.desired[e][t];
-    }
-  }
-  for (std::size_t e = 0; e < aEntries.size(); ++e) {
-    for (std::size_t t = 0; !grantable[e] && t < size; ++t) {
-      nominal[t] -= aPlan.reserved[e][t];
-    }
-  }
-  // Entries above their count give up slots where they hold the most.
-  const auto idleSlots = [&](std::size_t aEntry, std::size_t aTarget) {
-    const auto& inFlight = aEntries[aEntry]->inFlight;
-    const auto found = inFlight.find(aPlan.targets[aTarget]->id);
-    return aPlan.desired[aEntry][aTarget] -
-           (found == inFlight.end() ? 0 : found->second);
-  };
-  for (std::size_t t = 0; t < size; ++t) {
-    while (nominal[t] < 0) {
-      const auto most = std::max_element(
-        aGrantable.begin(),
-        aGrantable.end(),
-        [&](std::size_t aLeft, std::size_t aRight) {
-          return aPlan.desired[aLeft][t] < aPlan.desired[aRight][t];
-        });
-      if (most == aGrantable.end() || aPlan.desired[*most][t] == 0) {
-        break;
-      }
-      --aPlan.desired[*most][t];
-      ++nominal[t];
-    }
-  }
-  std::vector<std::int64_t> missing(aEntries.size());
-  for (const auto e : aGrantable) {
-    auto& desired = aPlan.desired[e];
-    missing[e] =
-      aCounts[e] -
-      std::accumulate(desired.begin(), desired.end(), std::int64_t{ 0 });
-    for (; missing[e] < 0; ++missing[e]) {
-      std::size_t victim = size;
-      for (std::size_t t = 0; t < size; ++t) {
-        if (desired[t] > 0 &&
-            (victim == size || idleSlots(e, t) > idleSlots(e, victim))) {
-          victim = t;
-        }
-      }
-      --desired[victim];
-      ++nominal[victim];
-    }
-  }
-  // Slots that others still use come last, however free they are on paper.
-  std::vector<std::int64_t> open = aPlan.capacity;
-  for (std::size_t e = 0; e < aEntries.size(); ++e) {
-    for (std::size_t t = 0; t < size; ++t) {
-      open[t] -= std::max(aPlan.desired[e][t], aPlan.reserved[e][t]);
-    }
-  }
-  bool added = true;
-  while (added) {
-    added = false;
-    for (const auto e : aGrantable) {
-      if (missing[e] <= 0) {
-        continue;
-      }
-      auto& desired = aPlan.desired[e];
-      std::size_t best = size;
-      const auto rank = [&](std::size_t aTarget) {
-        const bool own = aPlan.reserved[e][aTarget] > desired[aTarget];
-        return std::tuple(own || open[aTarget] > 0,
-                          -desired[aTarget],
-                          open[aTarget],
-                          nominal[aTarget]);
-      };
-      for (std::size_t t = 0; t < size; ++t) {
-        if (nominal[t] > 0 && (best == size || rank(t) > rank(best))) {
-          best = t;
-        }
-      }
-      if (best == size) {
-        continue;
-      }
-      if (aPlan.reserved[e][best] <= desired[best]) {
-        --open[best];
-      }
-      ++desired[best];
-      --nominal[best];
-      --missing[e];
-      added = true;
-    }
-  }
-}
-
-/// Limits growth to slots that no other entry may still use.
-std::vector<std::vector<std::int64_t>>
-slot_planner::impl::Issue(const class_plan& aPlan,
-                          const std::vector<std::size_t>& aGrantable) const
+std::string
+ZoneInstance(const std::string& aZone)
 {
-  auto issued = aPlan.desired;
-  for (std::size_t t = 0; t < aPlan.targets.size(); ++t) {
-    auto open = aPlan.capacity[t];
-    for (const auto& reserved : aPlan.reserved) {
-      open -= reserved[t];
-    }
-    for (std::size_t i = 0; i < aGrantable.size(); ++i) {
-      const auto e =
-        aGrantable[(i + static_cast<std::size_t>(round)) % aGrantable.size()];
-      const auto growth = aPlan.desired[e][t] - aPlan.reserved[e][t];
-      if (growth > 0) {
-        const auto granted = std::clamp<std::int64_t>(open, 0, growth);
-        issued[e][t] = aPlan.reserved[e][t] + granted;
-        open -= granted;
-      }
-    }
-  }
-  return issued;
+  return "zone/" + aZone;
 }
 
 slot_planner::slot_planner(const planner_options& aOptions)
@@ -400,29 +375,64 @@
   entry.lastReport = aNow;
   entry.demand = aReport.demand;
   entry.inFlight = aReport.inFlight;
-  auto received = entry.rounds.end();
-  for (auto issued = entry.rounds.begin(); issued != entry.rounds.end();
-       ++issued) {
-    const bool known =
-      aReport.acknowledged
-        ? issued->round == *aReport.acknowledged
-        : aNow - issued->issued >= mImpl->options.assumedDelivery;
-    if (known) {
-      received = issued;
-    }
-  }
+  const bool received = mImpl->Receive(entry, aReport.acknowledged, aNow);
   // A newer round of another planner starts the wait of `Grantable` again:
   // while the entry held it, that planner could lend its slots.
-  if (aReport.acknowledged && received == entry.rounds.end() &&
+  if (!received && aReport.acknowledged &&
       aReport.acknowledged != entry.otherRound) {
     entry.otherRound = aReport.acknowledged;
     entry.firstReport = aNow;
     entry.acknowledged.reset();
   }
-  if (received != entry.rounds.end()) {
-    entry.acknowledged = received->issued;
-    entry.rounds.erase(entry.rounds.begin(), received);
+}
+
+void
+slot_planner::ReportZone(const zone_report& aReport, time_point aNow)
+{
+  auto& zone = mImpl->zones[aReport.zone];
+  zone.slots = aReport.slots;
+  zone.borrower.firstReport = aNow;
+  zone.borrower.lastReport = aNow;
+  zone.borrower.demand = aReport.demand;
+  zone.borrower.inFlight = aReport.inFlight;
+  mImpl->Receive(zone.borrower, std::nullopt, aNow);
+}
+
+zone_report
+slot_planner::ZoneReport(const std::string& aReceiver,
+                         const std::vector<target_info>& aTargets,
+                         time_point aNow) const
+{
+  zone_report report;
+  report.zone = mImpl->options.zone;
+  std::map<std::pair<std::string, std::string>, tenant_demand> demand;
+  for (const auto& [name, entry] : mImpl->entries) {
+    if (aNow - entry.lastReport < mImpl->options.term) {
+      for (const auto& line : entry.demand) {
+        auto& sum = demand[{ line.tenant, line.targetClass }];
+        sum.tenant = line.tenant;
+        sum.targetClass = line.targetClass;
+        sum.waiting += line.waiting;
+        sum.running += line.running;
+        sum.attainedTokens += line.attainedTokens;
+      }
+    }
+  }
+  for (auto& [key, line] : demand) {
+    report.demand.push_back(std::move(line));
+  }
+  for (const auto& target : aTargets) {
+    if (target.zone == report.zone && target.state == target_state::Live) {
+      report.slots[target.targetClass] += target.slots;
+    }
+    for (const auto& [name, entry] : mImpl->entries) {
+      const auto found = entry.inFlight.find(target.id);
+      if (target.zone == aReceiver && found != entry.inFlight.end()) {
+        report.inFlight[target.id] += found->second;
+      }
+    }
   }
+  return report;
 }
 
 std::map<std::string, entry_plan>
@@ -438,36 +448,47 @@
   });
   std::vector<entry_state> silent(aEntries.size());
   std::vector<entry_state*> entries;
-  std::vector<std::size_t> grantable;
+  std::vector<std::string> names = aEntries;
+  class_plan empty;
   for (std::size_t e = 0; e < aEntries.size(); ++e) {
     const auto found = self.entries.find(aEntries[e]);
-    if (found == self.entries.end()) {
-      entries.push_back(&silent[e]);
-      continue;
+    entries.push_back(found == self.entries.end() ? &silent[e]
+                                                  : &found->second);
+    if (found != self.entries.end() && self.Grantable(found->second, aNow)) {
+      empty.grantable.push_back(e);
     }
-    auto& entry = found->second;
-    entries.push_back(&entry);
-    while (!entry.rounds.empty() &&
-           aNow - entry.rounds.front().issued >= self.options.term) {
-      entry.rounds.pop_front();
-    }
-    if (self.Grantable(entry, aNow)) {
-      grantable.push_back(e);
+  }
+  for (auto& [zone, state] : self.zones) {
+    empty.borrowers.push_back(entries.size());
+    entries.push_back(&state.borrower);
+    names.push_back(zone);
+  }
+  for (auto* entry : entries) {
+    while (!entry->rounds.empty() &&
+           aNow - entry->rounds.front().issued >= self.options.term) {
+      entry->rounds.pop_front();
     }
   }
+  empty.served = empty.grantable;
+  empty.served.insert(
+    empty.served.end(), empty.borrowers.begin(), empty.borrowers.end());
   std::map<std::string, class_plan> classes;
   for (const auto& target : aTargets) {
     if (target.state != target_state::Live) {
       continue;
     }
-    auto& plan = classes[target.targetClass];
+    auto& plan = classes.try_emplace(target.targetClass, empty).first->second;
+    const bool own = target.zone == self.options.zone;
     plan.name = target.targetClass;
     plan.targets.push_back(&target);
+    plan.own.push_back(own);
     plan.reserved.resize(entries.size());
     std::int64_t known = 0;
     for (std::size_t e = 0; e < entries.size(); ++e) {
       const auto fallback =
-        FallbackSlots(target.id, target.slots, e, entries.size());
+        own && e < aEntries.size()
+          ? FallbackSlots(target.id, target.slots, e, aEntries.size())
+          : 0;
       plan.reserved[e].push_back(
         self.Reserved(*entries[e], target, fallback, aNow));
       const auto found = entries[e]->inFlight.find(target.id);
@@ -475,28 +496,29 @@
                : found == entries[e]->inFlight.end()   ? 0
                                                        : found->second;
     }
-    plan.capacity.push_back(
-      std::max<std::int64_t>(target.slots - self.Foreign(target, known), 0));
+    // The lender of a target accounts for the load that is not this zone's.
+    plan.capacity.push_back(std::max<std::int64_t>(
+      target.slots - (own ? self.Foreign(target, known) : 0), 0));
   }
   std::vector<std::vector<tenant_grant>> tenants(entries.size());
   std::map<std::size_t, issued_round> rounds;
   std::vector<std::map<std::string, std::int64_t>> desired(entries.size());
-  for (const auto e : grantable) {
+  for (const auto e : empty.served) {
     rounds[e] = { self.round, aNow, {} };
   }
   for (auto& [name, plan] : classes) {
-    if (grantable.empty()) {
+    if (empty.grantable.empty()) {
       break;
     }
-    const auto counts = self.Counts(plan, entries, grantable, aShares, tenants);
-    self.Spread(plan, entries, grantable, counts);
-    const auto issued = self.Issue(plan, grantable);
-    for (const auto e : grantable) {
+    plan.Spread(entries,
+                self.Counts(plan, entries, names, aShares, aNow, tenants));
+    const auto issued = plan.Issue(static_cast<std::size_t>(self.round));
+    for (const auto e : empty.served) {
       for (std::size_t t = 0; t < plan.targets.size(); ++t) {
         if (plan.desired[e][t] > 0) {
           desired[e][plan.targets[t]->id] = plan.desired[e][t];
         }
-        if (issued[e][t] > 0) {
+        if (issued[e][t] > 0 && (plan.own[t] || e < aEntries.size())) {
           rounds[e].slots[plan.targets[t]->id] = issued[e][t];
         }
       }
@@ -510,7 +532,7 @@
   });
   std::map<std::string, entry_plan> plans;
   for (auto& [e, issued] : rounds) {
-    auto& plan = plans[aEntries[e]];
+    auto& plan = plans[e < aEntries.size() ? names[e] : ZoneInstance(names[e])];
     plan.round = self.round;
     plan.expiry = aNow + self.options.term;
     for (const auto& [target, slots] : issued.slots) {
--- a/standins/experiment/control.cpp
+++ b/standins/experiment/control.cpp
@@ -61,8 +61,11 @@
   const auto zones = aDeployment.samplers.size();
   mAvailable.assign(zones, 99);
   mDrains.resize(zones);
+  mLoans.resize(zones);
   for (std::size_t zone = 0; zone < zones; ++zone) {
-    mPlanners.emplace_back();
+    planner_options planning;
+    planning.zone = std::to_string(zone);
+    mPlanners.emplace_back(planning);
     for (std::int64_t i = 0; i < aDeployment.entries[zone]; ++i) {
       entry_node node;
       node.name = "e" + std::to_string(zone) + "-" + std::to_string(i);
@@ -166,6 +169,7 @@
       info.state = target_state::Leaving;
     }
   }
+  std::vector<std::map<std::string, std::int64_t>> loans(mPlanners.size());
   for (std::size_t zone = 0; zone < mPlanners.size(); ++zone) {
     std::vector<std::string> names;
     for (const auto& entry : mEntries) {
@@ -178,17 +182,36 @@
                                Now());
       }
     }
-    std::vector<target_info> own;
+    std::vector<target_info> plannable;
     std::vector<target_info> visible;
     for (const auto& info : seen) {
       if (ZoneOf(info) == zone) {
-        own.push_back(info);
+        plannable.push_back(info);
+      } else if (const auto loan = mLoans[zone].find(info.id);
+                 loan != mLoans[zone].end() && !Cut(zone, ZoneOf(info))) {
+        plannable.push_back(info);
+        plannable.back().slots = loan->second;
       }
       if (!Cut(zone, ZoneOf(info))) {
         visible.push_back(info);
       }
     }
-    const auto plans = mPlanners[zone].Plan(mShares, own, names, Now());
+    for (std::size_t other = 0; other < mPlanners.size(); ++other) {
+      if (other != zone && !Cut(zone, other)) {
+        mPlanners[zone].ReportZone(
+          mPlanners[other].ZoneReport(std::to_string(zone), seen, Now()),
+          Now());
+      }
+    }
+    const auto plans = mPlanners[zone].Plan(mShares, plannable, names, Now());
+    for (std::size_t other = 0; other < mPlanners.size(); ++other) {
+      const auto loan = plans.find(ZoneInstance(std::to_string(other)));
+      if (loan != plans.end() && !Cut(zone, other)) {
+        for (const auto& grant : loan->second.grants) {
+          loans[other][grant.target] = grant.slots;
+        }
+      }
+    }
     for (auto& entry : mEntries) {
       if (entry.zone != zone) {
         continue;
@@ -210,6 +233,7 @@
                                       plan->second.expiry);
     }
   }
+  mLoans = std::move(loans);
 }
 
 void
--- a/standins/experiment/simulation.hpp
+++ b/standins/experiment/simulation.hpp
@@ -104,6 +104,8 @@
   std::vector<entry_node> mEntries;
   std::vector<slot_planner> mPlanners;
   std::vector<std::shared_ptr<engine>> mEngines;
+  /// Slots that other zones lend, by zone and target.
+  std::vector<std::map<std::string, std::int64_t>> mLoans;
   std::vector<target_info> mView; ///< Targets as the last sync saw them.
   std::unique_ptr<scaling_policy> mScaling;
   demand_forecast mForecast;
--- a/tests/unit/slot_planner_test.cpp
+++ b/tests/unit/slot_planner_test.cpp
@@ -110,6 +110,7 @@
     }
     for (std::int64_t p = 0; p < 2; ++p) {
       planner_options options;
+      options.zone = "z";
       options.firstRound = 1'000'000 * p;
       planners.emplace_back(options);
     }
@@ -306,7 +307,9 @@
 // the longest queue instead of the tenants' shares.
 TEST_CASE("Slots follow the tenants' shares over all entries")
 {
-  slot_planner planner;
+  planner_options options;
+  options.zone = "z";
+  slot_planner planner(options);
   time_point now{ 1000s };
   std::vector<target_info> targets;
   for (std::size_t t = 0; t < 10; ++t) {
