--- a/standins/experiment/simulation.hpp
+++ b/standins/experiment/simulation.hpp
@@ -49,6 +49,7 @@
     double entitled = 0;
     double windowAttained = 0;
     double windowEntitled = 0;
+    double waiting = 0;
   };
 
   void After(seconds aDelay, std::function<void()> aAction);
--- a/standins/experiment/work.cpp
+++ b/standins/experiment/work.cpp
@@ -60,7 +60,9 @@
     work->item.deadline = At(mNow + (desk ? kDeskDeadline : kSamplerDeadline));
     work->entry = static_cast<std::size_t>(
       Uniform(0, static_cast<double>(mEntries.size())));
-    mCalls += Measured() ? 1 : 0;
+    // The flooding tenant is not promised an answer in time.
+    work->counted = Measured() && !(mScenario.flood && aTenant == 7);
+    mCalls += work->counted ? 1 : 0;
     Send(work);
     Call(aTenant, aClass, aRate);
   });
@@ -205,7 +207,7 @@
   } else if (At(mNow) > aWork->item.deadline) {
     return;
   } else {
-    mInTime += aWork->submitted >= mWarmUp ? 1 : 0;
+    mInTime += aWork->counted ? 1 : 0;
   }
   if (Measured()) {
     ++mDone;
