Make up for service that a tenant misses while exchanges of others end

When a step arrives, its slots are still held by others, and the planner had no memory of that time. It now raises the weight of a tenant by its missing slot seconds (made up for in about 10 s, forgotten after 60 s) and lowers that of one that held too much.

--- a/src/routing/slot_division.cpp
+++ b/src/routing/slot_division.cpp
@@ -1,11 +1,60 @@
 #include "arbutusferry/hash.hpp"
-#include "arbutusferry/slot_planner.hpp"
+#include "routing/slot_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace arbutusferry {
 
+namespace {
+
+/// Seconds in which missing service is made up for.
+constexpr double kCatchUp = 10;
+/// Seconds after which missing service is forgotten.
+constexpr double kMemory = 60;
+constexpr double kLeastFactor = 0.5;
+constexpr double kMostFactor = 2;
+/// Longest time between two updates that counts.
+constexpr double kLongestStep = 2;
+
+} // namespace
+
+double
+service_balance::Factor(const std::string& aTenant) const
+{
+  const auto found = mTenants.find(aTenant);
+  if (found == mTenants.end()) {
+    return 1;
+  }
+  const double slots = std::max(found->second.entitled, 1.0);
+  return std::clamp(
+    1 + found->second.missing / (slots * kCatchUp), kLeastFactor, kMostFactor);
+}
+
+void
+service_balance::Update(const std::map<std::string, double>& aEntitled,
+                        const std::map<std::string, double>& aHeld,
+                        time_point aNow)
+{
+  const double step =
+    std::clamp(std::chrono::duration<double>(aNow - mLast).count(),
+               0.0,
+               mLast == time_point{} ? 0.0 : kLongestStep);
+  mLast = aNow;
+  std::erase_if(mTenants, [&](const auto& aTenant) {
+    return !aEntitled.contains(aTenant.first);
+  });
+  for (const auto& [tenant, entitled] : aEntitled) {
+    auto& state = mTenants[tenant];
+    const auto held = aHeld.find(tenant);
+    state.entitled = entitled;
+    state.missing *= std::exp(-step / kMemory);
+    state.missing +=
+      step * (entitled - (held == aHeld.end() ? 0 : held->second));
+  }
+}
+
 std::vector<double>
 WeightedMaxMin(double aCapacity,
                const std::vector<double>& aWeights,
--- a/src/routing/slot_plan.hpp
+++ b/src/routing/slot_plan.hpp
@@ -34,6 +34,33 @@
   entry_state borrower;
 };
 
+/// Remembers how far tenants of a class are behind their shares. When a step
+/// arrives, its tenant waits until exchanges of others end, and without memory
+/// it never makes up for that time.
+class service_balance
+{
+public:
+  /// @return Factor for the share of a tenant, 1 if it got what it should.
+  [[nodiscard]] double Factor(const std::string& aTenant) const;
+
+  /// Adds the time since the last update.
+  /// @param aEntitled Slots by tenant that it should hold now.
+  /// @param aHeld Slots by tenant that it holds.
+  void Update(const std::map<std::string, double>& aEntitled,
+              const std::map<std::string, double>& aHeld,
+              time_point aNow);
+
+private:
+  struct tenant_state
+  {
+    double missing = 0; ///< Slot seconds.
+    double entitled = 0;
+  };
+
+  std::map<std::string, tenant_state> mTenants;
+  time_point mLast{};
+};
+
 /// Working state of one class in one round; vectors are by entry, then target.
 struct class_plan
 {
--- a/src/routing/slot_planner.cpp
+++ b/src/routing/slot_planner.cpp
@@ -34,6 +34,7 @@
   std::map<std::string, entry_state> entries;
   std::map<std::string, zone_state> zones;
   std::map<std::string, std::array<std::int64_t, kForeignRounds>> foreign;
+  std::map<std::string, service_balance> balances; ///< By class.
 
   explicit impl(const planner_options& aOptions)
     : options(aOptions)
@@ -113,16 +114,17 @@
     const class_plan& aPlan,
     std::int64_t aSlots,
     const std::map<std::string, std::vector<double>>& aDemand,
+    std::map<std::string, double> aHeld,
     const std::map<std::string, double>& aShares,
     time_point aNow,
-    std::map<std::string, double>& aParts) const;
+    std::map<std::string, double>& aParts);
   std::vector<std::int64_t> Counts(
     const class_plan& aPlan,
     const std::vector<entry_state*>& aEntries,
     const std::vector<std::string>& aNames,
     const std::map<std::string, double>& aShares,
     time_point aNow,
-    std::vector<std::vector<tenant_grant>>& aTenants) const;
+    std::vector<std::vector<tenant_grant>>& aTenants);
 };
 
 namespace {
@@ -152,6 +154,7 @@
 /// can lend. Every zone computes the same from the same reports; differences
 /// last as long as the reports lag.
 /// @param aDemand Demand of the own zone by tenant and entry.
+/// @param aHeld Slots that tenants hold in the own zone.
 /// @param aParts Receives the part of each tenant that belongs to this zone.
 /// @return Slots to lend by zone.
 std::map<std::string, double>
@@ -159,9 +162,10 @@
   const class_plan& aPlan,
   std::int64_t aSlots,
   const std::map<std::string, std::vector<double>>& aDemand,
+  std::map<std::string, double> aHeld,
   const std::map<std::string, double>& aShares,
   time_point aNow,
-  std::map<std::string, double>& aParts) const
+  std::map<std::string, double>& aParts)
 {
   std::vector<std::string> names{ options.zone };
   std::vector<double> surplus{ static_cast<double>(aSlots) };
@@ -182,6 +186,7 @@
         auto& byZone = demand[line.tenant];
         byZone.resize(names.size());
         byZone.back() += static_cast<double>(line.waiting + line.running);
+        aHeld[line.tenant] += static_cast<double>(line.running);
       }
     }
   }
@@ -192,9 +197,18 @@
     weights.push_back(ShareOf(aShares, tenant));
     totals.push_back(std::accumulate(byZone.begin(), byZone.end(), 0.0));
   }
-  const auto parts = WeightedMaxMin(
-    std::accumulate(surplus.begin(), surplus.end(), 0.0), weights, totals);
+  const double slots = std::accumulate(surplus.begin(), surplus.end(), 0.0);
+  auto parts = WeightedMaxMin(slots, weights, totals);
+  std::map<std::string, double> entitled;
   std::size_t index = 0;
+  auto& balance = balances[aPlan.name];
+  for (const auto& [tenant, byZone] : demand) {
+    entitled[tenant] = parts[index];
+    weights[index++] *= balance.Factor(tenant);
+  }
+  balance.Update(entitled, aHeld, aNow);
+  parts = WeightedMaxMin(slots, weights, totals);
+  index = 0;
   for (const auto& [tenant, byZone] : demand) {
     const auto split = WeightedMaxMin(
       parts[index++], std::vector<double>(byZone.size(), 1.0), byZone);
@@ -218,13 +232,12 @@
 
 /// Decides how many slots of a class each entry and each borrowing zone gets.
 std::vector<std::int64_t>
-slot_planner::impl::Counts(
-  const class_plan& aPlan,
-  const std::vector<entry_state*>& aEntries,
-  const std::vector<std::string>& aNames,
-  const std::map<std::string, double>& aShares,
-  time_point aNow,
-  std::vector<std::vector<tenant_grant>>& aTenants) const
+slot_planner::impl::Counts(const class_plan& aPlan,
+                           const std::vector<entry_state*>& aEntries,
+                           const std::vector<std::string>& aNames,
+                           const std::map<std::string, double>& aShares,
+                           time_point aNow,
+                           std::vector<std::vector<tenant_grant>>& aTenants)
 {
   // Slots reserved for entries without grants are not divided.
   std::vector<bool> isServed(aEntries.size());
@@ -243,6 +256,7 @@
 
   // Demand in slots by tenant, then by entry.
   std::map<std::string, std::vector<double>> demand;
+  std::map<std::string, double> held;
   std::vector<bool> idle(aEntries.size(), true);
   for (const auto e : aPlan.grantable) {
     for (const auto& line : aEntries[e]->demand) {
@@ -251,6 +265,7 @@
         auto& entries = demand[line.tenant];
         entries.resize(aEntries.size());
         entries[e] += static_cast<double>(slots);
+        held[line.tenant] += static_cast<double>(line.running);
         idle[e] = false;
       }
     }
@@ -267,7 +282,8 @@
 
   std::vector<std::int64_t> counts(aEntries.size());
   std::map<std::string, double> parts;
-  const auto lent = Lend(aPlan, own - reserve, demand, aShares, aNow, parts);
+  const auto lent =
+    Lend(aPlan, own - reserve, demand, held, aShares, aNow, parts);
   std::int64_t capacity = own + borrowed;
   for (const auto z : aPlan.borrowers) {
     const auto loan = lent.find(aNames[z]);
