Serve calls that can still be in time before those that cannot

With a flooding tenant, earliest deadline first served each of its calls right before the deadline, and nearly all ended late: two attempts for each answer. Calls whose deadline falls before the mean service time from now are served last within their tenant; they are not refused.

Ruled out: refusing such calls at once, because the prediction may be wrong and a refusal would then be false.

--- a/include/arbutusferry/fair_queue.hpp
+++ b/include/arbutusferry/fair_queue.hpp
@@ -66,9 +66,12 @@
 
   /// Takes the next item of a class that can start now and charges its tenant
   /// with the estimate.
+  /// @param aEarliestEnd When work that starts now will probably end. Calls
+  /// with an earlier deadline come last.
   [[nodiscard]] virtual std::optional<queued_item> Pop(
     const std::string& aClass,
-    const placement_check& aCheck) = 0;
+    const placement_check& aCheck,
+    time_point aEarliestEnd) = 0;
 
   /// Replaces the estimate of a popped item by the tokens really served.
   /// @param aFinished Whether the sample of a group is complete.
--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -178,7 +178,8 @@
   }
 
   std::optional<queued_item> Pop(const std::string& aClass,
-                                 const placement_check& aCheck) override
+                                 const placement_check& aCheck,
+                                 time_point aEarliestEnd) override
   {
     const auto found = mClasses.find(aClass);
     if (found == mClasses.end()) {
@@ -194,7 +195,7 @@
     }
     std::sort(mOrder.begin(), mOrder.end());
     for (const auto& [counter, served, tenant, account] : mOrder) {
-      if (const auto id = Choose(queue, *account, aCheck)) {
+      if (const auto id = Choose(queue, *account, aCheck, aEarliestEnd)) {
         return Dispatch(queue, *tenant, *account, *id);
       }
       account->passedOver = true;
@@ -242,11 +243,14 @@
   /// @return The tenant's next item that can start now.
   std::optional<work_id> Choose(const class_queue& aQueue,
                                 account& aAccount,
-                                const placement_check& aCheck) const
+                                const placement_check& aCheck,
+                                time_point aEarliestEnd) const
   {
     bool servable = false;
     bool samples = false;
-    std::pair<time_point, work_id> interactive{ time_point::max(), 0 };
+    // Late calls, then deadline and id. Under overload the earliest deadlines
+    // cannot be met any more; serving them first would make every call late.
+    std::tuple<bool, time_point, work_id> call{ true, time_point::max(), 0 };
     bucket::group_rank rank{};
     work_id oldest = std::numeric_limits<work_id>::max();
     for (const auto& [needs, bucket] : aAccount.buckets) {
@@ -255,10 +259,14 @@
       if (placed != placement::Now) {
         continue;
       }
-      if (!bucket.interactive.empty() &&
-          (interactive.second == 0 ||
-           *bucket.interactive.begin() < interactive)) {
-        interactive = *bucket.interactive.begin();
+      if (!bucket.interactive.empty()) {
+        auto first = bucket.interactive.lower_bound({ aEarliestEnd, 0 });
+        const bool late = first == bucket.interactive.end();
+        first = late ? bucket.interactive.begin() : first;
+        const std::tuple candidate(late, first->first, first->second);
+        if (std::get<2>(call) == 0 || candidate < call) {
+          call = candidate;
+        }
       }
       if (!bucket.samples.empty()) {
         if (!samples || *bucket.ranked.begin() < rank) {
@@ -273,7 +281,8 @@
       LiftTo(aAccount, Minimum(aQueue));
     }
     aAccount.unservable = !servable;
-    if (samples && (interactive.second == 0 ||
+    const work_id nextCall = std::get<2>(call);
+    if (samples && (nextCall == 0 || std::get<0>(call) ||
                     aAccount.sinceSample >= kAgingInterval - 1)) {
       aAccount.sinceSample = 0;
       if (++aAccount.sinceOldest >= kAgingInterval) {
@@ -282,9 +291,9 @@
       }
       return std::get<1>(rank);
     }
-    if (interactive.second != 0) {
+    if (nextCall != 0) {
       aAccount.sinceSample += samples ? 1 : 0;
-      return interactive.second;
+      return nextCall;
     }
     return std::nullopt;
   }
--- a/src/routing/fifo_queue.cpp
+++ b/src/routing/fifo_queue.cpp
@@ -18,7 +18,8 @@
   }
 
   std::optional<queued_item> Pop(const std::string& aClass,
-                                 const placement_check& aCheck) override
+                                 const placement_check& aCheck,
+                                 time_point /*aEarliestEnd*/) override
   {
     work_id next = 0;
     for (const auto& [needs, items] : mClasses[aClass]) {
--- a/src/routing/scheduler.cpp
+++ b/src/routing/scheduler.cpp
@@ -173,10 +173,16 @@
   } else {
     work.target->breaker.OnSuccess();
     mTenants[work.tenant].retries.OnSuccess(aNow);
-    auto& mean = mClasses[targetClass].meanService;
+    auto& entry = mClasses[targetClass];
     const double seconds =
       std::chrono::duration<double>(aNow - work.started).count();
-    mean += (mean <= 0 ? 1.0 : kServiceGain) * (seconds - mean);
+    const auto average = [&](double& aMean) {
+      aMean += (aMean <= 0 ? 1.0 : kServiceGain) * (seconds - aMean);
+    };
+    average(entry.meanService);
+    if (work.kind == work_kind::Interactive) {
+      average(entry.meanCall);
+    }
   }
   if (!work.target->listed && work.target->inFlight == 0) {
     mHints.Erase(work.target->info.id);
@@ -392,12 +398,15 @@
   const auto check = [&](const placement_needs& aNeeds) {
     return Gather(entry, aNeeds, aNow, nullptr);
   };
+  const auto earliestEnd =
+    aNow + std::chrono::duration_cast<duration>(
+             std::chrono::duration<double>(entry.meanCall));
   while (mQueue->WaitingInClass(aClass) > 0 &&
          std::any_of(
            entry.targets.begin(), entry.targets.end(), [](const auto* aTarget) {
              return aTarget->inFlight < aTarget->limit;
            })) {
-    auto next = mQueue->Pop(aClass, check);
+    auto next = mQueue->Pop(aClass, check, earliestEnd);
     if (!next) {
       return;
     }
@@ -407,7 +416,7 @@
     ++target.inFlight;
     target.breaker.OnStart(aNow);
     mHints.Expect(target.info.id, next->item.prefix);
-    mRunning[next->id] = { &target, next->item.tenant, aNow };
+    mRunning[next->id] = { &target, next->item.tenant, next->item.kind, aNow };
     mOutcomes.push_back({ next->id, assignment{ next->id, target.info } });
   }
 }
--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -68,12 +68,14 @@
     std::int64_t localLimit = 0;
     std::size_t zones = 0;
     double meanService = 0; ///< Seconds per exchange.
+    double meanCall = 0;    ///< Seconds per interactive exchange.
   };
 
   struct running_work
   {
     target_entry* target = nullptr;
     std::string tenant;
+    work_kind kind = work_kind::Interactive;
     time_point started;
   };
 
--- a/tests/unit/fair_queue_test.cpp
+++ b/tests/unit/fair_queue_test.cpp
@@ -103,7 +103,7 @@
         }
       }
       while (running.size() < aSlots) {
-        const auto next = queue->Pop("c", Anywhere);
+        const auto next = queue->Pop("c", Anywhere, {});
         if (!next) {
           break;
         }
@@ -182,13 +182,13 @@
     // Tenant a leaves exchanges behind that end while it is idle.
     for (int i = 0; i < 5; ++i) {
       REQUIRE(queue->Push(++id, MakeItem("a", 100)));
-      REQUIRE(queue->Pop("c", Anywhere));
+      REQUIRE(queue->Pop("c", Anywhere, {}));
     }
     for (int i = 0; i < 1000; ++i) {
       REQUIRE(queue->Push(++id, MakeItem("b", 10)));
     }
     for (int i = 0; i < 500; ++i) {
-      REQUIRE(queue->Pop("c", Anywhere));
+      REQUIRE(queue->Pop("c", Anywhere, {}));
     }
     for (int i = 0; i < 500; ++i) {
       REQUIRE(queue->Push(++id, MakeItem("a", 10)));
@@ -198,7 +198,7 @@
     }
     int served = 0;
     for (int i = 0; i < 100; ++i) {
-      served += queue->Pop("c", Anywhere)->item.tenant == "a" ? 1 : 0;
+      served += queue->Pop("c", Anywhere, {})->item.tenant == "a" ? 1 : 0;
     }
     CHECK(served == 50);
   }
@@ -221,7 +221,7 @@
     REQUIRE(queue->Push(++id, MakeItem("b", 10)));
   }
   for (int i = 0; i < 500; ++i) {
-    REQUIRE(queue->Pop("c", blocked)->item.tenant == "b");
+    REQUIRE(queue->Pop("c", blocked, {})->item.tenant == "b");
   }
   for (int i = 0; i < 100; ++i) {
     REQUIRE(queue->Push(++id, MakeItem("d", 10)));
@@ -229,14 +229,14 @@
   }
   std::map<std::string, int> served;
   for (int i = 0; i < 100; ++i) {
-    ++served[queue->Pop("c", blocked)->item.tenant];
+    ++served[queue->Pop("c", blocked, {})->item.tenant];
   }
   CHECK(served["b"] == 50);
   CHECK(served["d"] == 50);
   // Once a target for it appears it gets its share and no more.
   served.clear();
   for (int i = 0; i < 90; ++i) {
-    ++served[queue->Pop("c", Anywhere)->item.tenant];
+    ++served[queue->Pop("c", Anywhere, {})->item.tenant];
   }
   CHECK(served["a"] == Approx(30).margin(2));
 }
@@ -253,22 +253,29 @@
   REQUIRE(queue->Push(1, late(9s)));
   REQUIRE(queue->Push(2, late(5s)));
   REQUIRE(queue->Push(3, MakeItem("a", 1)));
-  CHECK(queue->Pop("c", Anywhere)->id == 2);
-  CHECK(queue->Pop("c", Anywhere)->id == 1);
-  CHECK(queue->Pop("c", Anywhere)->id == 3);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 2);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 1);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 3);
+  // A call that would end late anyway waits for those that can be in time.
+  REQUIRE(queue->Push(4, late(5s)));
+  REQUIRE(queue->Push(5, late(9s)));
+  REQUIRE(queue->Push(6, MakeSample("g0", 1)));
+  CHECK(queue->Pop("c", Anywhere, time_point{ 6s })->id == 5);
+  CHECK(queue->Pop("c", Anywhere, time_point{ 6s })->id == 6);
+  CHECK(queue->Pop("c", Anywhere, time_point{ 6s })->id == 4);
 
   REQUIRE(queue->Push(11, MakeSample("g1", 8)));
   REQUIRE(queue->Push(12, MakeSample("g1", 8)));
   REQUIRE(queue->Push(13, MakeSample("g1", 8)));
   REQUIRE(queue->Push(21, MakeSample("g2", 8)));
   REQUIRE(queue->Push(31, MakeSample("g3", 2)));
-  CHECK(queue->Pop("c", Anywhere)->id == 31);
-  CHECK(queue->Pop("c", Anywhere)->id == 11);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 31);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 11);
   queue->Settle(11, 1, true); // Seven of g1 are left, so it stays ahead.
   REQUIRE(queue->Push(22, MakeSample("g2", 8)));
-  CHECK(queue->Pop("c", Anywhere)->id == 12);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 12);
   REQUIRE(queue->Push(23, MakeSample("g2", 5)));
-  CHECK(queue->Pop("c", Anywhere)->id == 21);
+  CHECK(queue->Pop("c", Anywhere, {})->id == 21);
 
   // The oldest sample starts in spite of ever newer, nearer groups and calls.
   work_id id = 100;
@@ -277,7 +284,7 @@
     REQUIRE(queue->Push(++id, late(1s)));
     ++id;
     REQUIRE(queue->Push(id, MakeSample("n" + std::to_string(id), 1)));
-    found = queue->Pop("c", Anywhere)->id == 13;
+    found = queue->Pop("c", Anywhere, {})->id == 13;
   }
   CHECK(passed <= 64);
 }
@@ -319,10 +326,13 @@
           }
         } else if (action < 7) {
           const bool avoided = Draw(random, 0, 1) == 0;
-          const auto next = queue->Pop("c", [&](const auto& aNeeds) {
-            return avoided == aNeeds.avoid.empty() ? placement::Now
-                                                   : placement::Later;
-          });
+          const auto next = queue->Pop(
+            "c",
+            [&](const auto& aNeeds) {
+              return avoided == aNeeds.avoid.empty() ? placement::Now
+                                                     : placement::Later;
+            },
+            now);
           const auto possible = std::find_if(
             waiting.begin(), waiting.end(), [&](const auto& aEach) {
               return avoided == aEach.second.avoid.empty();
