--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -193,7 +193,14 @@
           account.counter, account.lastServed, &tenant, &account);
       }
     }
-    std::sort(mOrder.begin(), mOrder.end());
+    // Ties keep the order of the names, so that equal seeds give equal runs.
+    std::stable_sort(
+      mOrder.begin(),
+      mOrder.end(),
+      [](const candidate& aLeft, const candidate& aRight) {
+        return std::pair(std::get<0>(aLeft), std::get<1>(aLeft)) <
+               std::pair(std::get<0>(aRight), std::get<1>(aRight));
+      });
     for (const auto& [counter, served, tenant, account] : mOrder) {
       if (const auto id = Choose(queue, *account, aCheck, aEarliestEnd)) {
         return Dispatch(queue, *tenant, *account, *id);
--- a/standins/experiment/model.hpp
+++ b/standins/experiment/model.hpp
@@ -122,6 +122,7 @@
   std::vector<std::shared_ptr<exchange>> active;
   std::list<std::uint64_t> cache; ///< Newest first.
   seconds since = 0;              ///< Start of billing.
+  bool swapping = false;          ///< Loads weights and admits nothing.
   bool up = true;                 ///< Answers; a crashed engine does not.
 };
 
--- a/standins/experiment/work.cpp
+++ b/standins/experiment/work.cpp
@@ -154,8 +154,10 @@
     receiver->waiting.push_back(begun);
     Admit(receiver);
     if (Measured()) {
-      mResult.overSlots = std::max(
-        mResult.overSlots, static_cast<std::int64_t>(receiver->waiting.size()));
+      mResult.overSlots =
+        std::max(mResult.overSlots,
+                 static_cast<std::int64_t>(receiver->waiting.size()) +
+                   receiver->running - receiver->info.slots);
     }
   });
 }
