--- a/standins/experiment/decisions.cpp
+++ b/standins/experiment/decisions.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 
 namespace arbutusferry::experiment {
 
@@ -34,13 +35,13 @@
 double
 MeanMicroseconds(int aCount, Function&& aFunction)
 {
-  const auto begin = std::chrono::steady_clock::now();
+  // Processor time, because other programs may keep the machine busy.
+  const auto begin = std::clock();
   for (int i = 0; i < aCount; ++i) {
     aFunction();
   }
-  const std::chrono::duration<double, std::micro> spent =
-    std::chrono::steady_clock::now() - begin;
-  return spent.count() / aCount;
+  return 1e6 * static_cast<double>(std::clock() - begin) /
+         static_cast<double>(CLOCKS_PER_SEC) / aCount;
 }
 
 /// Time to end one exchange and to choose and place the next one.
