Name a method that a control process does not offer

The client repeated the library's text twice and exited with 2, as if the operator's input were wrong. It now exits with 1 and names what was expected. Seen with operator.usage and operator.drain against a control process that does not have them yet.

--- a/apps/arbutusferry/commands.cpp
+++ b/apps/arbutusferry/commands.cpp
@@ -143,7 +143,7 @@
   std::string text;
   exit_code code = exit_code::Success;
   if (aChange.outcome == change_outcome::InForce) {
-    text = "in force at revision " + std::to_string(aChange.offset) +
+    text = "in force at offset " + std::to_string(aChange.offset) +
            " (record " + aChange.recordId + ")\n";
     if (aKey != nullptr) {
       value["key"] = aKey->text;
--- a/src/operator/operator_client.cpp
+++ b/src/operator/operator_client.cpp
@@ -23,9 +23,9 @@
     case kRpcCodeNotFound:
       return error_code::NotFound;
     case kRpcCodeUnavailable:
+    case kRpcCodeNoMethod:
       return error_code::Unavailable;
     case kRpcCodeInvalidParams:
-    case kRpcCodeNoMethod:
     case kRpcCodeInvalidRequest:
       return error_code::InvalidArgument;
     default:
@@ -37,6 +37,10 @@
 Describe(const rpc_failure& aFailure, const std::string& aAddress)
 {
   std::string text = aFailure.what();
+  if (aFailure.Code() == kRpcCodeNoMethod) {
+    return "the method is not offered; expected a control process of the "
+           "client's version";
+  }
   if (aFailure.Code() != 0) {
     return text;
   }
