--- a/include/arbutusferry/freshness.hpp
+++ b/include/arbutusferry/freshness.hpp
@@ -14,9 +14,10 @@
 /// within which a withdrawn key must stop for the entry's own sync.
 inline constexpr std::chrono::milliseconds kStaleAfter{ 4000 };
 
-/// Statement of a group of control processes that cannot reach the log: none
-/// of them had folded, and so accepted, a change above `offset` at the oldest
-/// time in it.
+/// Statement of a group of control processes: at the oldest time in it, none of
+/// them had folded, and so accepted, a change above `offset`. A process accepts
+/// an operator's change only after it folded it, so the statement of every
+/// process proves a view complete while the log cannot be reached.
 struct isolation_report
 {
   std::vector<std::string> members; ///< VM ids the statement covers.
@@ -56,21 +57,17 @@
   std::optional<time_point> mCompleteAsOf;
 };
 
-/// Collects what members said while they could not reach the log.
+/// Collects the statements of members.
 class isolation_view
 {
 public:
-  /// A member, or a group through its relay, stated that it cannot reach the
-  /// log.
+  /// A member, or a group through its relay, made a statement.
   /// @param aReference Own time that is certainly not later than the moment at
   /// which the report was written: the send time of the request that it
   /// answers, or the time of the own answer that it refers to. The receive
   /// time does not qualify, because messages can be delayed.
   void OnReport(const isolation_report& aReport, time_point aReference);
 
-  /// A member reaches the log; its earlier statements end.
-  void OnReach(const std::string& aMember);
-
   /// @param aMembers Every VM that may run a control process.
   /// @param aOffset Own folded offset.
   /// @return Time as of which no member had accepted a change above `aOffset`;
--- a/src/control/config_feed.hpp
+++ b/src/control/config_feed.hpp
@@ -3,19 +3,12 @@
 #include "arbutusferry/config_state.hpp"
 #include "arbutusferry/freshness.hpp"
 #include "arbutusferry/lease.hpp"
+#include "arbutusferry/zone_sync.hpp"
 
 #include <deque>
 
 namespace arbutusferry {
 
-/// Records or a whole state that bring a reader to an offset.
-struct config_update
-{
-  Json::Value state; ///< Null unless records are not enough.
-  std::vector<raw_log_record> records;
-  log_offset offset = kNoOffset; ///< Complete up to here.
-};
-
 /// Receives every record that a process reads from the log itself, once and in
 /// order of offset.
 class log_listener
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -5,6 +5,7 @@
 #include "control/http_front.hpp"
 #include "control/log_follower.hpp"
 #include "control/rpc_methods.hpp"
+#include "control/zone_duties.hpp"
 
 namespace arbutusferry {
 
@@ -18,6 +19,7 @@
                const clock_source& aClock)
     : mState(aOptions, aClock)
     , mPlatform(aPlatform)
+    , mKeeper(std::make_shared<role_keeper>(mState, aPlatform.log))
     , mDispatcher(MakeRpcDispatcher(MakeControlMethods(mState, aPlatform)))
   {
   }
@@ -41,6 +43,16 @@
                         return MakeDirectoryReader(mState, mPlatform.directory);
                       } });
     duties.push_back({ "load", [this] { return MakeLoadPoller(mState); } });
+    duties.push_back({ "zone", [this] { return MakeZoneSync(mState); } });
+    duties.push_back({ "summary", [this] { return MakeZoneSummary(mState); } });
+    duties.push_back({ "membership", [this] {
+                        return MakeMembershipWatch(mState, mKeeper);
+                      } });
+    duties.push_back({ "roles", [this] { return MakeRoleDuty(mKeeper); } });
+    duties.push_back({ "checkpoint", [this] {
+                        return MakeCheckpointDuty(
+                          mState, mKeeper, mPlatform.log);
+                      } });
     mSupervisor = StartSupervisor(
       std::move(duties),
       [this](const std::string& aDuty, const std::string& aReason) {
@@ -61,6 +73,7 @@
     if (mSupervisor) {
       mSupervisor->Stop();
       mSupervisor.reset();
+      mKeeper->ReleaseAll();
     }
     if (mFront) {
       mFront->Stop();
@@ -70,6 +83,7 @@
 private:
   node_state mState;
   platform_clients mPlatform;
+  std::shared_ptr<role_keeper> mKeeper;
   std::unique_ptr<rpc_dispatcher> mDispatcher;
   std::unique_ptr<http_front> mFront;
   std::unique_ptr<supervisor> mSupervisor;
--- a/src/control/load_poller.cpp
+++ b/src/control/load_poller.cpp
@@ -62,10 +62,12 @@
     const auto load =
       Capture([&] { return ParseJson(answer->body, aTarget.address); });
     if (const auto* value = std::get_if<Json::Value>(&load)) {
-      mState.SetLoad(aTarget.id,
-                     Number(*value, "running", 0),
-                     Number(*value, "waiting", 0),
-                     Number(*value, "weight_version", -1));
+      const target_load report{ aTarget.id,
+                                Number(*value, "running", 0),
+                                Number(*value, "waiting", 0),
+                                Number(*value, "weight_version", -1) };
+      mState.WithBoard(
+        [&](zone_board& aBoard) { aBoard.SetLoad(report, true); });
     }
   }
 
--- a/src/control/log_follower.cpp
+++ b/src/control/log_follower.cpp
@@ -7,10 +7,12 @@
 namespace {
 
 constexpr std::size_t kReadLimit = 256;
-/// Held reads end after this time, so that an idle log still proves once a
-/// second that the view is complete.
-constexpr std::chrono::milliseconds kReadWait{ 1000 };
+/// A view is complete as of the time before a read, so it gets up to two waits
+/// old at the relay, one sync interval older at a member and one hold older at
+/// an entry. With a wait of 1 s members of a small zone were seen at 2.8 s.
+constexpr std::chrono::milliseconds kReadWait{ 500 };
 constexpr std::chrono::milliseconds kRetryDelay{ 300 };
+constexpr std::chrono::milliseconds kIdleWait{ 1000 };
 /// A change of a target must reach every entry within 3 s, through two syncs.
 constexpr std::chrono::milliseconds kListDelay{ 500 };
 
@@ -25,8 +27,11 @@
 
   duration Step() override
   {
-    const log_offset from =
-      mState.WithFeed([](config_feed& aFeed) { return aFeed.ReadFrom(); });
+    if (!mState.WaitToRead(kIdleWait)) {
+      return mState.Stopping() ? duration(kRetryDelay) : duration{};
+    }
+    const log_offset from = mState.WithFeed(
+      [](const config_feed& aFeed) { return aFeed.ReadFrom(); });
     const time_point sent = mState.Clock().Now();
     auto read =
       Capture([&] { return mLog->Read(from, kReadLimit, kReadWait); });
@@ -65,13 +70,18 @@
 
   duration Step() override
   {
+    if (!mState.WaitToRead(kIdleWait)) {
+      return kListDelay;
+    }
     auto vms = Capture([&] { return mDirectory->ListVms(); });
     if (auto* list = std::get_if<std::vector<vm_info>>(&vms)) {
-      mState.SetVms(std::move(*list));
+      mState.WithBoard(
+        [&](zone_board& aBoard) { aBoard.SetVms(std::move(*list)); });
     }
     auto targets = Capture([&] { return mDirectory->ListTargets(); });
     if (auto* list = std::get_if<std::vector<target_info>>(&targets)) {
-      mState.SetTargets(std::move(*list));
+      mState.WithBoard(
+        [&](zone_board& aBoard) { aBoard.SetTargets(std::move(*list)); });
     }
     return kListDelay;
   }
--- a/src/control/node_state.cpp
+++ b/src/control/node_state.cpp
@@ -10,21 +10,12 @@
 
 namespace {
 
-/// An entry that did not sync for this time is no longer listed as live.
-constexpr std::chrono::seconds kEntryTimeout{ 3 };
 /// Longest time a `node.sync` is held, whatever the entry asks for.
 constexpr std::chrono::milliseconds kMaxHold{ 1000 };
-
-bool
-SameTarget(const target_info& aLeft, const target_info& aRight)
-{
-  return aLeft.id == aRight.id && aLeft.zone == aRight.zone &&
-         aLeft.targetClass == aRight.targetClass &&
-         aLeft.address == aRight.address && aLeft.pool == aRight.pool &&
-         aLeft.kind == aRight.kind && aLeft.state == aRight.state &&
-         aLeft.slots == aRight.slots &&
-         aLeft.checksFencing == aRight.checksFencing;
-}
+/// Validity of slot grants.
+constexpr std::chrono::seconds kGrantTerm{ 5 };
+/// A VM may still run for this time after the platform no longer lists it.
+constexpr std::chrono::seconds kListLag{ 10 };
 
 } // namespace
 
@@ -33,7 +24,8 @@
   : mOptions(aOptions)
   , mClock(aClock)
   , mInstance(aOptions.vm + "/" + RandomHex(6))
-  , mMembership(aOptions.vm, aOptions.zone)
+  , mStarted(aClock.Now())
+  , mBoard(aOptions.vm, aOptions.zone, mInstance)
 {
 }
 
@@ -52,18 +44,56 @@
   return mStopping;
 }
 
-void
-node_state::Sleep(duration aTime) const
+bool
+node_state::Reads() const
+{
+  const std::lock_guard lock(mMutex);
+  return mReads;
+}
+
+bool
+node_state::WaitToRead(duration aTime)
 {
   lock_type lock(mMutex);
-  mChanged.wait_for(lock, aTime, [&] { return mStopping; });
+  mChanged.wait_for(lock, aTime, [&] { return mStopping || mReads; });
+  return mReads && !mStopping;
+}
+
+bool
+node_state::IsRelay() const
+{
+  const std::lock_guard lock(mMutex);
+  return mBoard.Membership().Relay(mClock.Now()) == mOptions.vm;
+}
+
+duration
+node_state::Interval() const
+{
+  return SyncInterval(mBoard.Membership().Size(), mOptions.syncInterval);
 }
 
 void
-node_state::Wait(lock_type& aLock, duration aTime)
+node_state::UpdateReading(bool aHoldsRoles)
 {
-  if (aTime > duration::zero()) {
-    mChanged.wait_for(aLock, aTime);
+  const std::lock_guard lock(mMutex);
+  const notify_on_change notify(*this);
+  const time_point now = mClock.Now();
+  mBoard.Expire(now);
+  const bool relay = mBoard.Membership().Relay(now) == mOptions.vm;
+  mFollows = !relay && mRelayAnswered != time_point{} &&
+             now - mRelayAnswered <= 2 * Interval() &&
+             mRelayAge <= 2 * Interval();
+  if (!mFollows) {
+    mBoard.LeaveRelay();
+  }
+  const bool reads = !mFollows || aHoldsRoles;
+  if (mReads && !reads) {
+    mFeed.PauseReading();
+  }
+  if (reads != mReads) {
+    Log(log_level::Info, reads ? "reading_log" : "following_relay");
+    mReads = reads;
+    mChanged.notify_all();
   }
 }
 
@@ -74,98 +104,143 @@
   mLogReach = aReaches;
 }
 
-bool
-node_state::LogReach() const
+std::vector<target_info>
+node_state::PolledTargets()
 {
   const std::lock_guard lock(mMutex);
-  return mLogReach;
+  const auto live = mBoard.Membership().Live(mClock.Now(), 3 * Interval());
+  std::vector<target_info> polled;
+  for (const target_info& target : mBoard.Targets()) {
+    if (target.zone == mOptions.zone && target.kind == target_kind::Engine &&
+        target.state != target_state::Starting &&
+        PollsTarget(mOptions.vm, live, target.id)) {
+      polled.push_back(target);
+    }
+  }
+  mBoard.RetainOwnLoads(polled);
+  return polled;
 }
 
-void
-node_state::SetVms(std::vector<vm_info> aVms)
+bool
+node_state::CompleteSinceStart(time_point aNow) const
 {
-  const std::lock_guard lock(mMutex);
-  mVms = std::move(aVms);
-  mMembership.UpdateCandidates(mVms);
+  const auto age = mFeed.Freshness().Age(aNow);
+  return age && aNow - *age >= mStarted;
 }
 
 void
-node_state::SetTargets(std::vector<target_info> aTargets)
+node_state::UpdateIsolation(time_point aNow)
 {
-  const std::lock_guard lock(mMutex);
-  std::sort(
-    aTargets.begin(),
-    aTargets.end(),
-    [](const auto& aLeft, const auto& aRight) { return aLeft.id < aRight.id; });
-  const bool same = std::equal(mTargets.begin(),
-                               mTargets.end(),
-                               aTargets.begin(),
-                               aTargets.end(),
-                               SameTarget);
-  if (same) {
+  for (const vm_info& vm : mBoard.Vms()) {
+    mListed[vm.id] = aNow;
+  }
+  const auto age = mFeed.Freshness().Age(aNow);
+  if (!age || aNow - *age < mStarted) {
+    return;
+  }
+  // A VM that is no longer listed may have accepted a change just before.
+  std::erase_if(mListed, [&](const auto& aListed) {
+    return aNow - *age > aListed.second + kListLag;
+  });
+  // A list without this process lags too far to name everyone.
+  if (mListed.count(mOptions.vm) == 0) {
     return;
   }
-  // The platform's list carries no load; known reports are kept.
-  for (target_info& target : aTargets) {
-    const auto known =
-      std::find_if(mTargets.begin(), mTargets.end(), [&](const auto& aKnown) {
-        return aKnown.id == target.id && aKnown.address == target.address;
-      });
-    if (known != mTargets.end()) {
-      target.running = known->running;
-      target.waiting = known->waiting;
-      target.weightVersion = known->weightVersion;
+  mBoard.Isolation().OnReport({ { mOptions.vm }, mFeed.State().Offset(), {} },
+                              aNow);
+  std::vector<std::string> members;
+  members.reserve(mListed.size());
+  for (const auto& [id, listed] : mListed) {
+    members.push_back(id);
+  }
+  if (const auto complete =
+        mBoard.Isolation().CompleteAsOf(members, mFeed.State().Offset())) {
+    mFeed.Freshness().CompleteAsOf(*complete);
+  }
+}
+
+std::optional<isolation_report>
+node_state::Isolation(time_point aNow, bool aOwnZone)
+{
+  const auto age = mFeed.Freshness().Age(aNow);
+  if (!age || *age <= Interval()) {
+    return std::nullopt;
+  }
+  UpdateIsolation(aNow);
+  std::vector<std::string> members;
+  for (const vm_info& vm : mBoard.Vms()) {
+    if (!aOwnZone || vm.zone == mOptions.zone) {
+      members.push_back(vm.id);
     }
   }
-  mTargets = std::move(aTargets);
-  ++mListVersion;
-  mChanged.notify_all();
+  isolation_report report = mBoard.Isolation().Summarize(members, aNow);
+  return report.members.empty() ? std::nullopt
+                                : std::optional(std::move(report));
+}
+
+std::int64_t
+node_state::ViewAgeMs(time_point aNow) const
+{
+  const auto age = mFeed.Freshness().Age(aNow);
+  // Rounded up: a view must never look newer than it is.
+  return age ? ToMilliseconds(*age) + 1 : -1;
+}
+
+std::int64_t
+node_state::GrantVersion(const std::string& aInstance) const
+{
+  const auto found = mGrants.find(aInstance);
+  return found == mGrants.end() ? 0 : found->second.version;
 }
 
 void
-node_state::SetLoad(const std::string& aTarget,
-                    std::int64_t aRunning,
-                    std::int64_t aWaiting,
-                    std::int64_t aWeightVersion)
+node_state::StoreGrants(const std::string& aInstance,
+                        std::vector<slot_grant> aSlots,
+                        time_point aPlanned)
 {
-  const std::lock_guard lock(mMutex);
-  for (target_info& target : mTargets) {
-    if (target.id == aTarget) {
-      // Entries filter by version, so a new one is told at once; the load may
-      // wait for the next answer.
-      if (target.weightVersion != aWeightVersion) {
-        ++mListVersion;
-        mChanged.notify_all();
-      }
-      target.running = aRunning;
-      target.waiting = aWaiting;
-      target.weightVersion = aWeightVersion;
-    }
+  given_grants& known = mGrants[aInstance];
+  const bool same = std::equal(known.slots.begin(),
+                               known.slots.end(),
+                               aSlots.begin(),
+                               aSlots.end(),
+                               [](const auto& aLeft, const auto& aRight) {
+                                 return aLeft.target == aRight.target &&
+                                        aLeft.slots == aRight.slots;
+                               });
+  known.planned = std::max(known.planned, aPlanned);
+  if (!same) {
+    known.slots = std::move(aSlots);
+    ++known.version;
+    mChanged.notify_all();
   }
 }
 
-std::vector<target_info>
-node_state::Targets() const
+void
+node_state::SetGrants(std::map<std::string, std::vector<slot_grant>> aGrants)
 {
   const std::lock_guard lock(mMutex);
-  return mTargets;
+  const time_point now = mClock.Now();
+  for (auto& [instance, slots] : aGrants) {
+    StoreGrants(instance, std::move(slots), now);
+  }
+  std::erase_if(mGrants, [&](const auto& aGrant) {
+    return now - aGrant.second.planned > 2 * kGrantTerm;
+  });
 }
 
-std::vector<target_info>
-node_state::PolledTargets() const
+void
+node_state::PutGrants(const std::string& aInstance,
+                      time_point aNow,
+                      node_sync_response& aAnswer) const
 {
-  const std::lock_guard lock(mMutex);
-  const auto live = mMembership.Live(
-    mClock.Now(), 2 * SyncInterval(mMembership.Size(), mOptions.syncInterval));
-  std::vector<target_info> polled;
-  for (const target_info& target : mTargets) {
-    if (target.zone == mOptions.zone && target.kind == target_kind::Engine &&
-        target.state != target_state::Starting &&
-        PollsTarget(mOptions.vm, live, target.id)) {
-      polled.push_back(target);
-    }
+  const auto found = mGrants.find(aInstance);
+  if (found == mGrants.end() || aNow - found->second.planned >= kGrantTerm) {
+    return;
   }
-  return polled;
+  aAnswer.hasGrants = true;
+  aAnswer.grants = found->second.slots;
+  aAnswer.grantTtlMs =
+    ToMilliseconds(kGrantTerm - (aNow - found->second.planned));
 }
 
 node_sync_response
@@ -174,78 +249,197 @@
   lock_type lock(mMutex);
   const time_point received = mClock.Now();
   const std::string& instance = aRequest.entry.instance;
-  entry_status& entry = mEntries[instance];
-  if (entry.report.entry.address != aRequest.entry.address ||
-      entry.report.entry.draining != aRequest.entry.draining ||
-      entry.report.entry.adopted != aRequest.entry.adopted) {
-    ++mListVersion;
-    mChanged.notify_all();
-  }
-  entry.report = aRequest;
-  entry.heard = received;
-  for (const usage_counter& counter : aRequest.usage) {
-    auto& known = entry.usage[counter.tenant];
-    const auto same =
-      std::find_if(known.begin(), known.end(), [&](const auto& aKnown) {
-        return aKnown.window == counter.window &&
-               aKnown.instance == counter.instance;
-      });
-    if (same == known.end()) {
-      known.push_back(counter);
-    } else {
-      *same = counter;
-    }
+  {
+    const notify_on_change notify(*this);
+    mBoard.OnEntry(aRequest, received);
+    mBoard.Expire(received);
   }
-  std::erase_if(mEntries, [&](const auto& aEntry) {
-    const bool gone = received - aEntry.second.heard > kEntryTimeout;
-    mListVersion += gone ? 1 : 0;
-    return gone;
-  });
   const auto hold =
     std::min<duration>(std::chrono::milliseconds(aRequest.holdMs), kMaxHold);
-  const std::uint64_t seen = mSeenVersion[instance];
+  const std::int64_t seen = mSeenByEntry[instance];
+  const auto version = [&] {
+    return mBoard.EntryVersion() + GrantVersion(instance);
+  };
   while (!mStopping && mFeed.NewestChange() <= aRequest.offset &&
-         mListVersion == seen) {
+         version() == seen) {
     const duration left = received + hold - mClock.Now();
     if (left <= duration::zero()) {
       break;
     }
-    Wait(lock, left);
+    mChanged.wait_for(lock, left);
   }
   const time_point now = mClock.Now();
-  if (const auto known = mEntries.find(instance); known != mEntries.end()) {
-    known->second.heard = now;
-  }
-  mSeenVersion[instance] = mListVersion;
-  std::erase_if(mSeenVersion, [&](const auto& aSeen) {
-    return mEntries.count(aSeen.first) == 0;
+  mSeenByEntry[instance] = version();
+  std::erase_if(mSeenByEntry, [&](const auto& aSeen) {
+    return !mBoard.IsOwnEntry(aSeen.first);
   });
-  return Answer(aRequest, now);
-}
-
-node_sync_response
-node_state::Answer(const node_sync_request& aRequest, time_point aNow) const
-{
+  UpdateIsolation(now);
   node_sync_response answer;
   config_update update = mFeed.Collect(aRequest.offset);
   answer.state = std::move(update.state);
   answer.records = std::move(update.records);
   answer.offset = update.offset;
-  if (const auto age = mFeed.Freshness().Age(aNow)) {
-    answer.viewAgeMs = ToMilliseconds(*age) + 1;
-  }
+  answer.viewAgeMs = ViewAgeMs(now);
   answer.staleAfterMs = ToMilliseconds(mOptions.staleAfter);
-  for (const auto& [instance, entry] : mEntries) {
-    answer.entries.push_back(entry.report.entry);
-  }
-  for (const target_info& target : mTargets) {
+  answer.entries = mBoard.Entries();
+  for (const target_info& target : mBoard.Targets()) {
     if (target.zone == mOptions.zone) {
       answer.targets.push_back(target);
     }
   }
+  PutGrants(instance, now, answer);
+  return answer;
+}
+
+zone_sync_response
+node_state::ZoneSync(const zone_sync_request& aRequest)
+{
+  lock_type lock(mMutex);
+  const time_point received = mClock.Now();
+  {
+    const notify_on_change notify(*this);
+    mBoard.OnMember(aRequest, received);
+  }
+  last_answer& last = mAnswers[aRequest.member];
+  if (aRequest.complete && aRequest.answered == last.number &&
+      last.number > 0) {
+    // The member wrote this request after it received the last answer.
+    mBoard.Isolation().OnReport({ { aRequest.member }, aRequest.newest, {} },
+                                last.sent);
+  }
+  const auto grantVersion = [&] {
+    std::int64_t version = 0;
+    for (const member_entry& entry : aRequest.entries) {
+      version += GrantVersion(entry.entry.instance);
+    }
+    return version;
+  };
+  const auto unchanged = [&] {
+    const list_versions& now = mBoard.Versions();
+    const list_versions& seen = aRequest.seen;
+    return now.source == seen.source && now.vms == seen.vms &&
+           now.targets == seen.targets && now.entries == seen.entries;
+  };
+  const duration hold =
+    std::min<duration>(std::chrono::milliseconds(aRequest.holdMs), Interval());
+  const std::int64_t grants = grantVersion();
+  while (!mStopping && !aRequest.draining &&
+         mFeed.NewestChange() <= aRequest.offset && unchanged() &&
+         grantVersion() == grants) {
+    const duration left = received + hold - mClock.Now();
+    if (left <= duration::zero()) {
+      break;
+    }
+    mChanged.wait_for(lock, left);
+  }
+  const time_point now = mClock.Now();
+  UpdateIsolation(now);
+  zone_sync_response answer;
+  answer.number = ++last.number;
+  last.sent = now;
+  answer.heldMs = ToMilliseconds(now - received);
+  answer.viewAgeMs = ViewAgeMs(now);
+  answer.update = mFeed.Collect(aRequest.offset);
+  answer.checkpoint = mFeed.CheckpointOffset();
+  answer.members = mBoard.Membership().Live(now, 3 * Interval());
+  mBoard.FillAnswer(answer, aRequest.seen);
+  for (const member_entry& entry : aRequest.entries) {
+    const auto known = mGrants.find(entry.entry.instance);
+    if (known != mGrants.end() && now - known->second.planned < kGrantTerm) {
+      answer.grants.push_back({ entry.entry.instance,
+                                ToMilliseconds(now - known->second.planned) + 1,
+                                known->second.slots });
+    }
+  }
+  answer.isolation = Isolation(now, false);
+  return answer;
+}
+
+zone_summary_response
+node_state::ZoneSummary(const zone_summary_request& aRequest)
+{
+  const std::lock_guard lock(mMutex);
+  const time_point now = mClock.Now();
+  UpdateIsolation(now);
+  zone_summary_response answer;
+  answer.viewAgeMs = ViewAgeMs(now);
+  answer.update = mFeed.Collect(aRequest.offset);
+  mBoard.FillSummary(answer, aRequest.seen);
+  // A report has one age. Statements that came from other zones would make it
+  // old, and relays would keep each other's reports old for ever.
+  answer.isolation = Isolation(now, true);
   return answer;
 }
 
+zone_sync_request
+node_state::MakeZoneSync(const list_versions& aSeen, std::int64_t aAnswered)
+{
+  const std::lock_guard lock(mMutex);
+  zone_sync_request request = mBoard.MakeRequest();
+  request.offset = mFeed.State().Offset();
+  request.newest = mFeed.NewestChange();
+  request.complete = CompleteSinceStart(mClock.Now());
+  request.answered = aAnswered;
+  request.holdMs = ToMilliseconds(Interval());
+  request.seen = aSeen;
+  request.draining = mStopping;
+  return request;
+}
+
+result<void>
+node_state::OnZoneSync(const zone_sync_request& aRequest,
+                       const zone_sync_response& aAnswer,
+                       time_point aSent)
+{
+  const std::lock_guard lock(mMutex);
+  const notify_on_change notify(*this);
+  const duration held = std::chrono::milliseconds(aAnswer.heldMs);
+  std::optional<duration> age;
+  if (aAnswer.viewAgeMs >= 0) {
+    age = std::chrono::milliseconds(aAnswer.viewAgeMs);
+  }
+  BOOST_LEAF_AUTO(changed, mFeed.OnPeerUpdate(aAnswer.update));
+  if (changed) {
+    mChanged.notify_all();
+  }
+  mFeed.NoteCheckpoint(aAnswer.checkpoint);
+  mFeed.Freshness().OnPeerAnswer(aSent, held, age);
+  mBoard.OnRelayAnswer(aAnswer, mClock.Now());
+  mBoard.OnRequestAnswered(aRequest);
+  if (aAnswer.isolation) {
+    mBoard.Isolation().OnReport(*aAnswer.isolation, aSent + held);
+  }
+  for (const entry_grant& grant : aAnswer.grants) {
+    StoreGrants(grant.instance,
+                grant.grants,
+                aSent + held - std::chrono::milliseconds(grant.ageMs));
+  }
+  mRelayAnswered = mClock.Now();
+  mRelayAge = age.value_or(duration::max());
+  return {};
+}
+
+result<void>
+node_state::OnZoneSummary(const zone_summary_response& aAnswer,
+                          time_point aSent)
+{
+  const std::lock_guard lock(mMutex);
+  const notify_on_change notify(*this);
+  BOOST_LEAF_AUTO(changed, mFeed.OnPeerUpdate(aAnswer.update));
+  if (changed) {
+    mChanged.notify_all();
+  }
+  if (aAnswer.viewAgeMs >= 0) {
+    mFeed.Freshness().OnPeerAnswer(
+      aSent, {}, std::chrono::milliseconds(aAnswer.viewAgeMs));
+  }
+  mBoard.OnSummary(aAnswer, mClock.Now());
+  if (aAnswer.isolation) {
+    mBoard.Isolation().OnReport(*aAnswer.isolation, aSent);
+  }
+  return {};
+}
+
 std::optional<std::pair<log_offset, fold_outcome>>
 node_state::WaitForRecord(const std::string& aId,
                           log_offset aOffset,
@@ -265,7 +459,7 @@
     if (mStopping || left <= duration::zero()) {
       return std::nullopt;
     }
-    Wait(lock, left);
+    mChanged.wait_for(lock, left);
   }
 }
 
@@ -285,22 +479,21 @@
   status["vm"] = mOptions.vm;
   status["zone"] = mOptions.zone;
   status["instance"] = mInstance;
-  status["relay"] = mMembership.Relay(now);
+  status["relay"] = mBoard.Membership().Relay(now);
+  status["reads_log"] = mReads;
   status["offset"] = Json::Int64(mFeed.State().Offset());
-  const auto age = mFeed.Freshness().Age(now);
-  status["view_age_ms"] = Json::Int64(age ? ToMilliseconds(*age) : -1);
+  status["view_age_ms"] = Json::Int64(ViewAgeMs(now));
   status["log_reach"] = mLogReach;
   status["void_records"] = Json::Int64(mFeed.State().VoidCount());
   status["members"] = Json::Value(Json::arrayValue);
-  for (const auto& member : mMembership.Live(
-         now, 2 * SyncInterval(mMembership.Size(), mOptions.syncInterval))) {
+  for (const auto& member : mBoard.Membership().Live(now, 3 * Interval())) {
     status["members"].append(member);
   }
   status["entries"] = Json::Value(Json::arrayValue);
-  for (const auto& [instance, entry] : mEntries) {
-    status["entries"].append(instance);
+  for (const entry_info& entry : mBoard.Entries()) {
+    status["entries"].append(entry.instance);
   }
-  status["targets"] = Json::UInt64(mTargets.size());
+  status["targets"] = Json::UInt64(mBoard.Targets().size());
   status["roles"] = Json::Value(Json::objectValue);
   for (const auto& [role, state] : mFeed.Roles().Roles()) {
     status["roles"][role] = state.holder;
--- /dev/null
+++ b/src/control/role_keeper.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "control/duty.hpp"
+#include "control/node_state.hpp"
+
+#include <set>
+
+namespace arbutusferry {
+
+/// Holds and contends for the roles of one process. Thread-safe: the duty that
+/// appends lease records and the duties that act in the roles share it.
+class role_keeper
+{
+public:
+  role_keeper(node_state& aState, std::shared_ptr<platform_log> aLog);
+
+  /// @return True while this process may act in the role.
+  [[nodiscard]] bool Holds(const std::string& aRole) const;
+  [[nodiscard]] bool HoldsAny() const;
+  /// @return Fencing token of the role, or `kNoOffset`.
+  [[nodiscard]] log_offset Fencing(const std::string& aRole) const;
+  /// @return Check to be made before the last byte of a fenced send. It also
+  /// fails when the lease was lost and claimed again in between.
+  [[nodiscard]] send_check Check(const std::string& aRole) const;
+
+  /// Takes over the folded roles and appends what is due.
+  void Step();
+  /// Appends the releases of all held roles.
+  void ReleaseAll();
+
+private:
+  [[nodiscard]] std::vector<lease_append> Due();
+  /// @return False when the log did not take the record.
+  bool Append(const lease_append& aAppend);
+  [[nodiscard]] std::string NextId();
+
+  node_state& mState;
+  std::shared_ptr<platform_log> mLog;
+  mutable std::mutex mMutex;
+  std::map<std::string, lease_session> mSessions;
+  std::set<std::string> mHeld; ///< For log lines.
+  std::int64_t mAppends = 0;
+};
+
+/// @return Role of the orders of a zone.
+[[nodiscard]] std::string
+OrdersRole(const std::string& aZone);
+inline constexpr const char* kUsageRole = "usage";
+inline constexpr const char* kCheckpointRole = "checkpoint";
+
+/// Duty that renews and claims leases.
+[[nodiscard]] std::unique_ptr<duty>
+MakeRoleDuty(std::shared_ptr<role_keeper> aKeeper);
+
+/// Duty of the holder of the checkpoint role.
+[[nodiscard]] std::unique_ptr<duty>
+MakeCheckpointDuty(node_state& aState,
+                   std::shared_ptr<role_keeper> aKeeper,
+                   std::shared_ptr<platform_log> aLog);
+
+} // namespace arbutusferry
--- a/src/control/rpc_methods.cpp
+++ b/src/control/rpc_methods.cpp
@@ -153,6 +153,16 @@
       Unwrap([&] { return ReadNodeSyncRequest(aParams, "entry"); });
     return WriteNodeSyncResponse(aState.NodeSync(request));
   };
+  methods["zone.sync"] = [&aState](const Json::Value& aParams) {
+    const auto request =
+      Unwrap([&] { return ReadZoneSyncRequest(aParams, "member"); });
+    return WriteZoneSyncResponse(aState.ZoneSync(request));
+  };
+  methods["zone.summary"] = [&aState](const Json::Value& aParams) {
+    const auto request =
+      Unwrap([&] { return ReadZoneSummaryRequest(aParams, "relay"); });
+    return WriteZoneSummaryResponse(aState.ZoneSummary(request));
+  };
   methods["operator.apply"] = change("environment_applied");
   methods["operator.promote"] = change("environment_promoted");
   methods["operator.grant"] = change("key_granted");
--- /dev/null
+++ b/src/control/zone_board.cpp
@@ -0,0 +1,456 @@
+#include "control/zone_board.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry {
+
+namespace {
+
+/// An entry that did not sync for this time is no longer listed as live.
+constexpr std::chrono::seconds kEntryTimeout{ 3 };
+/// Entries of a zone that cannot be heard stay listed for this time, so that a
+/// short partition does not make their permits unknown.
+constexpr std::chrono::seconds kZoneTimeout{ 30 };
+
+bool
+SameTarget(const target_info& aLeft, const target_info& aRight)
+{
+  return aLeft.id == aRight.id && aLeft.zone == aRight.zone &&
+         aLeft.targetClass == aRight.targetClass &&
+         aLeft.address == aRight.address && aLeft.pool == aRight.pool &&
+         aLeft.kind == aRight.kind && aLeft.state == aRight.state &&
+         aLeft.slots == aRight.slots &&
+         aLeft.checksFencing == aRight.checksFencing;
+}
+
+bool
+SameVm(const vm_info& aLeft, const vm_info& aRight)
+{
+  return aLeft.id == aRight.id && aLeft.zone == aRight.zone &&
+         aLeft.controlAddress == aRight.controlAddress &&
+         aLeft.leaving == aRight.leaving;
+}
+
+bool
+SameEntry(const entry_info& aLeft, const entry_info& aRight)
+{
+  return aLeft.instance == aRight.instance && aLeft.zone == aRight.zone &&
+         aLeft.address == aRight.address && aLeft.draining == aRight.draining &&
+         aLeft.adopted == aRight.adopted;
+}
+
+template<typename Item, typename Same>
+bool
+SameList(const std::vector<Item>& aLeft,
+         const std::vector<Item>& aRight,
+         Same aSame)
+{
+  return std::equal(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), aSame);
+}
+
+bool
+ById(const target_info& aLeft, const target_info& aRight)
+{
+  return aLeft.id < aRight.id;
+}
+
+} // namespace
+
+zone_board::zone_board(std::string aSelf,
+                       std::string aZone,
+                       std::string aInstance)
+  : mSelf(std::move(aSelf))
+  , mZone(std::move(aZone))
+  , mMembership(mSelf, mZone)
+{
+  mVersions = { std::move(aInstance), 1, 1, 1, 1 };
+}
+
+void
+zone_board::SetVms(std::vector<vm_info> aVms)
+{
+  std::sort(
+    aVms.begin(), aVms.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.id < aRight.id;
+    });
+  if (SameList(mVms, aVms, SameVm)) {
+    return;
+  }
+  mVms = std::move(aVms);
+  ++mVersions.vms;
+  mMembership.UpdateCandidates(mVms);
+}
+
+target_info*
+zone_board::FindTarget(const std::string& aId)
+{
+  target_info key;
+  key.id = aId;
+  const auto found =
+    std::lower_bound(mTargets.begin(), mTargets.end(), key, ById);
+  return found != mTargets.end() && found->id == aId ? &*found : nullptr;
+}
+
+void
+zone_board::SetTargets(std::vector<target_info> aTargets)
+{
+  std::sort(aTargets.begin(), aTargets.end(), ById);
+  if (SameList(mTargets, aTargets, SameTarget)) {
+    return;
+  }
+  // The platform's list carries no load; known reports are kept.
+  for (target_info& target : aTargets) {
+    const target_info* known = FindTarget(target.id);
+    if (known != nullptr && known->address == target.address) {
+      target.running = known->running;
+      target.waiting = known->waiting;
+      target.weightVersion = known->weightVersion;
+    }
+  }
+  mTargets = std::move(aTargets);
+  std::erase_if(mLoadVersions, [&](const auto& aLoad) {
+    return FindTarget(aLoad.first) == nullptr;
+  });
+  std::erase_if(mOwnLoads, [&](const auto& aLoad) {
+    return FindTarget(aLoad.first) == nullptr;
+  });
+  ++mVersions.targets;
+}
+
+void
+zone_board::SetLoad(const target_load& aLoad, bool aOwn)
+{
+  target_info* target = FindTarget(aLoad.target);
+  if (target == nullptr) {
+    return;
+  }
+  if (aOwn) {
+    own_load& own = mOwnLoads[aLoad.target];
+    own.told = own.told && own.load == aLoad;
+    own.load = aLoad;
+  } else if (mOwnLoads.count(aLoad.target) > 0) {
+    return;
+  }
+  if (target->running == aLoad.running && target->waiting == aLoad.waiting &&
+      target->weightVersion == aLoad.weightVersion) {
+    return;
+  }
+  // Entries choose targets by version, so a new one is told at once; the load
+  // may wait for the next answer.
+  mWeightChanges += target->weightVersion != aLoad.weightVersion ? 1 : 0;
+  target->running = aLoad.running;
+  target->waiting = aLoad.waiting;
+  target->weightVersion = aLoad.weightVersion;
+  mLoadVersions[aLoad.target] = ++mVersions.loads;
+}
+
+void
+zone_board::RetainOwnLoads(const std::vector<target_info>& aPolled)
+{
+  std::erase_if(mOwnLoads, [&](const auto& aLoad) {
+    return std::none_of(
+      aPolled.begin(), aPolled.end(), [&](const auto& aTarget) {
+        return aTarget.id == aLoad.first;
+      });
+  });
+}
+
+void
+zone_board::MergeUsage(const std::vector<usage_counter>& aCounters)
+{
+  for (const usage_counter& counter : aCounters) {
+    usage_item& known =
+      mUsage[{ counter.window, counter.tenant, counter.instance }];
+    usage_counter& merged = known.counter;
+    if (!merged.tenant.empty() && merged.requests >= counter.requests &&
+        merged.promptTokens >= counter.promptTokens &&
+        merged.generatedTokens >= counter.generatedTokens) {
+      continue;
+    }
+    merged.tenant = counter.tenant;
+    merged.window = counter.window;
+    merged.instance = counter.instance;
+    merged.requests = std::max(merged.requests, counter.requests);
+    merged.promptTokens = std::max(merged.promptTokens, counter.promptTokens);
+    merged.generatedTokens =
+      std::max(merged.generatedTokens, counter.generatedTokens);
+    known.told = false;
+  }
+}
+
+void
+zone_board::OnEntry(const node_sync_request& aRequest, time_point aNow)
+{
+  reported& known = mOwnEntries[aRequest.entry.instance];
+  const bool same = SameEntry(known.entry.entry, aRequest.entry);
+  known.entry = { aRequest.entry, aRequest.demand, aRequest.inFlight };
+  known.heard = aNow;
+  MergeUsage(aRequest.usage);
+  if (!same) {
+    RebuildEntries();
+  }
+}
+
+void
+zone_board::OnMember(const zone_sync_request& aRequest, time_point aNow)
+{
+  mMembership.OnHeard(aRequest.member, aNow);
+  MergeUsage(aRequest.usage);
+  for (const target_load& load : aRequest.loads) {
+    SetLoad(load, false);
+  }
+  if (aRequest.draining) {
+    mMembership.OnFailed(aRequest.member, aNow);
+  }
+  mMembers[aRequest.member] = { aRequest.entries, aNow };
+  RebuildEntries();
+}
+
+void
+zone_board::OnRelayAnswer(const zone_sync_response& aAnswer, time_point aNow)
+{
+  mFollowing = true;
+  if (aAnswer.vms) {
+    SetVms(*aAnswer.vms);
+  }
+  for (const std::string& member : aAnswer.members) {
+    mMembership.OnHeard(member, aNow);
+  }
+  if (aAnswer.targets) {
+    SetTargets(*aAnswer.targets);
+  }
+  for (const target_load& load : aAnswer.loads) {
+    SetLoad(load, false);
+  }
+  if (aAnswer.entries) {
+    mRelayEntries = *aAnswer.entries;
+    RebuildEntries();
+  }
+}
+
+void
+zone_board::OnSummary(const zone_summary_response& aAnswer, time_point aNow)
+{
+  remote_zone& zone = mZones[aAnswer.zone];
+  zone.heard = aNow;
+  if (aAnswer.entries) {
+    zone.entries = *aAnswer.entries;
+    RebuildEntries();
+  }
+}
+
+void
+zone_board::LeaveRelay()
+{
+  if (mFollowing) {
+    mFollowing = false;
+    OnRelayChanged();
+    // Entries of other zones stay listed until this process heard from there.
+    mZones.clear();
+    for (const entry_info& entry : mRelayEntries) {
+      if (entry.zone != mZone) {
+        mZones[entry.zone].entries.push_back(entry);
+      }
+    }
+  }
+}
+
+void
+zone_board::Expire(time_point aNow)
+{
+  std::size_t removed = std::erase_if(mOwnEntries, [&](const auto& aEntry) {
+    return aNow - aEntry.second.heard > kEntryTimeout;
+  });
+  removed += std::erase_if(mMembers, [&](const auto& aMember) {
+    return aNow - aMember.second.heard > 2 * kEntryTimeout;
+  });
+  for (auto& [zone, remote] : mZones) {
+    if (remote.heard == time_point{}) {
+      remote.heard = aNow;
+    }
+  }
+  removed += std::erase_if(mZones, [&](const auto& aRemote) {
+    return aNow - aRemote.second.heard > kZoneTimeout;
+  });
+  if (removed > 0) {
+    RebuildEntries();
+  }
+}
+
+void
+zone_board::RebuildEntries()
+{
+  std::map<std::string, entry_info> entries;
+  if (mFollowing) {
+    for (const entry_info& entry : mRelayEntries) {
+      entries[entry.instance] = entry;
+    }
+  } else {
+    for (const auto& [zone, remote] : mZones) {
+      for (const entry_info& entry : remote.entries) {
+        entries[entry.instance] = entry;
+      }
+    }
+    for (const auto& [id, member] : mMembers) {
+      for (const member_entry& entry : member.entries) {
+        entries[entry.entry.instance] = entry.entry;
+      }
+    }
+  }
+  for (const auto& [instance, own] : mOwnEntries) {
+    entries[instance] = own.entry.entry;
+  }
+  std::vector<entry_info> list;
+  list.reserve(entries.size());
+  for (auto& [instance, entry] : entries) {
+    list.push_back(std::move(entry));
+  }
+  if (!SameList(mEntries, list, SameEntry)) {
+    mEntries = std::move(list);
+    ++mVersions.entries;
+  }
+}
+
+zone_sync_request
+zone_board::MakeRequest() const
+{
+  zone_sync_request request;
+  request.member = mSelf;
+  request.entries = ZoneEntries();
+  for (const auto& [key, item] : mUsage) {
+    if (!item.told) {
+      request.usage.push_back(item.counter);
+    }
+  }
+  for (const auto& [target, own] : mOwnLoads) {
+    if (!own.told) {
+      request.loads.push_back(own.load);
+    }
+  }
+  return request;
+}
+
+void
+zone_board::OnRequestAnswered(const zone_sync_request& aRequest)
+{
+  for (const usage_counter& counter : aRequest.usage) {
+    const auto known =
+      mUsage.find({ counter.window, counter.tenant, counter.instance });
+    if (known != mUsage.end() &&
+        known->second.counter.requests == counter.requests &&
+        known->second.counter.promptTokens == counter.promptTokens &&
+        known->second.counter.generatedTokens == counter.generatedTokens) {
+      known->second.told = true;
+    }
+  }
+  for (const target_load& load : aRequest.loads) {
+    const auto own = mOwnLoads.find(load.target);
+    if (own != mOwnLoads.end() && own->second.load == load) {
+      own->second.told = true;
+    }
+  }
+}
+
+void
+zone_board::OnRelayChanged()
+{
+  for (auto& [key, item] : mUsage) {
+    item.told = false;
+  }
+  for (auto& [target, own] : mOwnLoads) {
+    own.told = false;
+  }
+}
+
+void
+zone_board::FillAnswer(zone_sync_response& aAnswer,
+                       const list_versions& aSeen) const
+{
+  const bool known = aSeen.source == mVersions.source;
+  aAnswer.versions = mVersions;
+  if (!known || aSeen.vms != mVersions.vms) {
+    aAnswer.vms = mVms;
+  }
+  const bool sendTargets = !known || aSeen.targets != mVersions.targets;
+  if (sendTargets) {
+    aAnswer.targets = mTargets;
+  }
+  if (!known || aSeen.entries != mVersions.entries) {
+    aAnswer.entries = mEntries;
+  }
+  for (const target_info& target : mTargets) {
+    const auto version = mLoadVersions.find(target.id);
+    if (version != mLoadVersions.end() &&
+        (sendTargets || version->second > aSeen.loads)) {
+      aAnswer.loads.push_back(
+        { target.id, target.running, target.waiting, target.weightVersion });
+    }
+  }
+}
+
+void
+zone_board::FillSummary(zone_summary_response& aAnswer,
+                        const list_versions& aSeen) const
+{
+  aAnswer.zone = mZone;
+  aAnswer.versions = mVersions;
+  if (aSeen.source != mVersions.source || aSeen.entries != mVersions.entries) {
+    aAnswer.entries.emplace();
+    for (const entry_info& entry : mEntries) {
+      if (entry.zone == mZone) {
+        aAnswer.entries->push_back(entry);
+      }
+    }
+  }
+  for (const member_entry& entry : ZoneEntries()) {
+    for (const tenant_demand& demand : entry.demand) {
+      aAnswer.attained[demand.tenant] += demand.attainedTokens;
+    }
+  }
+}
+
+std::vector<member_entry>
+zone_board::ZoneEntries() const
+{
+  std::map<std::string, const member_entry*> entries;
+  for (const auto& [id, member] : mMembers) {
+    for (const member_entry& entry : member.entries) {
+      entries[entry.entry.instance] = &entry;
+    }
+  }
+  for (const auto& [instance, own] : mOwnEntries) {
+    entries[instance] = &own.entry;
+  }
+  std::vector<member_entry> list;
+  list.reserve(entries.size());
+  for (const auto& [instance, entry] : entries) {
+    list.push_back(*entry);
+  }
+  return list;
+}
+
+bool
+zone_board::IsOwnEntry(const std::string& aInstance) const
+{
+  return mOwnEntries.count(aInstance) > 0;
+}
+
+std::vector<usage_counter>
+zone_board::UsageCounters() const
+{
+  std::vector<usage_counter> counters;
+  counters.reserve(mUsage.size());
+  for (const auto& [key, item] : mUsage) {
+    counters.push_back(item.counter);
+  }
+  return counters;
+}
+
+void
+zone_board::DropUsageBefore(unix_seconds aWindow)
+{
+  mUsage.erase(mUsage.begin(), mUsage.lower_bound({ aWindow, {}, {} }));
+}
+
+} // namespace arbutusferry
--- /dev/null
+++ b/src/control/zone_duties.cpp
@@ -0,0 +1,248 @@
+#include "control/zone_duties.hpp"
+
+#include "arbutusferry/logging.hpp"
+#include "arbutusferry/rpc_http.hpp"
+
+namespace arbutusferry {
+
+namespace {
+
+/// Time for an answer beyond the time that the request may be held.
+constexpr std::chrono::milliseconds kAnswerTime{ 500 };
+constexpr std::chrono::milliseconds kWatchDelay{ 200 };
+constexpr std::chrono::milliseconds kSummaryDelay{ 1000 };
+constexpr std::chrono::milliseconds kRelayDelay{ 200 };
+/// A relay of another zone that did not answer is passed over for this time.
+constexpr std::chrono::seconds kSummaryBackoff{ 5 };
+
+/// Calls a method and reads the answer; a failure of any kind is an error.
+template<typename Read>
+auto
+CallPeer(rpc_client& aClient,
+         const char* aMethod,
+         const Json::Value& aParams,
+         Read aRead) -> decltype(aRead(aParams))
+{
+  try {
+    return aRead(aClient.Call(aMethod, aParams));
+  } catch (const rpc_failure& failure) {
+    return MakeError(failure.Sent() ? error_code::Timeout
+                                    : error_code::Unreachable,
+                     aMethod,
+                     "",
+                     failure.what());
+  }
+}
+
+class zone_sync_duty final : public duty
+{
+public:
+  explicit zone_sync_duty(node_state& aState)
+    : mState(aState)
+  {
+  }
+
+  duration Step() override
+  {
+    const time_point now = mState.Clock().Now();
+    std::string address;
+    const std::string relay = mState.WithBoard([&](zone_board& aBoard) {
+      const std::string id = aBoard.Membership().Relay(now);
+      if (const auto vm = aBoard.Membership().Find(id)) {
+        address = vm->controlAddress;
+      }
+      return id;
+    });
+    if (relay == mState.Options().vm || mState.Stopping()) {
+      return kRelayDelay;
+    }
+    const zone_sync_request request = mState.MakeZoneSync(mSeen, mAnswered);
+    Connect(address, request.holdMs);
+    const time_point sent = mState.Clock().Now();
+    const auto done = Capture([&]() -> result<void> {
+      BOOST_LEAF_AUTO(answer,
+                      CallPeer(*mClient,
+                               "zone.sync",
+                               WriteZoneSyncRequest(request),
+                               [&](const Json::Value& aValue) {
+                                 return ReadZoneSyncResponse(aValue, mAddress);
+                               }));
+      BOOST_LEAF_CHECK(mState.OnZoneSync(request, answer, sent));
+      if (mSeen.source != answer.versions.source) {
+        // Another process answers: it has none of the earlier reports.
+        mState.WithBoard([](zone_board& aBoard) { aBoard.OnRelayChanged(); });
+      }
+      mSeen = answer.versions;
+      mAnswered = answer.number;
+      return {};
+    });
+    const time_point end = mState.Clock().Now();
+    const auto* failure = std::get_if<error_info>(&done);
+    if (failure != nullptr) {
+      LogError(log_level::Warning, "relay_failed", *failure);
+      mClient.reset();
+    }
+    mState.WithBoard([&](zone_board& aBoard) {
+      if (failure != nullptr) {
+        aBoard.Membership().OnFailed(relay, end);
+      } else {
+        aBoard.Membership().OnHeard(relay, end);
+      }
+    });
+    return {};
+  }
+
+private:
+  void Connect(const std::string& aAddress, std::int64_t aHoldMs)
+  {
+    if (mClient && mAddress == aAddress && mHoldMs == aHoldMs) {
+      return;
+    }
+    mAddress = aAddress;
+    mHoldMs = aHoldMs;
+    mClient = MakeHttpRpcClient(
+      aAddress, std::chrono::milliseconds(aHoldMs) + kAnswerTime);
+    mAnswered = 0;
+  }
+
+  node_state& mState;
+  std::string mAddress;
+  std::int64_t mHoldMs = 0;
+  std::unique_ptr<rpc_client> mClient;
+  list_versions mSeen;
+  std::int64_t mAnswered = 0;
+};
+
+class zone_summary_duty final : public duty
+{
+public:
+  explicit zone_summary_duty(node_state& aState)
+    : mState(aState)
+  {
+  }
+
+  duration Step() override
+  {
+    if (!mState.IsRelay()) {
+      mPeers.clear();
+      return kSummaryDelay;
+    }
+    const auto vms =
+      mState.WithBoard([](const zone_board& aBoard) { return aBoard.Vms(); });
+    std::vector<std::string> zones;
+    for (const vm_info& vm : vms) {
+      if (vm.zone != mState.Options().zone &&
+          std::find(zones.begin(), zones.end(), vm.zone) == zones.end()) {
+        zones.push_back(vm.zone);
+      }
+    }
+    const time_point start = mState.Clock().Now();
+    for (const std::string& zone : zones) {
+      if (mState.Stopping()) {
+        break;
+      }
+      Exchange(zone, vms);
+    }
+    const duration spent = mState.Clock().Now() - start;
+    return std::max<duration>(kSummaryDelay - spent, {});
+  }
+
+private:
+  struct peer
+  {
+    std::string vm;
+    std::unique_ptr<rpc_client> client;
+    list_versions seen;
+    std::map<std::string, time_point> failed; ///< By VM.
+  };
+
+  void Exchange(const std::string& aZone, const std::vector<vm_info>& aVms)
+  {
+    peer& known = mPeers[aZone];
+    const time_point now = mState.Clock().Now();
+    std::erase_if(known.failed, [&](const auto& aFailed) {
+      return now - aFailed.second > kSummaryBackoff;
+    });
+    std::vector<std::string> passedOver;
+    for (const auto& [vm, when] : known.failed) {
+      passedOver.push_back(vm);
+    }
+    const auto relay = FirstRelay(aVms, aZone, passedOver);
+    if (!relay) {
+      return;
+    }
+    if (known.vm != relay->id || !known.client) {
+      known.vm = relay->id;
+      known.client = MakeHttpRpcClient(relay->controlAddress, kAnswerTime);
+    }
+    zone_summary_request request;
+    request.zone = mState.Options().zone;
+    request.member = mState.Options().vm;
+    request.offset = mState.WithFeed(
+      [](const config_feed& aFeed) { return aFeed.State().Offset(); });
+    request.seen = known.seen;
+    const auto done = Capture([&]() -> result<void> {
+      BOOST_LEAF_AUTO(answer,
+                      CallPeer(*known.client,
+                               "zone.summary",
+                               WriteZoneSummaryRequest(request),
+                               [&](const Json::Value& aValue) {
+                                 return ReadZoneSummaryResponse(
+                                   aValue, relay->controlAddress);
+                               }));
+      BOOST_LEAF_CHECK(mState.OnZoneSummary(answer, now));
+      known.seen = answer.versions;
+      return {};
+    });
+    if (const auto* failure = std::get_if<error_info>(&done)) {
+      LogError(log_level::Debug, "summary_failed", *failure);
+      known.failed[relay->id] = now;
+      known.client.reset();
+    }
+  }
+
+  node_state& mState;
+  std::map<std::string, peer> mPeers; ///< By zone.
+};
+
+class membership_watch final : public duty
+{
+public:
+  membership_watch(node_state& aState, std::shared_ptr<role_keeper> aKeeper)
+    : mState(aState)
+    , mKeeper(std::move(aKeeper))
+  {
+  }
+
+  duration Step() override
+  {
+    mState.UpdateReading(mKeeper->HoldsAny());
+    return kWatchDelay;
+  }
+
+private:
+  node_state& mState;
+  std::shared_ptr<role_keeper> mKeeper;
+};
+
+} // namespace
+
+std::unique_ptr<duty>
+MakeZoneSync(node_state& aState)
+{
+  return std::make_unique<zone_sync_duty>(aState);
+}
+
+std::unique_ptr<duty>
+MakeZoneSummary(node_state& aState)
+{
+  return std::make_unique<zone_summary_duty>(aState);
+}
+
+std::unique_ptr<duty>
+MakeMembershipWatch(node_state& aState, std::shared_ptr<role_keeper> aKeeper)
+{
+  return std::make_unique<membership_watch>(aState, std::move(aKeeper));
+}
+
+} // namespace arbutusferry
--- a/src/membership/freshness.cpp
+++ b/src/membership/freshness.cpp
@@ -56,12 +56,6 @@
   }
 }
 
-void
-isolation_view::OnReach(const std::string& aMember)
-{
-  mStatements.erase(aMember);
-}
-
 std::optional<time_point>
 isolation_view::CompleteAsOf(const std::vector<std::string>& aMembers,
                              log_offset aOffset) const
--- /dev/null
+++ b/src/membership/zone_sync.cpp
@@ -0,0 +1,470 @@
+#include "arbutusferry/zone_sync.hpp"
+
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/message_json.hpp"
+#include "environment/json_support.hpp"
+
+#include <limits>
+
+namespace arbutusferry {
+
+namespace {
+
+constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+
+template<typename Item, typename Write>
+Json::Value
+WriteList(const std::vector<Item>& aItems, Write aWrite)
+{
+  Json::Value list(Json::arrayValue);
+  for (const Item& item : aItems) {
+    list.append(aWrite(item));
+  }
+  return list;
+}
+
+/// Lists that are empty are left out, since most of them mostly are.
+template<typename Item, typename Write>
+void
+PutList(Json::Value& aValue,
+        const char* aName,
+        const std::vector<Item>& aItems,
+        Write aWrite)
+{
+  if (!aItems.empty()) {
+    aValue[aName] = WriteList(aItems, aWrite);
+  }
+}
+
+void
+PutUpdate(Json::Value& aValue, const config_update& aUpdate)
+{
+  aValue["offset"] = Whole(aUpdate.offset);
+  if (!aUpdate.state.isNull()) {
+    aValue["state"] = aUpdate.state;
+  }
+  PutList(aValue, "records", aUpdate.records, WriteRawRecord);
+}
+
+result<config_update>
+TakeUpdate(object_reader& aReader, const std::string& aPeer)
+{
+  config_update update;
+  update.offset = aReader.Integer("offset", kNoOffset, kMax);
+  update.state = aReader.Any("state");
+  BOOST_LEAF_ASSIGN(
+    update.records,
+    ReadList(aReader, "records", [&](const auto& aItem, const auto& aPath) {
+      return ReadRawRecord(aItem, aPeer, aPath);
+    }));
+  return update;
+}
+
+Json::Value
+WriteVersions(const list_versions& aVersions)
+{
+  Json::Value value(Json::objectValue);
+  value["source"] = aVersions.source;
+  value["vms"] = Whole(aVersions.vms);
+  value["targets"] = Whole(aVersions.targets);
+  value["entries"] = Whole(aVersions.entries);
+  value["loads"] = Whole(aVersions.loads);
+  return value;
+}
+
+list_versions
+TakeVersions(object_reader& aReader, const char* aName, std::string& aProblem)
+{
+  const Json::Value& value = aReader.Object(aName);
+  object_reader reader(value, {}, aName);
+  list_versions versions;
+  versions.source = reader.String("source", std::string());
+  versions.vms = reader.Integer("vms", 0, kMax, 0);
+  versions.targets = reader.Integer("targets", 0, kMax, 0);
+  versions.entries = reader.Integer("entries", 0, kMax, 0);
+  versions.loads = reader.Integer("loads", 0, kMax, 0);
+  if (reader.Failed()) {
+    aProblem = aName;
+  }
+  return versions;
+}
+
+Json::Value
+WriteIsolation(const isolation_report& aReport)
+{
+  Json::Value value(Json::objectValue);
+  value["members"] = WriteList(
+    aReport.members, [](const auto& aMember) { return Json::Value(aMember); });
+  value["offset"] = Whole(aReport.offset);
+  // Rounded up: a statement must never look newer than it is.
+  value["age_ms"] = Whole(ToMilliseconds(aReport.age) + 1);
+  return value;
+}
+
+result<std::optional<isolation_report>>
+TakeIsolation(object_reader& aReader, const std::string& aPeer)
+{
+  if (!aReader.Has("isolation")) {
+    return std::optional<isolation_report>();
+  }
+  object_reader reader(aReader.Object("isolation"), aPeer, "isolation");
+  isolation_report report;
+  report.members = reader.Strings("members");
+  report.offset = reader.Integer("offset", kNoOffset, kMax);
+  report.age = std::chrono::milliseconds(
+    reader.Integer("age_ms", 0, std::int64_t{ 1 } << 40));
+  BOOST_LEAF_CHECK(reader.Finish());
+  return std::optional(std::move(report));
+}
+
+Json::Value
+WriteVm(const vm_info& aVm)
+{
+  Json::Value value(Json::objectValue);
+  value["id"] = aVm.id;
+  value["zone"] = aVm.zone;
+  value["control"] = aVm.controlAddress;
+  if (aVm.leaving) {
+    value["leaving"] = true;
+  }
+  return value;
+}
+
+result<vm_info>
+ReadVm(const Json::Value& aValue,
+       const std::string& aPeer,
+       const std::string& aPath)
+{
+  object_reader reader(aValue, aPeer, aPath);
+  AllowUnknown(reader, aValue);
+  vm_info vm;
+  vm.id = reader.String("id");
+  vm.zone = reader.String("zone");
+  vm.controlAddress = reader.String("control", std::string());
+  vm.leaving = reader.Boolean("leaving", false);
+  BOOST_LEAF_CHECK(reader.Finish());
+  return vm;
+}
+
+/// `[target, running, waiting, version]`: loads are the largest part of most
+/// answers, and names of fields would triple their size.
+Json::Value
+WriteLoad(const target_load& aLoad)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aLoad.target);
+  value.append(Whole(aLoad.running));
+  value.append(Whole(aLoad.waiting));
+  value.append(Whole(aLoad.weightVersion));
+  return value;
+}
+
+result<target_load>
+ReadLoad(const Json::Value& aValue,
+         const std::string& aPeer,
+         const std::string& aPath)
+{
+  if (!aValue.isArray() || aValue.size() != 4 || !aValue[0].isString() ||
+      !aValue[1].isInt64() || !aValue[2].isInt64() || !aValue[3].isInt64()) {
+    return MakeError(error_code::InvalidArgument,
+                     "read message",
+                     aPeer,
+                     "field \"" + aPath +
+                       "\": expected [target, running, waiting, version]");
+  }
+  return target_load{ aValue[0].asString(),
+                      aValue[1].asInt64(),
+                      aValue[2].asInt64(),
+                      aValue[3].asInt64() };
+}
+
+Json::Value
+WriteMemberEntry(const member_entry& aEntry)
+{
+  Json::Value value(Json::objectValue);
+  value["entry"] = WriteEntryInfo(aEntry.entry);
+  PutList(value, "demand", aEntry.demand, WriteTenantDemand);
+  for (const auto& [target, count] : aEntry.inFlight) {
+    value["in_flight"][target] = Whole(count);
+  }
+  return value;
+}
+
+result<member_entry>
+ReadMemberEntry(const Json::Value& aValue,
+                const std::string& aPeer,
+                const std::string& aPath)
+{
+  object_reader reader(aValue, aPeer, aPath);
+  AllowUnknown(reader, aValue);
+  member_entry entry;
+  BOOST_LEAF_ASSIGN(
+    entry.entry,
+    ReadEntryInfo(reader.Object("entry"), aPeer, reader.Path("entry")));
+  BOOST_LEAF_ASSIGN(
+    entry.demand,
+    ReadList(reader, "demand", [&](const auto& aItem, const auto& aItemPath) {
+      return ReadTenantDemand(aItem, aPeer, aItemPath);
+    }));
+  const Json::Value& inFlight = reader.Object("in_flight");
+  object_reader counts(inFlight, aPeer, reader.Path("in_flight"));
+  for (const std::string& target : inFlight.getMemberNames()) {
+    entry.inFlight[target] = counts.Integer(target.c_str(), 0, kMax);
+  }
+  BOOST_LEAF_CHECK(counts.Finish());
+  BOOST_LEAF_CHECK(reader.Finish());
+  return entry;
+}
+
+Json::Value
+WriteGrant(const entry_grant& aGrant)
+{
+  Json::Value value(Json::objectValue);
+  value["instance"] = aGrant.instance;
+  value["age_ms"] = Whole(aGrant.ageMs);
+  for (const slot_grant& grant : aGrant.grants) {
+    value["slots"][grant.target] = Whole(grant.slots);
+  }
+  return value;
+}
+
+result<entry_grant>
+ReadGrant(const Json::Value& aValue,
+          const std::string& aPeer,
+          const std::string& aPath)
+{
+  object_reader reader(aValue, aPeer, aPath);
+  AllowUnknown(reader, aValue);
+  entry_grant grant;
+  grant.instance = reader.String("instance");
+  grant.ageMs = reader.Integer("age_ms", 0, kMax);
+  const Json::Value& slots = reader.Object("slots");
+  object_reader counts(slots, aPeer, reader.Path("slots"));
+  for (const std::string& target : slots.getMemberNames()) {
+    grant.grants.push_back({ target, counts.Integer(target.c_str(), 0, kMax) });
+  }
+  BOOST_LEAF_CHECK(counts.Finish());
+  BOOST_LEAF_CHECK(reader.Finish());
+  return grant;
+}
+
+/// Reads an optional list of objects.
+template<typename Read>
+auto
+TakeOptional(object_reader& aReader,
+             const char* aName,
+             const std::string& aPeer,
+             Read aRead)
+{
+  const auto read = [&](const Json::Value& aItem, const std::string& aPath) {
+    return aRead(aItem, aPeer, aPath);
+  };
+  auto list = ReadList(aReader, aName, read);
+  using list_type = std::decay_t<decltype(*list)>;
+  using optional_result = result<std::optional<list_type>>;
+  if (!list) {
+    return optional_result(list.error());
+  }
+  return optional_result(aReader.Has(aName) ? std::optional(std::move(*list))
+                                            : std::nullopt);
+}
+
+} // namespace
+
+Json::Value
+WriteZoneSyncRequest(const zone_sync_request& aRequest)
+{
+  Json::Value value(Json::objectValue);
+  value["member"] = aRequest.member;
+  value["offset"] = Whole(aRequest.offset);
+  value["newest"] = Whole(aRequest.newest);
+  value["answered"] = Whole(aRequest.answered);
+  value["hold_ms"] = Whole(aRequest.holdMs);
+  value["seen"] = WriteVersions(aRequest.seen);
+  if (aRequest.complete) {
+    value["complete"] = true;
+  }
+  if (aRequest.draining) {
+    value["draining"] = true;
+  }
+  PutList(value, "entries", aRequest.entries, WriteMemberEntry);
+  PutList(value, "usage", aRequest.usage, WriteUsageCounter);
+  PutList(value, "loads", aRequest.loads, WriteLoad);
+  return value;
+}
+
+result<zone_sync_request>
+ReadZoneSyncRequest(const Json::Value& aValue, const std::string& aPeer)
+{
+  object_reader reader(aValue, aPeer);
+  AllowUnknown(reader, aValue);
+  const auto with = [&aPeer](auto aRead) {
+    return [&aPeer, aRead](const Json::Value& aItem, const std::string& aPath) {
+      return aRead(aItem, aPeer, aPath);
+    };
+  };
+  std::string problem;
+  zone_sync_request request;
+  request.member = reader.String("member");
+  request.offset = reader.Integer("offset", kNoOffset, kMax);
+  request.newest = reader.Integer("newest", kNoOffset, kMax, kNoOffset);
+  request.answered = reader.Integer("answered", 0, kMax, 0);
+  request.holdMs = reader.Integer("hold_ms", 0, 600'000, 0);
+  request.complete = reader.Boolean("complete", false);
+  request.draining = reader.Boolean("draining", false);
+  request.seen = TakeVersions(reader, "seen", problem);
+  BOOST_LEAF_ASSIGN(request.entries,
+                    ReadList(reader, "entries", with(ReadMemberEntry)));
+  BOOST_LEAF_ASSIGN(request.usage,
+                    ReadList(reader, "usage", with(ReadUsageCounter)));
+  BOOST_LEAF_ASSIGN(request.loads, ReadList(reader, "loads", with(ReadLoad)));
+  if (!problem.empty()) {
+    reader.Fail(problem, "expected versions");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return request;
+}
+
+Json::Value
+WriteZoneSyncResponse(const zone_sync_response& aResponse)
+{
+  Json::Value value(Json::objectValue);
+  value["number"] = Whole(aResponse.number);
+  value["held_ms"] = Whole(aResponse.heldMs);
+  value["view_age_ms"] = Whole(aResponse.viewAgeMs);
+  value["checkpoint"] = Whole(aResponse.checkpoint);
+  value["versions"] = WriteVersions(aResponse.versions);
+  PutUpdate(value, aResponse.update);
+  PutList(value, "members", aResponse.members, [](const auto& aMember) {
+    return Json::Value(aMember);
+  });
+  if (aResponse.vms) {
+    value["vms"] = WriteList(*aResponse.vms, WriteVm);
+  }
+  if (aResponse.targets) {
+    value["targets"] = WriteList(*aResponse.targets, WriteTargetInfo);
+  }
+  if (aResponse.entries) {
+    value["entries"] = WriteList(*aResponse.entries, WriteEntryInfo);
+  }
+  PutList(value, "loads", aResponse.loads, WriteLoad);
+  PutList(value, "grants", aResponse.grants, WriteGrant);
+  if (aResponse.isolation) {
+    value["isolation"] = WriteIsolation(*aResponse.isolation);
+  }
+  return value;
+}
+
+result<zone_sync_response>
+ReadZoneSyncResponse(const Json::Value& aValue, const std::string& aPeer)
+{
+  object_reader reader(aValue, aPeer);
+  AllowUnknown(reader, aValue);
+  const auto with = [&aPeer](auto aRead) {
+    return [&aPeer, aRead](const Json::Value& aItem, const std::string& aPath) {
+      return aRead(aItem, aPeer, aPath);
+    };
+  };
+  std::string problem;
+  zone_sync_response response;
+  response.number = reader.Integer("number", 0, kMax);
+  response.heldMs = reader.Integer("held_ms", 0, 600'000);
+  response.viewAgeMs = reader.Integer("view_age_ms", -1, kMax);
+  response.checkpoint =
+    reader.Integer("checkpoint", kNoOffset, kMax, kNoOffset);
+  response.versions = TakeVersions(reader, "versions", problem);
+  BOOST_LEAF_ASSIGN(response.update, TakeUpdate(reader, aPeer));
+  response.members = reader.Strings("members");
+  BOOST_LEAF_ASSIGN(response.vms, TakeOptional(reader, "vms", aPeer, ReadVm));
+  BOOST_LEAF_ASSIGN(response.targets,
+                    TakeOptional(reader, "targets", aPeer, ReadTargetInfo));
+  BOOST_LEAF_ASSIGN(response.entries,
+                    TakeOptional(reader, "entries", aPeer, ReadEntryInfo));
+  BOOST_LEAF_ASSIGN(response.loads, ReadList(reader, "loads", with(ReadLoad)));
+  BOOST_LEAF_ASSIGN(response.grants,
+                    ReadList(reader, "grants", with(ReadGrant)));
+  BOOST_LEAF_ASSIGN(response.isolation, TakeIsolation(reader, aPeer));
+  if (!problem.empty()) {
+    reader.Fail(problem, "expected versions");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return response;
+}
+
+Json::Value
+WriteZoneSummaryRequest(const zone_summary_request& aRequest)
+{
+  Json::Value value(Json::objectValue);
+  value["zone"] = aRequest.zone;
+  value["member"] = aRequest.member;
+  value["offset"] = Whole(aRequest.offset);
+  value["seen"] = WriteVersions(aRequest.seen);
+  return value;
+}
+
+result<zone_summary_request>
+ReadZoneSummaryRequest(const Json::Value& aValue, const std::string& aPeer)
+{
+  object_reader reader(aValue, aPeer);
+  AllowUnknown(reader, aValue);
+  std::string problem;
+  zone_summary_request request;
+  request.zone = reader.String("zone");
+  request.member = reader.String("member");
+  request.offset = reader.Integer("offset", kNoOffset, kMax);
+  request.seen = TakeVersions(reader, "seen", problem);
+  if (!problem.empty()) {
+    reader.Fail(problem, "expected versions");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return request;
+}
+
+Json::Value
+WriteZoneSummaryResponse(const zone_summary_response& aResponse)
+{
+  Json::Value value(Json::objectValue);
+  value["zone"] = aResponse.zone;
+  value["view_age_ms"] = Whole(aResponse.viewAgeMs);
+  value["versions"] = WriteVersions(aResponse.versions);
+  PutUpdate(value, aResponse.update);
+  if (aResponse.entries) {
+    value["entries"] = WriteList(*aResponse.entries, WriteEntryInfo);
+  }
+  for (const auto& [tenant, tokens] : aResponse.attained) {
+    value["attained"][tenant] = tokens;
+  }
+  if (aResponse.isolation) {
+    value["isolation"] = WriteIsolation(*aResponse.isolation);
+  }
+  return value;
+}
+
+result<zone_summary_response>
+ReadZoneSummaryResponse(const Json::Value& aValue, const std::string& aPeer)
+{
+  object_reader reader(aValue, aPeer);
+  AllowUnknown(reader, aValue);
+  std::string problem;
+  zone_summary_response response;
+  response.zone = reader.String("zone");
+  response.viewAgeMs = reader.Integer("view_age_ms", -1, kMax);
+  response.versions = TakeVersions(reader, "versions", problem);
+  BOOST_LEAF_ASSIGN(response.update, TakeUpdate(reader, aPeer));
+  BOOST_LEAF_ASSIGN(response.entries,
+                    TakeOptional(reader, "entries", aPeer, ReadEntryInfo));
+  const Json::Value& attained = reader.Object("attained");
+  for (const std::string& tenant : attained.getMemberNames()) {
+    if (attained[tenant].isNumeric()) {
+      response.attained[tenant] = attained[tenant].asDouble();
+    }
+  }
+  BOOST_LEAF_ASSIGN(response.isolation, TakeIsolation(reader, aPeer));
+  if (!problem.empty()) {
+    reader.Fail(problem, "expected versions");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return response;
+}
+
+} // namespace arbutusferry
