--- a/include/arbutusferry/step.hpp
+++ b/include/arbutusferry/step.hpp
@@ -179,6 +179,7 @@
   time_point deadline{};
   hedge_options hedging;
   std::size_t maxOpen = 256; ///< Attempts queued or running at once.
+  duration wait = std::chrono::milliseconds(100); ///< Of `Next`, for a record.
 };
 
 /// Serves one post of a step: keeps attempts going until every sample that the
--- a/src/samples/step_session.cpp
+++ b/src/samples/step_session.cpp
@@ -380,7 +380,7 @@
     Cancel();
     return false;
   }
-  const auto record = mRecords.Pop(kTick);
+  const auto record = mRecords.Pop(mParts.wait);
   const time_point now = mParts.clock->Now();
   if (mParts.withdrawn && mParts.withdrawn()) {
     return EndWith(error_code::Unauthorized, "key_withdrawn", aOut);
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,228 @@
+#include "arbutusferry/outcome.hpp"
+#include "entry/http_server.hpp"
+#include "support/raw_server.hpp"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace arbutusferry;
+using namespace arbutusferry::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Server that echoes bodies.
+struct server_fixture
+{
+  /// Stands still until `late` is set, so that no time-out comes by chance;
+  /// then it passes a second at each look.
+  class stepped_clock final : public clock_source
+  {
+  public:
+    [[nodiscard]] time_point Now() const noexcept override
+    {
+      return time_point(1h) + 1s * (late ? ++looks : 0);
+    }
+    [[nodiscard]] unix_seconds UnixNow() const noexcept override { return 0; }
+    std::atomic<bool> late{ false };
+    mutable std::atomic<int> looks{ 0 };
+  };
+
+  stepped_clock clock;
+  std::unique_ptr<http_server> server;
+  std::thread thread;
+  int port = 0;
+  http_call last;
+
+  explicit server_fixture(
+    http_limits aLimits = {},
+    const std::function<http_answer(const http_call&)>& aHandler = {})
+  {
+    server = MakeHttpServer(
+      aLimits,
+      clock,
+      [this, aHandler](const http_call& aCall) {
+        if (aHandler) {
+          return aHandler(aCall);
+        }
+        last = aCall;
+        http_answer answer;
+        answer.headers.emplace_back(kOutcomeHeader, "answered");
+        answer.body = "echo " + aCall.body;
+        return answer;
+      },
+      [](int aStatus, const std::string& aMessage) {
+        http_answer answer;
+        answer.status = aStatus;
+        answer.headers.emplace_back(kOutcomeHeader, "not_run");
+        answer.body = "error: " + aMessage;
+        return answer;
+      });
+    const std::string address = server->Bind("127.0.0.1:0").value();
+    port = std::stoi(address.substr(address.find(':') + 1));
+    thread = std::thread([this] { server->Serve(); });
+  }
+
+  ~server_fixture()
+  {
+    server->Stop();
+    thread.join();
+  }
+
+  std::string Send(const std::string& aText) const
+  {
+    const int socket = Connect(port);
+    SendAll(socket, aText);
+    ::shutdown(socket, SHUT_WR);
+    std::string answer = ReadAll(socket);
+    ::close(socket);
+    return answer;
+  }
+
+  [[nodiscard]] bool Healthy() const
+  {
+    return Send("POST /a HTTP/1.1\r\nContent-Length: 2\r\n"
+                "Connection: close\r\n\r\nok")
+      .ends_with("echo ok");
+  }
+};
+
+std::string
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, 12);
+}
+
+} // namespace
+
+// Guards against callers that stop the process or use up its memory.
+TEST_CASE("Malformed requests get a clear error and the server lives")
+{
+  http_limits limits;
+  limits.maxBodyBytes = 1000;
+  const server_fixture fixture(limits);
+  const std::string big(5000, 'a');
+  const std::string post = "POST /a HTTP/1.1\r\nHost: x\r\n";
+  std::string manyHeaders = "GET /a HTTP/1.1\r\n";
+  for (int i = 0; i < 20'000; ++i) {
+    manyHeaders += "X-Header: value\r\n";
+  }
+  const std::string chunk = "3e8\r\n" + big.substr(0, 1000) + "\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "400", post + "Content-Length: abc\r\n\r\n{}" },
+    { "400", post + "Content-Length: -5\r\n\r\n{}" },
+    { "400", post + "Content-Length: 99999999999999999999\r\n\r\n{}" },
+    { "400", post + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}" },
+    { "400",
+      post + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}" },
+    { "400", post + "Transfer-Encoding: gzip\r\n\r\n{}" },
+    { "400", post + "\r\n{}" },
+    { "400", post + "Content-Length: 2\r\nContent-Encoding: gzip\r\n\r\n{}" },
+    { "400", "GET /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}" },
+    { "400", post + "Content-Length: 100\r\n\r\nshort" },
+    { "400", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" },
+    { "400", "nonsense\r\n\r\n" },
+    { "400", "GET /a HTTP/1.1\r\nX: " + std::string(9000, 'a') + "\r\n\r\n" },
+    { "413", post + "Content-Length: 5000\r\n\r\n" + big },
+    { "413",
+      post + "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk +
+        "0\r\n\r\n" },
+    { "431", "GET /" + std::string(100'000, 'a') },
+    { "", manyHeaders },
+    { "414", "GET /" + std::string(9000, 'a') + " HTTP/1.1\r\n\r\n" }
+  };
+  for (const auto& [status, text] : cases) {
+    CAPTURE(status, text.substr(0, 120));
+    const std::string answer = fixture.Send(text);
+    if (status.empty()) {
+      CHECK(StatusOf(answer).starts_with("HTTP/1.1 4"));
+    } else {
+      CHECK(StatusOf(answer) == "HTTP/1.1 " + status);
+    }
+    CHECK(answer.find("Arbutusferry-Outcome: not_run") != std::string::npos);
+    CHECK(answer.find("error: ") != std::string::npos);
+    // What follows a refused head must not be taken for a request.
+    CHECK(answer.find("HTTP/1.1", 5) == std::string::npos);
+    CHECK(fixture.Healthy());
+  }
+}
+
+// Guards against bodies that the library changes, and against keep-alive that
+// mixes requests up.
+TEST_CASE("Bodies of any type arrive unchanged on one connection")
+{
+  server_fixture fixture;
+  const std::string first = "POST /a?x=%20 HTTP/1.1\r\nContent-Length: 4\r\n"
+                            "Content-Type: multipart/form-data; boundary=b\r\n"
+                            "Range: bytes=0-1\r\nAccept-Encoding: gzip\r\n"
+                            "\r\n--b\n";
+  const std::string second = "PUT /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                             "Connection: close\r\n\r\n"
+                             "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+  const std::string answer = fixture.Send(first + second);
+  CHECK(answer.find("echo --b\n") != std::string::npos);
+  CHECK(answer.ends_with("echo abc"));
+  CHECK(fixture.last.path == "/b");
+  CHECK(fixture.last.remoteIp == "127.0.0.1");
+}
+
+// Guards against connections that wait for ever when all threads are busy.
+TEST_CASE("Connections beyond the bounds are refused with 503")
+{
+  std::promise<void> entered;
+  std::promise<void> release;
+  http_limits limits;
+  limits.maxConnections = 1;
+  limits.maxWaiting = 0;
+  const server_fixture fixture(limits, [&](const http_call&) {
+    entered.set_value();
+    release.get_future().wait();
+    return http_answer{};
+  });
+  const int busy = Connect(fixture.port);
+  SendAll(busy, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  entered.get_future().wait();
+  const std::string refused = fixture.Send("GET /b HTTP/1.1\r\n\r\n");
+  CHECK(StatusOf(refused) == "HTTP/1.1 503");
+  CHECK(refused.find("Arbutusferry-Outcome: not_run") != std::string::npos);
+  release.set_value();
+  CHECK(StatusOf(ReadAll(busy)) == "HTTP/1.1 200");
+  ::close(busy);
+}
+
+// Guards against connections that hold a thread by sending nothing.
+TEST_CASE("A head that never ends is given up")
+{
+  http_limits limits;
+  limits.headTimeout = 5ms;
+  server_fixture fixture(limits);
+  const int slow = Connect(fixture.port);
+  SendAll(slow, "GET /a HTTP/1.1\r\nX: ");
+  fixture.clock.late = true;
+  // Depending on when the clock moved, the head or the connection ended.
+  const std::string answer = ReadAll(slow);
+  CHECK((answer.empty() || StatusOf(answer).starts_with("HTTP/1.1 4")));
+  ::close(slow);
+}
+
+// Guards against streams that go on for callers that left.
+TEST_CASE("A stream ends when its caller leaves")
+{
+  std::promise<bool> ended;
+  server_fixture fixture({}, [&](const http_call&) {
+    http_answer answer;
+    answer.next = [](std::string& aOut) {
+      aOut = "part\n";
+      return true;
+    };
+    answer.ended = [&](bool aComplete) { ended.set_value(aComplete); };
+    return answer;
+  });
+  const int caller = Connect(fixture.port);
+  SendAll(caller, "GET /a HTTP/1.1\r\n\r\n");
+  char byte = 0;
+  CHECK(::recv(caller, &byte, 1, 0) == 1);
+  Reset(caller);
+  ::close(caller);
+  CHECK_FALSE(ended.get_future().get());
+}
