Keep usage counters in flat arrays and save them compactly

A control process may use 32 MB. With 330 entry instances, 8 tenants and 31 hourly windows the ledger took 9.2 MB resident and its saved state 4.39 MB of JSON, whose values would need several times that in memory.

Ruled out: keeping fewer windows (late counters are carried for 24 h).

Restore ignores carried lines of windows that are forgotten; they would have stayed in memory for ever. A checkpoint that a control process wrapped with the state of its other folds is restored by config_state too.

Tests: unit/usage_test passes unchanged.

--- a/include/arbutusferry/usage.hpp
+++ b/include/arbutusferry/usage.hpp
@@ -118,21 +118,46 @@
   /// @return Counters that came after their window was forgotten.
   [[nodiscard]] std::int64_t DroppedCount() const noexcept { return mDropped; }
 
-  /// @return The state as JSON, for checkpoints.
+  /// @return The state as JSON, for checkpoints. The counters of a window are
+  /// one base64url text of variable-length integers: as JSON values they would
+  /// need more memory than a control process may use.
   [[nodiscard]] Json::Value Save() const;
 
   /// Replaces the state by a saved one.
   [[nodiscard]] result<void> Restore(const Json::Value& aState);
 
 private:
-  /// Tenant and index of the instance in `mInstances`. At 330 entry processes
-  /// and 24 hourly windows the names of the instances would use most of the
-  /// memory.
-  using cell_key = std::pair<std::string, std::uint32_t>;
-  using window_cells = std::map<cell_key, usage_figures>;
+  /// Figures of one tenant at one entry instance. With 330 entry processes, 8
+  /// tenants and 31 hourly windows there are 82,000 of them, so they are kept
+  /// in flat arrays with indices for names.
+  struct cell
+  {
+    std::uint32_t tenant = 0;   ///< Index in `mTenants`.
+    std::uint32_t instance = 0; ///< Index in `mInstances`.
+    usage_figures figures;
+  };
+  /// Sorted by tenant and instance.
+  using window_cells = std::vector<cell>;
+
+  /// Names and their indices in order of first use.
+  struct name_table
+  {
+    std::map<std::string, std::uint32_t> indices;
+    std::vector<std::string> names;
+
+    std::uint32_t Index(const std::string& aName);
+  };
 
-  [[nodiscard]] std::uint32_t InstanceIndex(const std::string& aInstance);
   void MergeCell(const usage_counter& aCounter);
+  [[nodiscard]] std::string EncodeCells(
+    const window_cells& aCells,
+    const std::vector<std::uint32_t>& aTenantRanks,
+    const std::vector<std::uint32_t>& aInstanceRanks) const;
+  [[nodiscard]] bool DecodeCells(unix_seconds aWindow,
+                                 const std::string& aText,
+                                 const std::vector<std::string>& aTenants,
+                                 const std::vector<std::string>& aInstances);
+  void DropUnusedInstances();
   [[nodiscard]] usage_figures Total(unix_seconds aWindow,
                                     const std::string& aTenant) const;
   [[nodiscard]] std::set<std::string> Tenants(unix_seconds aWindow) const;
@@ -141,7 +166,8 @@
     unix_seconds aNow) const;
   void Forget();
 
-  std::map<std::string, std::uint32_t> mInstances;
+  name_table mTenants;
+  name_table mInstances;
   std::map<unix_seconds, window_cells> mWindows;
   std::map<unix_seconds, std::map<std::string, usage_figures>> mBilled;
   std::map<unix_seconds, usage_report> mFinals;
--- a/src/environment/config_state.cpp
+++ b/src/environment/config_state.cpp
@@ -197,7 +197,10 @@
     if (saved.through > mOffset && saved.through < aRecord.offset) {
       // Records were skipped. The offset stays at the checkpoint's, because
       // records between the two have not been folded.
-      if (Restore(saved.state) && mOffset == saved.through) {
+      // A control process saves the state of other folds beside this one.
+      const Json::Value& state =
+        saved.state.isMember("config") ? saved.state["config"] : saved.state;
+      if (Restore(state) && mOffset == saved.through) {
         return fold_outcome::Ignored;
       }
       ++mVoidCount;
@@ -324,9 +327,6 @@
   const std::int64_t voidCount = reader.Integer("void_records", 0, kMax, 0);
   BOOST_LEAF_AUTO(stages, ReadList(reader, "stages", ReadStage));
   BOOST_LEAF_AUTO(records, ReadList(reader, "records", ReadSavedRecord));
-  // Other folds of the log may save their state beside this one.
-  (void)reader.Any("usage");
-  (void)reader.Any("leases");
   ARBUTUSFERRY_CHECK(reader.Finish());
   if (offset <= mOffset) {
     return {};
