Let the holders of the roles work

The relay plans slot grants and appends usage batches; the holder of usage closes windows and reports figures that it read back; the holder of the orders of a zone orders, drains and stops targets with the intent in the log first and a read-back after a lost answer, and tells engines to load published weights. All sends carry the fencing token and hold back the last byte.

--- a/include/arbutusferry/zone_sync.hpp
+++ b/include/arbutusferry/zone_sync.hpp
@@ -35,6 +35,7 @@
   entry_info entry;
   std::vector<tenant_demand> demand;
   std::map<std::string, std::int64_t> inFlight; ///< By target id.
+  std::int64_t grantRound = -1; ///< Round of the grants in use; -1 if none.
 };
 
 /// Versions of the lists that a reader holds. A list is sent again only when
@@ -53,7 +54,9 @@
 {
   std::string instance;
   std::int64_t ageMs = 0; ///< Age of the plan when the answer was written.
+  std::int64_t round = -1;
   std::vector<slot_grant> grants;
+  std::vector<tenant_grant> tenants;
 };
 
 /// Sent by a control process to the relay of its zone, which holds it until
@@ -110,7 +113,8 @@
   config_update update;
   list_versions versions;
   std::optional<std::vector<entry_info>> entries; ///< Of the answering zone.
-  std::map<std::string, double> attained;         ///< Tokens by tenant.
+  /// Sums over the answering zone by tenant and class.
+  std::vector<tenant_demand> demand;
   std::optional<isolation_report> isolation;
 };
 
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -5,6 +5,7 @@
 #include "control/http_front.hpp"
 #include "control/log_follower.hpp"
 #include "control/rpc_methods.hpp"
+#include "control/work_duties.hpp"
 #include "control/zone_duties.hpp"
 
 namespace arbutusferry {
@@ -20,8 +21,15 @@
     : mState(aOptions, aClock)
     , mPlatform(aPlatform)
     , mKeeper(std::make_shared<role_keeper>(mState, aPlatform.log))
-    , mDispatcher(MakeRpcDispatcher(MakeControlMethods(mState, aPlatform)))
+    , mUsage(std::make_shared<usage_fold>())
+    , mDrains(std::make_shared<drain_requests>())
+    , mDispatcher(MakeRpcDispatcher(
+        MakeControlMethods(mState, aPlatform, mUsage, mDrains)))
   {
+    mState.UpdateFeed([this](config_feed& aFeed) {
+      aFeed.AddListener("usage", *mUsage);
+      return false;
+    });
   }
 
   ~running_node() override { Stop(); }
@@ -53,6 +61,20 @@
                         return MakeCheckpointDuty(
                           mState, mKeeper, mPlatform.log);
                       } });
+    duties.push_back({ "slots", [this] { return MakeSlotPlanning(mState); } });
+    duties.push_back({ "usage_batches", [this] {
+                        return MakeUsageBatches(mState, mPlatform.log);
+                      } });
+    duties.push_back({ "usage_reports", [this] {
+                        return MakeUsageReports(
+                          mState, mKeeper, mUsage, mPlatform);
+                      } });
+    duties.push_back({ "targets", [this] {
+                        return MakeTargetOrders(
+                          mState, mKeeper, mDrains, mPlatform);
+                      } });
+    duties.push_back(
+      { "weights", [this] { return MakeWeightOrders(mState, mKeeper); } });
     mSupervisor = StartSupervisor(
       std::move(duties),
       [this](const std::string& aDuty, const std::string& aReason) {
@@ -84,6 +106,8 @@
   node_state mState;
   platform_clients mPlatform;
   std::shared_ptr<role_keeper> mKeeper;
+  std::shared_ptr<usage_fold> mUsage;
+  std::shared_ptr<drain_requests> mDrains;
   std::unique_ptr<rpc_dispatcher> mDispatcher;
   std::unique_ptr<http_front> mFront;
   std::unique_ptr<supervisor> mSupervisor;
--- a/src/control/node_state.cpp
+++ b/src/control/node_state.cpp
@@ -195,33 +195,33 @@
 
 void
 node_state::StoreGrants(const std::string& aInstance,
-                        std::vector<slot_grant> aSlots,
+                        entry_plan aPlan,
                         time_point aPlanned)
 {
   given_grants& known = mGrants[aInstance];
-  const bool same = std::equal(known.slots.begin(),
-                               known.slots.end(),
-                               aSlots.begin(),
-                               aSlots.end(),
+  const bool same = std::equal(known.plan.grants.begin(),
+                               known.plan.grants.end(),
+                               aPlan.grants.begin(),
+                               aPlan.grants.end(),
                                [](const auto& aLeft, const auto& aRight) {
                                  return aLeft.target == aRight.target &&
                                         aLeft.slots == aRight.slots;
                                });
   known.planned = std::max(known.planned, aPlanned);
+  known.plan = std::move(aPlan);
   if (!same) {
-    known.slots = std::move(aSlots);
     ++known.version;
     mChanged.notify_all();
   }
 }
 
 void
-node_state::SetGrants(std::map<std::string, std::vector<slot_grant>> aGrants)
+node_state::SetGrants(std::map<std::string, entry_plan> aPlans)
 {
   const std::lock_guard lock(mMutex);
   const time_point now = mClock.Now();
-  for (auto& [instance, slots] : aGrants) {
-    StoreGrants(instance, std::move(slots), now);
+  for (auto& [instance, plan] : aPlans) {
+    StoreGrants(instance, std::move(plan), now);
   }
   std::erase_if(mGrants, [&](const auto& aGrant) {
     return now - aGrant.second.planned > 2 * kGrantTerm;
@@ -238,7 +238,9 @@
     return;
   }
   aAnswer.hasGrants = true;
-  aAnswer.grants = found->second.slots;
+  aAnswer.grants = found->second.plan.grants;
+  aAnswer.tenantGrants = found->second.plan.tenants;
+  aAnswer.grantRound = found->second.plan.round;
   aAnswer.grantTtlMs =
     ToMilliseconds(kGrantTerm - (aNow - found->second.planned));
 }
@@ -348,7 +350,9 @@
     if (known != mGrants.end() && now - known->second.planned < kGrantTerm) {
       answer.grants.push_back({ entry.entry.instance,
                                 ToMilliseconds(now - known->second.planned) + 1,
-                                known->second.slots });
+                                known->second.plan.round,
+                                known->second.plan.grants,
+                                known->second.plan.tenants });
     }
   }
   answer.isolation = Isolation(now, false);
@@ -411,7 +415,7 @@
   }
   for (const entry_grant& grant : aAnswer.grants) {
     StoreGrants(grant.instance,
-                grant.grants,
+                { grant.round, {}, grant.grants, grant.tenants },
                 aSent + held - std::chrono::milliseconds(grant.ageMs));
   }
   mRelayAnswered = mClock.Now();
--- a/src/control/node_state.hpp
+++ b/src/control/node_state.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/control_node.hpp"
 #include "arbutusferry/metrics.hpp"
+#include "arbutusferry/slot_planner.hpp"
 #include "control/config_feed.hpp"
 #include "control/zone_board.hpp"
 
@@ -71,7 +72,8 @@
   void UpdateReading(bool aHoldsRoles);
 
   void SetLogReach(bool aReaches);
-  void SetGrants(std::map<std::string, std::vector<slot_grant>> aGrants);
+  /// Takes over a plan of the own slot planner.
+  void SetGrants(std::map<std::string, entry_plan> aPlans);
   /// @return Engines of the zone whose load this process asks for.
   [[nodiscard]] std::vector<target_info> PolledTargets();
 
@@ -138,7 +140,7 @@
 
   struct given_grants
   {
-    std::vector<slot_grant> slots;
+    entry_plan plan;
     time_point planned{};
     std::int64_t version = 0; ///< Changes with the slots.
   };
@@ -162,7 +164,7 @@
                  time_point aNow,
                  node_sync_response& aAnswer) const;
   void StoreGrants(const std::string& aInstance,
-                   std::vector<slot_grant> aSlots,
+                   entry_plan aPlan,
                    time_point aPlanned);
 
   control_options mOptions;
--- a/src/control/rpc_methods.cpp
+++ b/src/control/rpc_methods.cpp
@@ -3,6 +3,9 @@
 #include "arbutusferry/hash.hpp"
 #include "arbutusferry/json.hpp"
 #include "arbutusferry/logging.hpp"
+#include "arbutusferry/message_json.hpp"
+#include "arbutusferry/rpc_codes.hpp"
+#include "arbutusferry/rpc_http.hpp"
 
 namespace arbutusferry {
 
@@ -12,6 +15,9 @@
 /// operator is told that the outcome is unknown.
 constexpr std::chrono::seconds kReadBackTimeout{ 10 };
 
+constexpr std::chrono::seconds kForwardTimeout{ 2 };
+constexpr std::int64_t kMaxWindow = std::int64_t{ 1 } << 40;
+
 /// Unwraps a result; a failure becomes a JSON-RPC error.
 template<typename Function>
 auto
@@ -22,7 +28,7 @@
     const bool invalid = failure->code == error_code::InvalidArgument;
     throw rpc_failure(FormatError(*failure),
                       !invalid,
-                      invalid ? kRpcInvalidParams : kRpcUnavailable);
+                      invalid ? kRpcCodeInvalidParams : kRpcCodeUnavailable);
   }
   return std::get<0>(std::move(outcome));
 }
@@ -30,9 +36,14 @@
 class operator_methods
 {
 public:
-  operator_methods(node_state& aState, const platform_clients& aPlatform)
+  operator_methods(node_state& aState,
+                   const platform_clients& aPlatform,
+                   std::shared_ptr<usage_fold> aUsage,
+                   std::shared_ptr<drain_requests> aDrains)
     : mState(aState)
     , mPlatform(aPlatform)
+    , mUsage(std::move(aUsage))
+    , mDrains(std::move(aDrains))
   {
   }
 
@@ -62,7 +73,7 @@
   Json::Value Append(const std::string& aId, const log_record& aRecord)
   {
     if (mState.Stopping()) {
-      throw rpc_failure("the process is stopping", false, kRpcUnavailable);
+      throw rpc_failure("the process is stopping", false, kRpcCodeUnavailable);
     }
     auto appended = Capture(
       [&] { return mPlatform.log->Append(aId, WriteLogRecord(aRecord)); });
@@ -73,7 +84,7 @@
       const auto& failure = std::get<error_info>(appended);
       if (failure.code != error_code::Timeout &&
           failure.code != error_code::BrokenExchange) {
-        throw rpc_failure(FormatError(failure), false, kRpcUnavailable);
+        throw rpc_failure(FormatError(failure), false, kRpcCodeUnavailable);
       }
       LogError(log_level::Warning, "append_answer_lost", failure);
     }
@@ -96,7 +107,7 @@
       const stage_config* config = aFeed.State().Find(environment, which);
       if (config == nullptr || !config->document) {
         throw rpc_failure(
-          "no document of this environment and stage", false, kRpcNotFound);
+          "no document of this environment and stage", false, kRpcCodeNotFound);
       }
       Json::Value answer(Json::objectValue);
       answer["revision"] = Json::Int64(config->revision);
@@ -106,7 +117,90 @@
     });
   }
 
+  /// Closed windows. Only processes that read the log know them; others pass
+  /// the call on to their relay.
+  Json::Value Usage(const Json::Value& aParams)
+  {
+    object_reader reader(aParams, "operator");
+    const std::int64_t window = reader.Integer("window", 0, kMaxWindow, -1);
+    const bool forwarded = reader.Boolean("forwarded", false);
+    Unwrap([&] { return reader.Finish(); });
+    if (!mState.Reads() && !forwarded) {
+      return Forward("operator.usage", aParams, mState.Options().zone);
+    }
+    return mState.WithFeed([&](const config_feed&) {
+      Json::Value answer(Json::objectValue);
+      answer["windows"] = Json::Value(Json::arrayValue);
+      for (const auto& [start, report] : mUsage->Ledger().Finals()) {
+        if (window < 0 || window == start) {
+          answer["windows"].append(WriteUsageReport(report));
+        }
+      }
+      if (window >= 0 && answer["windows"].empty()) {
+        throw rpc_failure("the window is not closed", false, kRpcCodeNotFound);
+      }
+      return answer;
+    });
+  }
+
+  /// Takes a target out of service: no new work, then a stop once it is empty.
+  Json::Value Drain(const Json::Value& aParams)
+  {
+    object_reader reader(aParams, "operator");
+    const std::string target = reader.String("target", std::string());
+    const std::string vm = reader.String("vm", std::string());
+    const bool forwarded = reader.Boolean("forwarded", false);
+    Unwrap([&] { return reader.Finish(); });
+    if (target.empty()) {
+      throw rpc_failure("field \"vm\": no message drains a VM; stop its "
+                        "processes with SIGTERM, which is graceful",
+                        false,
+                        kRpcCodeInvalidParams);
+    }
+    const std::string zone = mState.WithBoard([&](const zone_board& aBoard) {
+      for (const target_info& known : aBoard.Targets()) {
+        if (known.id == target) {
+          return known.zone;
+        }
+      }
+      throw rpc_failure("no such target", false, kRpcCodeNotFound);
+    });
+    const bool here = zone == mState.Options().zone && mState.IsRelay();
+    if (!here && !forwarded) {
+      return Forward("operator.drain", aParams, zone);
+    }
+    if (!here) {
+      throw rpc_failure(
+        "the relay of the zone changes", false, kRpcCodeUnavailable);
+    }
+    mDrains->Add(target, mState.Clock().Now());
+    Json::Value answer(Json::objectValue);
+    answer["target"] = target;
+    answer["state"] = "draining";
+    return answer;
+  }
+
 private:
+  Json::Value Forward(const char* aMethod,
+                      Json::Value aParams,
+                      const std::string& aZone)
+  {
+    const auto relay = mState.WithBoard([&](const zone_board& aBoard) {
+      if (aZone == mState.Options().zone) {
+        return aBoard.Membership().Find(
+          aBoard.Membership().Relay(mState.Clock().Now()));
+      }
+      return FirstRelay(aBoard.Vms(), aZone, {});
+    });
+    if (!relay || relay->controlAddress.empty()) {
+      throw rpc_failure(
+        "no relay of the zone is known", false, kRpcCodeUnavailable);
+    }
+    aParams["forwarded"] = true;
+    return MakeHttpRpcClient(relay->controlAddress, kForwardTimeout)
+      ->Call(aMethod, aParams);
+  }
+
   Json::Value Outcome(const std::string& aId,
                       log_offset aOffset,
                       duration aTimeout)
@@ -125,7 +219,7 @@
     if (!aFields.isObject() || !aFields["record_id"].isString() ||
         aFields["record_id"].asString().empty()) {
       throw rpc_failure(
-        "field \"record_id\": expected a string", false, kRpcInvalidParams);
+        "field \"record_id\": expected a string", false, kRpcCodeInvalidParams);
     }
     const std::string id = aFields["record_id"].asString();
     aFields.removeMember("record_id");
@@ -134,14 +228,20 @@
 
   node_state& mState;
   platform_clients mPlatform;
+  std::shared_ptr<usage_fold> mUsage;
+  std::shared_ptr<drain_requests> mDrains;
 };
 
 } // namespace
 
 std::map<std::string, rpc_method>
-MakeControlMethods(node_state& aState, const platform_clients& aPlatform)
+MakeControlMethods(node_state& aState,
+                   const platform_clients& aPlatform,
+                   std::shared_ptr<usage_fold> aUsage,
+                   std::shared_ptr<drain_requests> aDrains)
 {
-  auto operators = std::make_shared<operator_methods>(aState, aPlatform);
+  auto operators = std::make_shared<operator_methods>(
+    aState, aPlatform, std::move(aUsage), std::move(aDrains));
   const auto change = [operators](const char* aType) {
     return [operators, aType](const Json::Value& aParams) {
       return operators->Change(aType, aParams);
@@ -182,6 +282,12 @@
   methods["operator.document"] = [operators](const Json::Value& aParams) {
     return operators->Document(aParams);
   };
+  methods["operator.usage"] = [operators](const Json::Value& aParams) {
+    return operators->Usage(aParams);
+  };
+  methods["operator.drain"] = [operators](const Json::Value& aParams) {
+    return operators->Drain(aParams);
+  };
   methods["operator.status"] = [&aState](const Json::Value&) {
     return aState.Status();
   };
--- /dev/null
+++ b/src/control/work_duties.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "arbutusferry/usage.hpp"
+#include "control/duty.hpp"
+#include "control/role_keeper.hpp"
+
+namespace arbutusferry {
+
+/// Usage records of the log, folded beside the configuration.
+class usage_fold final : public log_listener
+{
+public:
+  void OnRecord(const raw_log_record& aRaw,
+                const log_record& aRecord,
+                time_point aReadAt) override;
+  [[nodiscard]] Json::Value Save() const override { return mLedger.Save(); }
+  [[nodiscard]] result<void> Restore(const Json::Value& aState,
+                                     time_point aReadAt) override;
+  /// Guarded by the lock of the feed that it listens to.
+  [[nodiscard]] const usage_ledger& Ledger() const noexcept { return mLedger; }
+
+private:
+  usage_ledger mLedger;
+};
+
+/// Targets that an operator takes out of service. Thread-safe.
+class drain_requests
+{
+public:
+  void Add(const std::string& aTarget, time_point aNow);
+  void Remove(const std::string& aTarget);
+  /// @return Time of the request by target.
+  [[nodiscard]] std::map<std::string, time_point> List() const;
+
+private:
+  mutable std::mutex mMutex;
+  std::map<std::string, time_point> mTargets;
+};
+
+/// Duty of the relay: divides the zone's slots among its entries.
+[[nodiscard]] std::unique_ptr<duty>
+MakeSlotPlanning(node_state& aState);
+
+/// Duty of the relay: appends the zone's usage counters.
+[[nodiscard]] std::unique_ptr<duty>
+MakeUsageBatches(node_state& aState, std::shared_ptr<platform_log> aLog);
+
+/// Duty of the holder of `usage`: closes and reports windows.
+[[nodiscard]] std::unique_ptr<duty>
+MakeUsageReports(node_state& aState,
+                 std::shared_ptr<role_keeper> aKeeper,
+                 std::shared_ptr<usage_fold> aFold,
+                 const platform_clients& aPlatform);
+
+/// Duty of the holder of `orders/<zone>`: orders, drains and stops targets.
+[[nodiscard]] std::unique_ptr<duty>
+MakeTargetOrders(node_state& aState,
+                 std::shared_ptr<role_keeper> aKeeper,
+                 std::shared_ptr<drain_requests> aDrains,
+                 const platform_clients& aPlatform);
+
+/// Duty of the holder of `orders/<zone>`: tells the zone's engines to load
+/// published weights.
+[[nodiscard]] std::unique_ptr<duty>
+MakeWeightOrders(node_state& aState, std::shared_ptr<role_keeper> aKeeper);
+
+} // namespace arbutusferry
--- a/src/control/zone_board.cpp
+++ b/src/control/zone_board.cpp
@@ -12,6 +12,9 @@
 /// short partition does not make their permits unknown.
 constexpr std::chrono::seconds kZoneTimeout{ 30 };
 
+/// A zone that was not heard for this time cannot serve the others' demand.
+constexpr std::chrono::seconds kZoneReachable{ 10 };
+
 bool
 SameTarget(const target_info& aLeft, const target_info& aRight)
 {
@@ -96,6 +99,14 @@
 zone_board::SetTargets(std::vector<target_info> aTargets)
 {
   std::sort(aTargets.begin(), aTargets.end(), ById);
+  std::set<std::string> draining;
+  for (target_info& target : aTargets) {
+    if (target.state == target_state::Live && mDraining.count(target.id) > 0) {
+      target.state = target_state::Leaving;
+      draining.insert(target.id);
+    }
+  }
+  mDraining = std::move(draining);
   if (SameList(mTargets, aTargets, SameTarget)) {
     return;
   }
@@ -145,6 +156,38 @@
   mLoadVersions[aLoad.target] = ++mVersions.loads;
 }
 
+void
+zone_board::SetDraining(std::set<std::string> aDraining)
+{
+  if (aDraining == mDraining) {
+    return;
+  }
+  std::vector<target_info> listed = mTargets;
+  for (target_info& target : listed) {
+    // Only targets listed as live are marked, so that this restores them.
+    if (mDraining.count(target.id) > 0) {
+      target.state = target_state::Live;
+    }
+  }
+  mDraining = std::move(aDraining);
+  SetTargets(std::move(listed));
+}
+
+std::vector<target_info>
+zone_board::ListedTargets() const
+{
+  std::vector<target_info> listed;
+  for (const target_info& target : mTargets) {
+    if (target.zone == mZone) {
+      listed.push_back(target);
+      if (mDraining.count(target.id) > 0) {
+        listed.back().state = target_state::Live;
+      }
+    }
+  }
+  return listed;
+}
+
 void
 zone_board::RetainOwnLoads(const std::vector<target_info>& aPolled)
 {
@@ -176,6 +219,7 @@
     merged.generatedTokens =
       std::max(merged.generatedTokens, counter.generatedTokens);
     known.told = false;
+    known.logged = false;
   }
 }
 
@@ -184,7 +228,9 @@
 {
   reported& known = mOwnEntries[aRequest.entry.instance];
   const bool same = SameEntry(known.entry.entry, aRequest.entry);
-  known.entry = { aRequest.entry, aRequest.demand, aRequest.inFlight };
+  known.entry = {
+    aRequest.entry, aRequest.demand, aRequest.inFlight, aRequest.grantRound
+  };
   known.heard = aNow;
   MergeUsage(aRequest.usage);
   if (!same) {
@@ -234,6 +280,7 @@
 {
   remote_zone& zone = mZones[aAnswer.zone];
   zone.heard = aNow;
+  zone.demand = aAnswer.demand;
   if (aAnswer.entries) {
     zone.entries = *aAnswer.entries;
     RebuildEntries();
@@ -335,13 +382,8 @@
 zone_board::OnRequestAnswered(const zone_sync_request& aRequest)
 {
   for (const usage_counter& counter : aRequest.usage) {
-    const auto known =
-      mUsage.find({ counter.window, counter.tenant, counter.instance });
-    if (known != mUsage.end() &&
-        known->second.counter.requests == counter.requests &&
-        known->second.counter.promptTokens == counter.promptTokens &&
-        known->second.counter.generatedTokens == counter.generatedTokens) {
-      known->second.told = true;
+    if (usage_item* known = FindUsage(counter)) {
+      known->told = true;
     }
   }
   for (const target_load& load : aRequest.loads) {
@@ -403,11 +445,41 @@
       }
     }
   }
+  aAnswer.demand = ZoneDemand();
+}
+
+std::vector<tenant_demand>
+zone_board::ZoneDemand() const
+{
+  std::map<std::pair<std::string, std::string>, tenant_demand> sums;
   for (const member_entry& entry : ZoneEntries()) {
     for (const tenant_demand& demand : entry.demand) {
-      aAnswer.attained[demand.tenant] += demand.attainedTokens;
+      tenant_demand& sum = sums[{ demand.tenant, demand.targetClass }];
+      sum.tenant = demand.tenant;
+      sum.targetClass = demand.targetClass;
+      sum.waiting += demand.waiting;
+      sum.running += demand.running;
+      sum.attainedTokens += demand.attainedTokens;
+    }
+  }
+  std::vector<tenant_demand> list;
+  list.reserve(sums.size());
+  for (auto& [key, sum] : sums) {
+    list.push_back(std::move(sum));
+  }
+  return list;
+}
+
+std::map<std::string, std::vector<tenant_demand>>
+zone_board::OtherDemand(time_point aNow) const
+{
+  std::map<std::string, std::vector<tenant_demand>> demand;
+  for (const auto& [zone, remote] : mZones) {
+    if (aNow - remote.heard < kZoneReachable) {
+      demand[zone] = remote.demand;
     }
   }
+  return demand;
 }
 
 std::vector<member_entry>
@@ -436,21 +508,55 @@
   return mOwnEntries.count(aInstance) > 0;
 }
 
+zone_board::usage_item*
+zone_board::FindUsage(const usage_counter& aCounter)
+{
+  const auto found =
+    mUsage.find({ aCounter.window, aCounter.tenant, aCounter.instance });
+  if (found == mUsage.end()) {
+    return nullptr;
+  }
+  const usage_counter& known = found->second.counter;
+  // The counter may have grown since the message was written.
+  return known.requests == aCounter.requests &&
+             known.promptTokens == aCounter.promptTokens &&
+             known.generatedTokens == aCounter.generatedTokens
+           ? &found->second
+           : nullptr;
+}
+
 std::vector<usage_counter>
-zone_board::UsageCounters() const
+zone_board::UnloggedUsage() const
 {
   std::vector<usage_counter> counters;
-  counters.reserve(mUsage.size());
   for (const auto& [key, item] : mUsage) {
-    counters.push_back(item.counter);
+    if (!item.logged) {
+      counters.push_back(item.counter);
+    }
   }
   return counters;
 }
 
 void
+zone_board::OnUsageLogged(const std::vector<usage_counter>& aCounters)
+{
+  for (const usage_counter& counter : aCounters) {
+    if (usage_item* known = FindUsage(counter)) {
+      known->logged = true;
+    }
+  }
+}
+
+std::size_t
 zone_board::DropUsageBefore(unix_seconds aWindow)
 {
-  mUsage.erase(mUsage.begin(), mUsage.lower_bound({ aWindow, {}, {} }));
+  std::size_t dropped = 0;
+  const auto end = mUsage.lower_bound({ aWindow, {}, {} });
+  for (auto item = mUsage.begin(); item != end; ++item) {
+    dropped += item->second.logged || item->second.told ? 0 : 1;
+  }
+  mUsage.erase(mUsage.begin(), end);
+  return dropped;
 }
 
 } // namespace arbutusferry
--- a/src/control/zone_board.hpp
+++ b/src/control/zone_board.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/membership.hpp"
 #include "arbutusferry/zone_sync.hpp"
 
+#include <set>
 #include <tuple>
 
 namespace arbutusferry {
@@ -27,6 +28,13 @@
   void SetVms(std::vector<vm_info> aVms);
   /// @param aTargets Targets of all zones, without load.
   void SetTargets(std::vector<target_info> aTargets);
+  /// Replaces the targets that are to get no new work although the platform
+  /// lists them as live.
+  void SetDraining(std::set<std::string> aDraining);
+  [[nodiscard]] const std::set<std::string>& Draining() const noexcept
+  {
+    return mDraining;
+  }
   /// @param aOwn True for a load that this process asked for itself.
   void SetLoad(const target_load& aLoad, bool aOwn);
   /// Other members poll the targets that are not in the list.
@@ -63,11 +71,14 @@
   {
     return mVms;
   }
-  /// @return Targets of all zones with load, sorted by id.
+  /// @return Targets of all zones with load, sorted by id. Draining ones are
+  /// shown as leaving.
   [[nodiscard]] const std::vector<target_info>& Targets() const noexcept
   {
     return mTargets;
   }
+  /// @return Targets of the own zone in the state that the platform lists.
+  [[nodiscard]] std::vector<target_info> ListedTargets() const;
   /// @return Live entries of all zones, sorted by instance.
   [[nodiscard]] const std::vector<entry_info>& Entries() const noexcept
   {
@@ -75,10 +86,18 @@
   }
   /// @return What the zone's entries reported, own and of members.
   [[nodiscard]] std::vector<member_entry> ZoneEntries() const;
+  /// @return Sums of the zone by tenant and class.
+  [[nodiscard]] std::vector<tenant_demand> ZoneDemand() const;
+  /// @return Sums of other zones heard from lately, by zone.
+  [[nodiscard]] std::map<std::string, std::vector<tenant_demand>> OtherDemand(
+    time_point aNow) const;
   /// @return Whether an entry syncs with this process itself.
   [[nodiscard]] bool IsOwnEntry(const std::string& aInstance) const;
-  [[nodiscard]] std::vector<usage_counter> UsageCounters() const;
-  void DropUsageBefore(unix_seconds aWindow);
+  /// @return Counters that are not in the log yet, as far as is known here.
+  [[nodiscard]] std::vector<usage_counter> UnloggedUsage() const;
+  void OnUsageLogged(const std::vector<usage_counter>& aCounters);
+  /// @return Number of dropped counters that never reached the log.
+  std::size_t DropUsageBefore(unix_seconds aWindow);
 
   [[nodiscard]] const list_versions& Versions() const noexcept
   {
@@ -104,13 +123,15 @@
   struct remote_zone
   {
     std::vector<entry_info> entries;
+    std::vector<tenant_demand> demand;
     time_point heard{};
   };
   using usage_key = std::tuple<unix_seconds, std::string, std::string>;
   struct usage_item
   {
     usage_counter counter;
-    bool told = false; ///< The relay has this value.
+    bool told = false;   ///< The relay has this value.
+    bool logged = false; ///< A batch with this value was appended.
   };
 
   struct own_load
@@ -119,6 +140,7 @@
     bool told = false;
   };
 
+  usage_item* FindUsage(const usage_counter& aCounter);
   void MergeUsage(const std::vector<usage_counter>& aCounters);
   void RebuildEntries();
   [[nodiscard]] target_info* FindTarget(const std::string& aId);
@@ -131,6 +153,7 @@
   std::int64_t mWeightChanges = 0;
   std::vector<vm_info> mVms;
   std::vector<target_info> mTargets;
+  std::set<std::string> mDraining;
   std::map<std::string, std::int64_t> mLoadVersions; ///< By target id.
   std::map<std::string, own_load> mOwnLoads;   ///< Of targets polled here.
   std::map<std::string, reported> mOwnEntries; ///< By instance.
--- a/src/membership/zone_sync.cpp
+++ b/src/membership/zone_sync.cpp
@@ -187,6 +187,7 @@
   for (const auto& [target, count] : aEntry.inFlight) {
     value["in_flight"][target] = Whole(count);
   }
+  value["round"] = Whole(aEntry.grantRound);
   return value;
 }
 
@@ -211,6 +212,7 @@
   for (const std::string& target : inFlight.getMemberNames()) {
     entry.inFlight[target] = counts.Integer(target.c_str(), 0, kMax);
   }
+  entry.grantRound = reader.Integer("round", -1, kMax, -1);
   BOOST_LEAF_CHECK(counts.Finish());
   BOOST_LEAF_CHECK(reader.Finish());
   return entry;
@@ -225,6 +227,8 @@
   for (const slot_grant& grant : aGrant.grants) {
     value["slots"][grant.target] = Whole(grant.slots);
   }
+  value["round"] = Whole(aGrant.round);
+  PutList(value, "tenants", aGrant.tenants, WriteTenantGrant);
   return value;
 }
 
@@ -243,6 +247,12 @@
   for (const std::string& target : slots.getMemberNames()) {
     grant.grants.push_back({ target, counts.Integer(target.c_str(), 0, kMax) });
   }
+  grant.round = reader.Integer("round", -1, kMax, -1);
+  BOOST_LEAF_ASSIGN(
+    grant.tenants,
+    ReadList(reader, "tenants", [&](const auto& aItem, const auto& aItemPath) {
+      return ReadTenantGrant(aItem, aPeer, aItemPath);
+    }));
   BOOST_LEAF_CHECK(counts.Finish());
   BOOST_LEAF_CHECK(reader.Finish());
   return grant;
@@ -431,9 +441,7 @@
   if (aResponse.entries) {
     value["entries"] = WriteList(*aResponse.entries, WriteEntryInfo);
   }
-  for (const auto& [tenant, tokens] : aResponse.attained) {
-    value["attained"][tenant] = tokens;
-  }
+  PutList(value, "demand", aResponse.demand, WriteTenantDemand);
   if (aResponse.isolation) {
     value["isolation"] = WriteIsolation(*aResponse.isolation);
   }
@@ -453,12 +461,11 @@
   BOOST_LEAF_ASSIGN(response.update, TakeUpdate(reader, aPeer));
   BOOST_LEAF_ASSIGN(response.entries,
                     TakeOptional(reader, "entries", aPeer, ReadEntryInfo));
-  const Json::Value& attained = reader.Object("attained");
-  for (const std::string& tenant : attained.getMemberNames()) {
-    if (attained[tenant].isNumeric()) {
-      response.attained[tenant] = attained[tenant].asDouble();
-    }
-  }
+  BOOST_LEAF_ASSIGN(
+    response.demand,
+    ReadList(reader, "demand", [&](const auto& aItem, const auto& aPath) {
+      return ReadTenantDemand(aItem, aPeer, aPath);
+    }));
   BOOST_LEAF_ASSIGN(response.isolation, TakeIsolation(reader, aPeer));
   if (!problem.empty()) {
     reader.Fail(problem, "expected versions");
--- /dev/null
+++ b/src/platform/http_exchange.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "arbutusferry/platform.hpp"
+
+#include <httplib.h>
+#include <memory>
+#include <string>
+
+/// Parts of the HTTP clients of outside systems. Includes cpp-httplib; only
+/// for source files.
+namespace arbutusferry {
+
+/// Maps a failed exchange to an error that tells whether the request may have
+/// taken effect.
+[[nodiscard]] leaf::error_id
+TransportError(httplib::Error aError,
+               const std::string& aStep,
+               const std::string& aPeer);
+
+/// Maps a refusal. 503 means that the peer did nothing; any other status of
+/// the 5xx range leaves open whether it acted.
+[[nodiscard]] leaf::error_id
+StatusError(const httplib::Response& aResponse,
+            const std::string& aStep,
+            const std::string& aPeer);
+
+[[nodiscard]] std::unique_ptr<httplib::Client>
+MakeClient(const std::string& aAddress, duration aTimeout, bool aKeepAlive);
+
+/// Sends a body on a connection of its own. The last byte is held back until
+/// all other bytes are written and the check passed, so that a receiver that
+/// ignores fencing tokens never has a complete request of a sender that lost
+/// its role.
+/// @param aMethod "PUT" or "POST".
+[[nodiscard]] result<void>
+FencedSend(const std::string& aMethod,
+           const std::string& aAddress,
+           duration aTimeout,
+           const std::string& aPath,
+           const std::string& aBody,
+           const send_check& aCheck,
+           const std::string& aStep);
+
+} // namespace arbutusferry
--- a/src/platform/platform_http.cpp
+++ b/src/platform/platform_http.cpp
@@ -1,88 +1,14 @@
 #include "arbutusferry/platform_http.hpp"
 
 #include "arbutusferry/json.hpp"
+#include "platform/http_exchange.hpp"
 
-#include <httplib.h>
 #include <mutex>
-#include <optional>
 
 namespace arbutusferry {
 
 namespace {
 
-/// True when nothing of the request can have reached the platform.
-bool
-NothingSent(httplib::Error aError)
-{
-  return aError == httplib::Error::Connection ||
-         aError == httplib::Error::BindIPAddress ||
-         aError == httplib::Error::ConnectionTimeout;
-}
-
-/// Maps a failed exchange to an error that tells whether the request may have
-/// taken effect.
-leaf::error_id
-TransportError(httplib::Error aError,
-               const std::string& aStep,
-               const std::string& aPeer)
-{
-  error_code code = error_code::BrokenExchange;
-  if (NothingSent(aError)) {
-    code = error_code::Unreachable;
-  } else if (aError == httplib::Error::Read) {
-    // The library reports a reset and an expired read time alike.
-    code = error_code::Timeout;
-  }
-  return MakeError(code, aStep, aPeer, httplib::to_string(aError));
-}
-
-/// Maps a refusal. 503 means that the platform did nothing; any other status
-/// of the 5xx range leaves open whether it acted.
-leaf::error_id
-StatusError(const httplib::Response& aResponse,
-            const std::string& aStep,
-            const std::string& aPeer)
-{
-  error_code code = error_code::BrokenExchange;
-  switch (aResponse.status) {
-    case 400:
-    case 413:
-      code = error_code::InvalidArgument;
-      break;
-    case 404:
-      code = error_code::NotFound;
-      break;
-    case 409:
-      code = error_code::Conflict;
-      break;
-    case 429:
-      code = error_code::Overloaded;
-      break;
-    case 503:
-      code = error_code::Unavailable;
-      break;
-    default:
-      break;
-  }
-  return MakeError(code,
-                   aStep,
-                   aPeer,
-                   "HTTP status " + std::to_string(aResponse.status) + ": " +
-                     aResponse.body.substr(0, 200));
-}
-
-std::unique_ptr<httplib::Client>
-MakeClient(const std::string& aAddress, duration aTimeout, bool aKeepAlive)
-{
-  auto client = std::make_unique<httplib::Client>("http://" + aAddress);
-  client->set_keep_alive(aKeepAlive);
-  client->set_tcp_nodelay(true);
-  client->set_connection_timeout(aTimeout);
-  client->set_read_timeout(aTimeout);
-  client->set_write_timeout(aTimeout);
-  return client;
-}
-
 /// One kept connection to the platform; calls are made one after the other.
 class http_peer
 {
@@ -163,57 +89,6 @@
   return aValue.isObject() && aValue[aName].isArray() ? aValue[aName] : kEmpty;
 }
 
-/// Sends a body on a connection of its own. The last byte is held back until
-/// all other bytes are written and the check passed, so that a receiver that
-/// ignores fencing tokens never has a complete request of a sender that lost
-/// its role.
-result<void>
-FencedPut(const std::string& aAddress,
-          duration aTimeout,
-          const std::string& aPath,
-          const std::string& aBody,
-          const send_check& aCheck,
-          const std::string& aStep)
-{
-  bool refused = false;
-  bool released = false;
-  auto client = MakeClient(aAddress, aTimeout, false);
-  const auto answer = client->Put(
-    aPath,
-    aBody.size(),
-    [&](std::size_t aOffset, std::size_t aLength, httplib::DataSink& aSink) {
-      if (aLength > 1) {
-        return aSink.write(aBody.data() + aOffset, aLength - 1);
-      }
-      if (!aCheck()) {
-        refused = true;
-        return false;
-      }
-      released = true;
-      return aSink.write(aBody.data() + aOffset, 1);
-    },
-    "application/json");
-  if (refused) {
-    return MakeError(error_code::LeaseLost,
-                     aStep,
-                     aAddress,
-                     "the role was lost before the last byte was sent");
-  }
-  if (!answer) {
-    if (!released) {
-      return MakeError(error_code::Unreachable,
-                       aStep,
-                       aAddress,
-                       httplib::to_string(answer.error()));
-    }
-    return TransportError(answer.error(), aStep, aAddress);
-  }
-  if (answer->status != 200) {
-    return StatusError(*answer, aStep, aAddress);
-  }
-  return {};
-}
-
 class http_log final : public platform_log
 {
 public:
@@ -384,12 +259,13 @@
   result<void> Send(const target_order& aOrder,
                     const send_check& aCheck) override
   {
-    return FencedPut(mPeer.Address(),
-                     mPeer.Timeout(),
-                     "/orders/" + aOrder.zone,
-                     WriteJson(WriteOrder(aOrder)),
-                     aCheck,
-                     "order targets");
+    return FencedSend("PUT",
+                      mPeer.Address(),
+                      mPeer.Timeout(),
+                      "/orders/" + aOrder.zone,
+                      WriteJson(WriteOrder(aOrder)),
+                      aCheck,
+                      "order targets");
   }
 
   result<target_order> Last(const std::string& aZone) override
@@ -456,12 +332,13 @@
   result<void> Send(const usage_report& aReport,
                     const send_check& aCheck) override
   {
-    return FencedPut(mAddress,
-                     mTimeout,
-                     "/usage/" + std::to_string(aReport.window),
-                     WriteJson(WriteReport(aReport)),
-                     aCheck,
-                     "report usage");
+    return FencedSend("PUT",
+                      mAddress,
+                      mTimeout,
+                      "/usage/" + std::to_string(aReport.window),
+                      WriteJson(WriteReport(aReport)),
+                      aCheck,
+                      "report usage");
   }
 
 private:
