--- a/tests/support/harness_http.cpp
+++ b/tests/support/harness_http.cpp
@@ -131,7 +131,8 @@
   body["count"] = aCount;
   const http_reply reply = Call(aEntry, "/v1/permits", WriteJson(body), aKey);
   std::vector<std::string> permits;
-  for (const Json::Value& permit : reply.Parsed()["permits"]) {
+  const Json::Value answer = reply.Parsed();
+  for (const Json::Value& permit : answer["permits"]) {
     permits.push_back(permit.asString());
   }
   if (reply.status != 200 || permits.size() != std::size_t(aCount)) {
