--- a/standins/common/target_pool_store.cpp
+++ b/standins/common/target_pool_store.cpp
@@ -92,6 +92,13 @@
   const std::lock_guard lock(mMutex);
   std::int64_t running = 0;
   std::int64_t inPool = 0;
+  for (const target_info& target : mFixed) {
+    running += target.zone == aZone && target.pool == aPool &&
+                   target.targetClass == aClass &&
+                   target.state != target_state::Leaving
+                 ? 1
+                 : 0;
+  }
   for (const started_target& target : mStarted) {
     if (target.info.zone == aZone && target.info.pool == aPool) {
       ++inPool;
@@ -145,6 +152,18 @@
       return aTarget.info.id == aId;
     });
   if (found == mStarted.end()) {
+    const auto fixed = std::find_if(
+      mFixed.begin(), mFixed.end(), [&](const target_info& aTarget) {
+        return aTarget.id == aId;
+      });
+    if (fixed != mFixed.end()) {
+      // Its process belongs to whoever listed it.
+      Json::Value event = WriteTarget(*fixed);
+      event["kind_of_event"] = "target_stopped";
+      event["reason"] = aReason;
+      mEvents(std::move(event));
+      mFixed.erase(fixed);
+    }
     return;
   }
   Json::Value event = WriteTarget(found->info);
--- /dev/null
+++ b/tests/integration/planned_stops_test.cpp
@@ -0,0 +1,274 @@
+#include "support/harness.hpp"
+
+#include "arbutusferry/json.hpp"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace arbutusferry;
+using harness::Call;
+using harness::cluster;
+using harness::Parse;
+using harness::SendJson;
+using harness::WaitUntil;
+
+namespace {
+
+const std::string kCompletion =
+  R"({"model":"slip-reader","prompt":"p","max_tokens":20,"stream":true})";
+
+/// Calls entries in turn from several threads until it is destroyed.
+class background_load
+{
+public:
+  background_load(cluster& aCluster, std::string aKey, bool aService)
+    : mCluster(aCluster)
+    , mKey(std::move(aKey))
+    , mService(aService)
+  {
+    UpdateEntries();
+    for (std::size_t i = 0; i < 4; ++i) {
+      mThreads.emplace_back([this, i] { Run(i); });
+    }
+  }
+  background_load(const background_load&) = delete;
+  background_load& operator=(const background_load&) = delete;
+  ~background_load() { Stop(); }
+
+  void UpdateEntries()
+  {
+    const std::lock_guard lock(mMutex);
+    mEntries.clear();
+    for (std::size_t vm = 0; vm < mCluster.Vms().size(); ++vm) {
+      mEntries.push_back(mCluster.Entry(vm));
+    }
+  }
+  void Stop()
+  {
+    mStop = true;
+    for (std::thread& thread : mThreads) {
+      thread.join();
+    }
+    mThreads.clear();
+  }
+  [[nodiscard]] int Answered() const { return mAnswered; }
+  /// @return Calls that were neither answered whole nor refused as not run.
+  [[nodiscard]] std::vector<std::string> Cut() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mCut;
+  }
+
+private:
+  void Run(std::size_t aThread)
+  {
+    for (std::size_t number = aThread; !mStop; ++number) {
+      std::string entry;
+      {
+        const std::lock_guard lock(mMutex);
+        entry = mEntries[number % mEntries.size()];
+      }
+      const bool service = mService && number % 2 == 0;
+      const auto reply = service
+                           ? Call(entry, "/quotes", "x", mKey)
+                           : Call(entry, "/v1/completions", kCompletion, mKey);
+      const bool whole =
+        reply.status == 200 &&
+        (service || reply.body.find("[DONE]") != std::string::npos);
+      if (whole) {
+        ++mAnswered;
+      } else if (reply.Outcome() != "not_run" &&
+                 reply.failure != "Connection") {
+        const std::lock_guard lock(mMutex);
+        mCut.push_back(std::to_string(reply.status) + " " + reply.failure +
+                       " " + reply.body);
+      }
+    }
+  }
+
+  cluster& mCluster;
+  std::string mKey;
+  bool mService;
+  mutable std::mutex mMutex;
+  std::vector<std::string> mEntries;
+  std::vector<std::string> mCut;
+  std::atomic<int> mAnswered{ 0 };
+  std::atomic<bool> mStop{ false };
+  std::vector<std::thread> mThreads;
+};
+
+void
+WaitMoreAnswers(const background_load& aLoad, int aCount)
+{
+  const int before = aLoad.Answered();
+  WaitUntil("more calls were answered",
+            [&] { return aLoad.Answered() >= before + aCount; });
+}
+
+} // namespace
+
+// A restart of a daemon for an update must not be visible to callers.
+TEST_CASE("SIGTERM on any daemon under load cuts no request")
+{
+  harness::cluster_options options;
+  options.vmsPerZone = 2;
+  cluster cluster(options);
+  cluster.AddTarget("z1", "desk", target_kind::Service, 16);
+  cluster.AddTarget("z1", "sampler", target_kind::Engine, 16);
+  cluster.PublishLists();
+  cluster.Apply(harness::ExampleDocument("shop", 1));
+  const std::string key = cluster.Grant("acme");
+  cluster.WaitReady();
+  for (std::size_t vm = 0; vm < 2; ++vm) {
+    WaitUntil("entry " + std::to_string(vm) + " serves", [&] {
+      return Call(cluster.Entry(vm), "/v1/completions", kCompletion, key)
+               .status == 200;
+    });
+  }
+  background_load load(cluster, key, true);
+  WaitMoreAnswers(load, 20);
+  for (auto& vm : cluster.Vms()) {
+    INFO("entry of " << vm.id);
+    CHECK(vm.entry->Terminate() == 0);
+    cluster.StartEntry(vm);
+    cluster.PublishLists();
+    WaitUntil("the new entry is ready", [&] {
+      return harness::Send(vm.entry->Address(), "GET", "/readyz").status == 200;
+    });
+    load.UpdateEntries();
+    WaitMoreAnswers(load, 20);
+    CHECK(load.Cut() == std::vector<std::string>{});
+  }
+  // The last: an entry that lost its own control process uses the other one.
+  CHECK(cluster.Vms()[0].control->Terminate() == 0);
+  WaitMoreAnswers(load, 40);
+  load.Stop();
+  CHECK(load.Cut() == std::vector<std::string>{});
+}
+
+// Targets cost money: too many or too few, or one stopped with work on it.
+TEST_CASE("targets are ordered by zone, and a drained one stops without work")
+{
+  harness::cluster_options options;
+  options.zones = 2;
+  cluster cluster(options);
+  SendJson(
+    cluster.Platform(),
+    "PUT",
+    "/admin/classes",
+    Parse(R"({"classes":[{"class":"sampler","kind":"engine","slots":8}]})"));
+  Json::Value document = harness::ExampleDocument("shop", 2);
+  for (Json::Value& entry : document["targets"]) {
+    if (entry["class"] == "sampler") {
+      for (Json::Value& zone : entry["zones"]) {
+        zone["min_protected"] = 1;
+        zone["max"] = 2;
+      }
+    }
+  }
+  cluster.Apply(document);
+  const std::string key = cluster.Grant("acme");
+  const auto live = [&] {
+    std::set<std::string> zones;
+    const Json::Value list = SendJson(cluster.Platform(), "GET", "/targets");
+    for (const Json::Value& target : list["targets"]) {
+      zones.insert(target["zone"].asString());
+    }
+    return zones;
+  };
+  WaitUntil("each zone has a target", [&] { return live().size() == 2; });
+  for (std::size_t vm = 0; vm < 2; ++vm) {
+    WaitUntil("entry " + std::to_string(vm) + " serves", [&] {
+      return Call(cluster.Entry(vm), "/v1/completions", kCompletion, key)
+               .status == 200;
+    });
+  }
+  background_load load(cluster, key, false);
+  WaitMoreAnswers(load, 20);
+  const Json::Value list = SendJson(cluster.Platform(), "GET", "/targets");
+  const std::string id = list["targets"][0]["id"].asString();
+  const auto drained = cluster.Client({ "drain", "target", id });
+  INFO(drained.output << drained.errors);
+  CHECK(drained.exitCode == 0);
+  Json::Value stopped;
+  WaitUntil("the drained target was stopped", [&] {
+    for (const Json::Value& event : cluster.History("target_stopped")) {
+      if (event["content"]["id"].asString() == id) {
+        stopped = event["content"];
+      }
+    }
+    return !stopped.isNull();
+  });
+  CHECK(stopped["in_flight"].asInt() == 0);
+  WaitMoreAnswers(load, 20);
+  load.Stop();
+  CHECK(load.Cut() == std::vector<std::string>{});
+}
+
+// A bill that misses requests, or has them twice, is wrong either way.
+TEST_CASE("usage is counted and each window reported with one set of figures")
+{
+  harness::cluster_options options;
+  options.zones = 2;
+  options.timing["usage_batch_ms"] = 500;
+  cluster cluster(options);
+  for (std::size_t zone = 0; zone < 2; ++zone) {
+    cluster.AddTarget(cluster.ZoneName(zone), "desk", target_kind::Service, 8);
+  }
+  cluster.PublishLists();
+  Json::Value document = harness::ExampleDocument("shop", 2);
+  document["usage"]["window_s"] = 4;
+  document["usage"]["grace_s"] = 2;
+  cluster.Apply(document);
+  const std::string key = cluster.Grant("acme");
+  cluster.WaitReady();
+  std::int64_t answered = 0;
+  for (std::size_t vm = 0; vm < 2; ++vm) {
+    WaitUntil("entry " + std::to_string(vm) + " serves", [&] {
+      const bool served =
+        Call(cluster.Entry(vm), "/quotes", "x", key).status == 200;
+      answered += served ? 1 : 0;
+      return served;
+    });
+    for (int i = 0; i < 25; ++i) {
+      REQUIRE(Call(cluster.Entry(vm), "/quotes", "x", key).status == 200);
+      ++answered;
+    }
+  }
+  const auto reported = [&] {
+    std::map<std::string, Json::Value> windows;
+    for (const Json::Value& event : cluster.History("usage")) {
+      const Json::Value& content = event["content"];
+      if (!content["accepted"].asBool()) {
+        continue;
+      }
+      const auto [known, first] =
+        windows.emplace(content["window"].asString(), content["lines"]);
+      CHECK(known->second == content["lines"]);
+    }
+    std::int64_t requests = 0;
+    for (const auto& [window, lines] : windows) {
+      for (const Json::Value& line : lines) {
+        requests += line["tenant"] == "acme" ? line["requests"].asInt64() : 0;
+      }
+    }
+    return requests;
+  };
+  std::int64_t sum = 0;
+  WaitUntil("all requests were reported", [&] {
+    sum = reported();
+    return sum >= answered;
+  });
+  CHECK(sum == answered);
+  // A later window must not bring them again.
+  REQUIRE(Call(cluster.Entry(0), "/quotes", "x", key).status == 200);
+  ++answered;
+  WaitUntil("the last request was reported", [&] {
+    sum = reported();
+    return sum >= answered;
+  });
+  CHECK(sum == answered);
+}
--- a/tests/support/harness.hpp
+++ b/tests/support/harness.hpp
@@ -279,7 +279,8 @@
 
 /// @return A document with a model engine class `sampler`, a plain service
 /// class `desk`, tenants `acme` and `birch`, and one route of each kind; the
-/// service route `/bookings` is not idempotent and `/quotes` is.
+/// service route `/bookings` is not idempotent and `/quotes` is. Each zone has
+/// one target of each class.
 [[nodiscard]] Json::Value
 ExampleDocument(const std::string& aEnvironment, std::size_t aZones);
 
--- a/tests/support/harness_cluster.cpp
+++ b/tests/support/harness_cluster.cpp
@@ -374,8 +374,8 @@
     for (std::size_t zone = 0; zone < aZones; ++zone) {
       Json::Value line(Json::objectValue);
       line["zone"] = "z" + std::to_string(zone + 1);
-      line["min_protected"] = 0;
-      line["max"] = 0;
+      line["min_protected"] = 1;
+      line["max"] = 1;
       line["max_reclaimable"] = 0;
       entry["zones"].append(line);
     }
--- a/tests/support/harness_process.cpp
+++ b/tests/support/harness_process.cpp
@@ -119,8 +119,12 @@
   const std::string file = aName + "." + std::to_string(sNumber++);
   mOutput = OutputDirectory().Path(file + ".out");
   mErrors = OutputDirectory().Path(file + ".err");
-  std::vector<std::string> texts{ std::string(ARBUTUSFERRY_BIN_DIR) + "/" +
-                                  aProgram };
+  // A test that is killed cannot end its children, so the kernel does.
+  std::vector<std::string> texts{ "/usr/bin/setpriv",
+                                  "--pdeathsig",
+                                  "KILL",
+                                  std::string(ARBUTUSFERRY_BIN_DIR) + "/" +
+                                    aProgram };
   texts.insert(texts.end(), aArguments.begin(), aArguments.end());
   std::vector<char*> arguments;
   arguments.reserve(texts.size() + 1);
@@ -138,7 +142,7 @@
     &mPid, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failure != 0) {
-    throw std::runtime_error("cannot start " + texts[0]);
+    throw std::runtime_error("cannot start " + aProgram);
   }
   const std::lock_guard lock(gChildrenMutex);
   gChildren.insert(this);
