Send entries and members only what changed

An entry received the lists of entries and targets with every node.sync: 25 KB four times a second with 100 targets. The request now names the lists that the entry holds, and the answer carries only changed loads when they are current. New grants answer a zone.sync early at most once in half an interval, and the relay reads the platform's lists once a second instead of twice.

--- a/include/arbutusferry/message_json.hpp
+++ b/include/arbutusferry/message_json.hpp
@@ -57,6 +57,15 @@
                 const std::string& aSource,
                 const std::string& aPath);
 
+/// @return `[target, running, waiting, version]`: loads are the largest part
+/// of most sync answers, and names of fields would triple their size.
+[[nodiscard]] Json::Value
+WriteTargetLoad(const target_load& aLoad);
+[[nodiscard]] result<target_load>
+ReadTargetLoad(const Json::Value& aValue,
+               const std::string& aSource,
+               const std::string& aPath);
+
 [[nodiscard]] Json::Value
 WriteEntryInfo(const entry_info& aEntry);
 [[nodiscard]] result<entry_info>
--- a/include/arbutusferry/node_sync.hpp
+++ b/include/arbutusferry/node_sync.hpp
@@ -55,6 +55,18 @@
   std::vector<usage_counter> usage; ///< Cumulative, changed since last answer.
   std::map<std::string, std::int64_t> inFlight; ///< By target id.
   std::int64_t grantRound = -1; ///< Round of the grants in use; -1 if none.
+  std::string view; ///< Of the lists that the entry holds; empty if none.
+};
+
+/// Load of one target as its engine reported it.
+struct target_load
+{
+  std::string target;
+  std::int64_t running = 0;
+  std::int64_t waiting = 0;
+  std::int64_t weightVersion = -1;
+
+  bool operator==(const target_load&) const = default;
 };
 
 /// Answer to `node_sync_request`.
@@ -73,6 +85,27 @@
   std::vector<tenant_grant> tenantGrants;
   std::vector<entry_info> entries;
   std::vector<target_info> targets;
+  std::string view; ///< Names the lists after this answer.
+  /// False when `entries` and `targets` are those of the request's view and
+  /// only the loads in `loads` changed.
+  bool hasLists = true;
+  std::vector<target_load> loads;
+};
+
+/// Lists that an entry holds from one answer to the next.
+class node_sync_lists
+{
+public:
+  /// @return View for the next request.
+  [[nodiscard]] const std::string& View() const noexcept { return mView; }
+
+  /// Puts the lists into an answer that carries only changes, and keeps them.
+  void Complete(node_sync_response& aResponse);
+
+private:
+  std::string mView;
+  std::vector<entry_info> mEntries;
+  std::vector<target_info> mTargets;
 };
 
 [[nodiscard]] Json::Value
--- a/include/arbutusferry/zone_sync.hpp
+++ b/include/arbutusferry/zone_sync.hpp
@@ -18,17 +18,6 @@
   log_offset offset = kNoOffset; ///< Complete up to here.
 };
 
-/// Load of one target as its engine reported it.
-struct target_load
-{
-  std::string target;
-  std::int64_t running = 0;
-  std::int64_t waiting = 0;
-  std::int64_t weightVersion = -1;
-
-  bool operator==(const target_load&) const = default;
-};
-
 /// What a member knows of an entry process that syncs with it.
 struct member_entry
 {
--- a/src/control/config_feed.cpp
+++ b/src/control/config_feed.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/json.hpp"
 #include "arbutusferry/logging.hpp"
+#include "environment/json_support.hpp"
 
 namespace arbutusferry {
 
@@ -135,11 +136,11 @@
   }
   auto restored = Capture([&]() -> result<void> {
     if (aCheckpoint.through > mState.Offset()) {
-      BOOST_LEAF_CHECK(mState.Restore(state["config"]));
+      ARBUTUSFERRY_CHECK(mState.Restore(state["config"]));
     }
-    BOOST_LEAF_CHECK(mRoles.Restore(state["roles"], aNow));
+    ARBUTUSFERRY_CHECK(mRoles.Restore(state["roles"], aNow));
     for (const auto& [name, listener] : mListeners) {
-      BOOST_LEAF_CHECK(listener->Restore(state[name], aNow));
+      ARBUTUSFERRY_CHECK(listener->Restore(state[name], aNow));
     }
     return {};
   });
@@ -176,7 +177,7 @@
 {
   const log_offset before = mNewest;
   if (!aUpdate.state.isNull() && aUpdate.offset > mState.Offset()) {
-    BOOST_LEAF_CHECK(mState.Restore(aUpdate.state));
+    ARBUTUSFERRY_CHECK(mState.Restore(aUpdate.state));
     mRecent.clear();
     mRecentBytes = 0;
     mRecentAfter = mState.Offset();
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -7,6 +7,7 @@
 #include "control/rpc_methods.hpp"
 #include "control/work_duties.hpp"
 #include "control/zone_duties.hpp"
+#include "environment/json_support.hpp"
 
 namespace arbutusferry {
 
@@ -121,7 +122,7 @@
                  const clock_source& aClock)
 {
   auto node = std::make_unique<running_node>(aOptions, aPlatform, aClock);
-  BOOST_LEAF_CHECK(node->Start());
+  ARBUTUSFERRY_CHECK(node->Start());
   return std::unique_ptr<control_node>(std::move(node));
 }
 
--- a/src/control/log_follower.cpp
+++ b/src/control/log_follower.cpp
@@ -13,8 +13,9 @@
 constexpr std::chrono::milliseconds kReadWait{ 500 };
 constexpr std::chrono::milliseconds kRetryDelay{ 300 };
 constexpr std::chrono::milliseconds kIdleWait{ 1000 };
-/// A change of a target must reach every entry within 3 s, through two syncs.
-constexpr std::chrono::milliseconds kListDelay{ 500 };
+/// A change of a target must reach every entry within 3 s; the syncs pass it on
+/// at once. A list of 100 targets has 35 KB, so more reads cost too much.
+constexpr std::chrono::milliseconds kListDelay{ 1000 };
 
 class log_follower final : public duty
 {
--- a/src/control/node_state.cpp
+++ b/src/control/node_state.cpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/hash.hpp"
 #include "arbutusferry/json.hpp"
 #include "arbutusferry/logging.hpp"
+#include "environment/json_support.hpp"
 
 #include <algorithm>
 
@@ -258,12 +259,12 @@
   }
   const auto hold =
     std::min<duration>(std::chrono::milliseconds(aRequest.holdMs), kMaxHold);
-  const std::int64_t seen = mSeenByEntry[instance];
+  const seen_lists seen = mSeenByEntry[instance];
   const auto version = [&] {
     return mBoard.EntryVersion() + GrantVersion(instance);
   };
   while (!mStopping && mFeed.NewestChange() <= aRequest.offset &&
-         version() == seen) {
+         version() == seen.version) {
     const duration left = received + hold - mClock.Now();
     if (left <= duration::zero()) {
       break;
@@ -271,10 +272,6 @@
     mChanged.wait_for(lock, left);
   }
   const time_point now = mClock.Now();
-  mSeenByEntry[instance] = version();
-  std::erase_if(mSeenByEntry, [&](const auto& aSeen) {
-    return !mBoard.IsOwnEntry(aSeen.first);
-  });
   UpdateIsolation(now);
   node_sync_response answer;
   config_update update = mFeed.Collect(aRequest.offset);
@@ -283,12 +280,13 @@
   answer.offset = update.offset;
   answer.viewAgeMs = ViewAgeMs(now);
   answer.staleAfterMs = ToMilliseconds(mOptions.staleAfter);
-  answer.entries = mBoard.Entries();
-  for (const target_info& target : mBoard.Targets()) {
-    if (target.zone == mOptions.zone) {
-      answer.targets.push_back(target);
-    }
-  }
+  const bool known = !seen.view.empty() && seen.view == aRequest.view;
+  mBoard.FillEntryAnswer(answer,
+                         known ? std::optional(seen.lists) : std::nullopt);
+  mSeenByEntry[instance] = { version(), answer.view, mBoard.Versions() };
+  std::erase_if(mSeenByEntry, [&](const auto& aSeen) {
+    return !mBoard.IsOwnEntry(aSeen.first);
+  });
   PutGrants(instance, now, answer);
   return answer;
 }
@@ -326,9 +324,11 @@
     std::min<duration>(std::chrono::milliseconds(aRequest.holdMs), Interval());
   const std::int64_t grants = grantVersion();
   while (!mStopping && !aRequest.draining &&
-         mFeed.NewestChange() <= aRequest.offset && unchanged() &&
-         grantVersion() == grants) {
-    const duration left = received + hold - mClock.Now();
+         mFeed.NewestChange() <= aRequest.offset && unchanged()) {
+    // New grants are worth an early answer, but not at every round: with 28
+    // members that would double the messages of the relay.
+    const bool planned = grantVersion() != grants;
+    const duration left = received + (planned ? hold / 2 : hold) - mClock.Now();
     if (left <= duration::zero()) {
       break;
     }
--- a/src/control/node_state.hpp
+++ b/src/control/node_state.hpp
@@ -144,6 +144,13 @@
     time_point planned{};
     std::int64_t version = 0; ///< Changes with the slots.
   };
+  /// What an entry was last answered.
+  struct seen_lists
+  {
+    std::int64_t version = 0; ///< Of lists and grants.
+    std::string view;
+    list_versions lists;
+  };
   /// What a member was last answered, to date its next statement.
   struct last_answer
   {
@@ -183,9 +190,9 @@
   duration mRelayAge{};
   config_feed mFeed;
   zone_board mBoard;
-  std::map<std::string, std::int64_t> mSeenByEntry; ///< List versions.
-  std::map<std::string, last_answer> mAnswers;      ///< By member.
-  std::map<std::string, given_grants> mGrants;      ///< By entry instance.
+  std::map<std::string, seen_lists> mSeenByEntry; ///< By entry instance.
+  std::map<std::string, last_answer> mAnswers;    ///< By member.
+  std::map<std::string, given_grants> mGrants;    ///< By entry instance.
   /// When each VM that may have accepted a change was last listed.
   std::map<std::string, time_point> mListed;
 };
--- a/src/control/slot_planning.cpp
+++ b/src/control/slot_planning.cpp
@@ -50,9 +50,7 @@
       mPlanner->Report({ entry.entry.instance,
                          entry.demand,
                          entry.inFlight,
-                         entry.grantRound < 0
-                           ? std::nullopt
-                           : std::optional(entry.grantRound) },
+                         entry.grantRound },
                        now);
       if (!entry.entry.draining) {
         instances.push_back(entry.entry.instance);
--- a/src/control/zone_board.cpp
+++ b/src/control/zone_board.cpp
@@ -431,6 +431,34 @@
   }
 }
 
+void
+zone_board::FillEntryAnswer(node_sync_response& aAnswer,
+                            const std::optional<list_versions>& aSeen) const
+{
+  aAnswer.view = mVersions.source + "." + std::to_string(mVersions.targets) +
+                 "." + std::to_string(mVersions.entries) + "." +
+                 std::to_string(mVersions.loads);
+  aAnswer.hasLists = !aSeen || aSeen->targets != mVersions.targets ||
+                     aSeen->entries != mVersions.entries;
+  if (aAnswer.hasLists) {
+    aAnswer.entries = mEntries;
+  }
+  for (const target_info& target : mTargets) {
+    if (target.zone != mZone) {
+      continue;
+    }
+    if (aAnswer.hasLists) {
+      aAnswer.targets.push_back(target);
+      continue;
+    }
+    const auto version = mLoadVersions.find(target.id);
+    if (version != mLoadVersions.end() && version->second > aSeen->loads) {
+      aAnswer.loads.push_back(
+        { target.id, target.running, target.waiting, target.weightVersion });
+    }
+  }
+}
+
 void
 zone_board::FillSummary(zone_summary_response& aAnswer,
                         const list_versions& aSeen) const
--- a/src/control/zone_duties.cpp
+++ b/src/control/zone_duties.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/logging.hpp"
 #include "arbutusferry/rpc_http.hpp"
+#include "environment/json_support.hpp"
 
 namespace arbutusferry {
 
@@ -67,7 +68,7 @@
                                [&](const Json::Value& aValue) {
                                  return ReadZoneSyncResponse(aValue, mAddress);
                                }));
-      BOOST_LEAF_CHECK(mState.OnZoneSync(request, answer, sent));
+      ARBUTUSFERRY_CHECK(mState.OnZoneSync(request, answer, sent));
       if (mSeen.source != answer.versions.source) {
         // Another process answers: it has none of the earlier reports.
         mState.WithBoard([](zone_board& aBoard) { aBoard.OnRelayChanged(); });
@@ -190,7 +191,7 @@
                                  return ReadZoneSummaryResponse(
                                    aValue, relay->controlAddress);
                                }));
-      BOOST_LEAF_CHECK(mState.OnZoneSummary(answer, now));
+      ARBUTUSFERRY_CHECK(mState.OnZoneSummary(answer, now));
       known.seen = answer.versions;
       return {};
     });
--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -61,6 +61,7 @@
   request.demand = mParts.work->Demand();
   request.inFlight = mParts.work->InFlight();
   request.usage = mParts.takeUsage();
+  request.view = mLists.View();
   const time_point sent = mParts.clock->Now();
   std::string problem;
   try {
@@ -69,12 +70,13 @@
     }
     const Json::Value answer =
       mClient->Call("node.sync", WriteNodeSyncRequest(request));
-    const auto response =
+    auto response =
       Capture([&] { return ReadNodeSyncResponse(answer, address); });
     if (const auto* error = std::get_if<1>(&response)) {
       problem = FormatError(*error);
     } else {
       mParts.confirmUsage(request.usage);
+      mLists.Complete(std::get<0>(response));
       Apply(std::get<0>(response), sent);
       return true;
     }
--- a/src/entry/sync_loop.hpp
+++ b/src/entry/sync_loop.hpp
@@ -53,6 +53,7 @@
   sync_parts mParts;
   std::size_t mCurrent = 0;
   std::unique_ptr<rpc_client> mClient;
+  node_sync_lists mLists;
 };
 
 } // namespace arbutusferry
--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -1,6 +1,7 @@
 #include "arbutusferry/lease.hpp"
 
 #include "arbutusferry/json.hpp"
+#include "environment/json_support.hpp"
 
 namespace arbutusferry {
 
@@ -100,7 +101,7 @@
     state.claim = reader.Integer("claim", kNoOffset, kLargest);
     state.holder = reader.String("holder", std::string());
     state.readAt = aReadAt;
-    BOOST_LEAF_CHECK(reader.Finish());
+    ARBUTUSFERRY_CHECK(reader.Finish());
     roles[role] = std::move(state);
   }
   mRoles = std::move(roles);
--- a/src/membership/node_sync.cpp
+++ b/src/membership/node_sync.cpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/message_json.hpp"
 #include "environment/json_support.hpp"
 
+#include <algorithm>
 #include <limits>
 
 namespace arbutusferry {
@@ -25,6 +26,36 @@
 
 } // namespace
 
+Json::Value
+WriteTargetLoad(const target_load& aLoad)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aLoad.target);
+  value.append(Whole(aLoad.running));
+  value.append(Whole(aLoad.waiting));
+  value.append(Whole(aLoad.weightVersion));
+  return value;
+}
+
+result<target_load>
+ReadTargetLoad(const Json::Value& aValue,
+               const std::string& aPeer,
+               const std::string& aPath)
+{
+  if (!aValue.isArray() || aValue.size() != 4 || !aValue[0].isString() ||
+      !aValue[1].isInt64() || !aValue[2].isInt64() || !aValue[3].isInt64()) {
+    return MakeError(error_code::InvalidArgument,
+                     "read message",
+                     aPeer,
+                     "field \"" + aPath +
+                       "\": expected [target, running, waiting, version]");
+  }
+  return target_load{ aValue[0].asString(),
+                      aValue[1].asInt64(),
+                      aValue[2].asInt64(),
+                      aValue[3].asInt64() };
+}
+
 Json::Value
 WriteNodeSyncRequest(const node_sync_request& aRequest)
 {
@@ -39,6 +70,7 @@
     value["in_flight"][target] = Whole(count);
   }
   value["grant_round"] = Whole(aRequest.grantRound);
+  value["view"] = aRequest.view;
   return value;
 }
 
@@ -68,6 +100,7 @@
   }
   ARBUTUSFERRY_CHECK(counts.Finish());
   request.grantRound = reader.Integer("grant_round", -1, kMax, -1);
+  request.view = reader.String("view", std::string());
   ARBUTUSFERRY_CHECK(reader.Finish());
   return request;
 }
@@ -88,8 +121,14 @@
   value["grants"] = WriteList(aResponse.grants, WriteSlotGrant);
   value["grant_round"] = Whole(aResponse.grantRound);
   value["tenant_grants"] = WriteList(aResponse.tenantGrants, WriteTenantGrant);
-  value["entries"] = WriteList(aResponse.entries, WriteEntryInfo);
-  value["targets"] = WriteList(aResponse.targets, WriteTargetInfo);
+  value["view"] = aResponse.view;
+  if (aResponse.hasLists) {
+    value["entries"] = WriteList(aResponse.entries, WriteEntryInfo);
+    value["targets"] = WriteList(aResponse.targets, WriteTargetInfo);
+  } else {
+    value["has_lists"] = false;
+    value["loads"] = WriteList(aResponse.loads, WriteTargetLoad);
+  }
   return value;
 }
 
@@ -123,8 +162,37 @@
                     ReadList(reader, "entries", with(ReadEntryInfo)));
   BOOST_LEAF_ASSIGN(response.targets,
                     ReadList(reader, "targets", with(ReadTargetInfo)));
+  response.view = reader.String("view", std::string());
+  response.hasLists = reader.Boolean("has_lists", true);
+  BOOST_LEAF_ASSIGN(response.loads,
+                    ReadList(reader, "loads", with(ReadTargetLoad)));
   ARBUTUSFERRY_CHECK(reader.Finish());
   return response;
 }
 
+void
+node_sync_lists::Complete(node_sync_response& aResponse)
+{
+  if (!aResponse.hasLists) {
+    for (const target_load& load : aResponse.loads) {
+      const auto known = std::find_if(
+        mTargets.begin(), mTargets.end(), [&](const auto& aTarget) {
+          return aTarget.id == load.target;
+        });
+      if (known != mTargets.end()) {
+        known->running = load.running;
+        known->waiting = load.waiting;
+        known->weightVersion = load.weightVersion;
+      }
+    }
+    aResponse.entries = mEntries;
+    aResponse.targets = mTargets;
+    aResponse.hasLists = true;
+  } else {
+    mEntries = aResponse.entries;
+    mTargets = aResponse.targets;
+  }
+  mView = aResponse.view;
+}
+
 } // namespace arbutusferry
--- a/src/membership/zone_sync.cpp
+++ b/src/membership/zone_sync.cpp
@@ -113,7 +113,7 @@
   report.offset = reader.Integer("offset", kNoOffset, kMax);
   report.age = std::chrono::milliseconds(
     reader.Integer("age_ms", 0, std::int64_t{ 1 } << 40));
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return std::optional(std::move(report));
 }
 
@@ -142,42 +142,10 @@
   vm.zone = reader.String("zone");
   vm.controlAddress = reader.String("control", std::string());
   vm.leaving = reader.Boolean("leaving", false);
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return vm;
 }
 
-/// `[target, running, waiting, version]`: loads are the largest part of most
-/// answers, and names of fields would triple their size.
-Json::Value
-WriteLoad(const target_load& aLoad)
-{
-  Json::Value value(Json::arrayValue);
-  value.append(aLoad.target);
-  value.append(Whole(aLoad.running));
-  value.append(Whole(aLoad.waiting));
-  value.append(Whole(aLoad.weightVersion));
-  return value;
-}
-
-result<target_load>
-ReadLoad(const Json::Value& aValue,
-         const std::string& aPeer,
-         const std::string& aPath)
-{
-  if (!aValue.isArray() || aValue.size() != 4 || !aValue[0].isString() ||
-      !aValue[1].isInt64() || !aValue[2].isInt64() || !aValue[3].isInt64()) {
-    return MakeError(error_code::InvalidArgument,
-                     "read message",
-                     aPeer,
-                     "field \"" + aPath +
-                       "\": expected [target, running, waiting, version]");
-  }
-  return target_load{ aValue[0].asString(),
-                      aValue[1].asInt64(),
-                      aValue[2].asInt64(),
-                      aValue[3].asInt64() };
-}
-
 Json::Value
 WriteMemberEntry(const member_entry& aEntry)
 {
@@ -213,8 +181,8 @@
     entry.inFlight[target] = counts.Integer(target.c_str(), 0, kMax);
   }
   entry.grantRound = reader.Integer("round", -1, kMax, -1);
-  BOOST_LEAF_CHECK(counts.Finish());
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(counts.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return entry;
 }
 
@@ -253,8 +221,8 @@
     ReadList(reader, "tenants", [&](const auto& aItem, const auto& aItemPath) {
       return ReadTenantGrant(aItem, aPeer, aItemPath);
     }));
-  BOOST_LEAF_CHECK(counts.Finish());
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(counts.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return grant;
 }
 
@@ -299,7 +267,7 @@
   }
   PutList(value, "entries", aRequest.entries, WriteMemberEntry);
   PutList(value, "usage", aRequest.usage, WriteUsageCounter);
-  PutList(value, "loads", aRequest.loads, WriteLoad);
+  PutList(value, "loads", aRequest.loads, WriteTargetLoad);
   return value;
 }
 
@@ -327,11 +295,12 @@
                     ReadList(reader, "entries", with(ReadMemberEntry)));
   BOOST_LEAF_ASSIGN(request.usage,
                     ReadList(reader, "usage", with(ReadUsageCounter)));
-  BOOST_LEAF_ASSIGN(request.loads, ReadList(reader, "loads", with(ReadLoad)));
+  BOOST_LEAF_ASSIGN(request.loads,
+                    ReadList(reader, "loads", with(ReadTargetLoad)));
   if (!problem.empty()) {
     reader.Fail(problem, "expected versions");
   }
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return request;
 }
 
@@ -357,7 +326,7 @@
   if (aResponse.entries) {
     value["entries"] = WriteList(*aResponse.entries, WriteEntryInfo);
   }
-  PutList(value, "loads", aResponse.loads, WriteLoad);
+  PutList(value, "loads", aResponse.loads, WriteTargetLoad);
   PutList(value, "grants", aResponse.grants, WriteGrant);
   if (aResponse.isolation) {
     value["isolation"] = WriteIsolation(*aResponse.isolation);
@@ -390,14 +359,15 @@
                     TakeOptional(reader, "targets", aPeer, ReadTargetInfo));
   BOOST_LEAF_ASSIGN(response.entries,
                     TakeOptional(reader, "entries", aPeer, ReadEntryInfo));
-  BOOST_LEAF_ASSIGN(response.loads, ReadList(reader, "loads", with(ReadLoad)));
+  BOOST_LEAF_ASSIGN(response.loads,
+                    ReadList(reader, "loads", with(ReadTargetLoad)));
   BOOST_LEAF_ASSIGN(response.grants,
                     ReadList(reader, "grants", with(ReadGrant)));
   BOOST_LEAF_ASSIGN(response.isolation, TakeIsolation(reader, aPeer));
   if (!problem.empty()) {
     reader.Fail(problem, "expected versions");
   }
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return response;
 }
 
@@ -426,7 +396,7 @@
   if (!problem.empty()) {
     reader.Fail(problem, "expected versions");
   }
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return request;
 }
 
@@ -470,7 +440,7 @@
   if (!problem.empty()) {
     reader.Fail(problem, "expected versions");
   }
-  BOOST_LEAF_CHECK(reader.Finish());
+  ARBUTUSFERRY_CHECK(reader.Finish());
   return response;
 }
 
