--- a/apps/arbutusferry-control/main.cpp
+++ b/apps/arbutusferry-control/main.cpp
@@ -90,7 +90,7 @@
 
 int
 main(int aCount, char** aArguments)
-{
+try {
   mallopt(M_ARENA_MAX, kMallocArenas);
   gflags::SetUsageMessage(
     "follows the configuration of an availability zone\n"
@@ -110,4 +110,8 @@
     return kSuccess;
   }
   return Run(std::get<control_settings>(settings));
+} catch (const std::exception& exception) {
+  std::fputs(exception.what(), stderr);
+  std::fputc('\n', stderr);
+  return kFailed;
 }
--- a/src/control/rpc_methods.cpp
+++ b/src/control/rpc_methods.cpp
@@ -221,7 +221,7 @@
       throw rpc_failure(
         "field \"record_id\": expected a string", false, kRpcCodeInvalidParams);
     }
-    const std::string id = aFields["record_id"].asString();
+    std::string id = aFields["record_id"].asString();
     aFields.removeMember("record_id");
     return id;
   }
--- a/src/control/zone_duties.cpp
+++ b/src/control/zone_duties.cpp
@@ -48,7 +48,7 @@
     const time_point now = mState.Clock().Now();
     std::string address;
     const std::string relay = mState.WithBoard([&](zone_board& aBoard) {
-      const std::string id = aBoard.Membership().Relay(now);
+      std::string id = aBoard.Membership().Relay(now);
       if (const auto vm = aBoard.Membership().Find(id)) {
         address = vm->controlAddress;
       }
