Clear the draining targets of a lost role and fix lint findings

A process that lost the orders of its zone kept showing the targets it had begun to drain as leaving, and would have stopped them at once if it got the role back, because the drain planner kept its old times. Both are reset now. Gauges tell the age of the view, the offset and who reads the log. The lint findings in the control sources were copies and conversions without effect.

--- a/src/control/config_feed.cpp
+++ b/src/control/config_feed.cpp
@@ -11,7 +11,7 @@
 /// Bounds of the records kept for peers. A peer that is further behind gets
 /// the whole state, which costs one message instead of memory in every node.
 constexpr std::size_t kRecentRecords = 256;
-constexpr std::size_t kRecentBytes = 512 * 1024;
+constexpr std::size_t kRecentBytes = std::size_t{ 512 } * 1024;
 
 /// Rough size of a record; writing it out only to measure it would cost more
 /// than the bound is worth.
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -42,7 +42,10 @@
       return mDispatcher->Handle(aText);
     };
     handlers.ready = [this] { return mState.Ready(); };
-    handlers.metrics = [this] { return mState.Metrics().Export(); };
+    handlers.metrics = [this] {
+      mState.UpdateGauges();
+      return mState.Metrics().Export();
+    };
     BOOST_LEAF_ASSIGN(
       mFront, StartHttpFront(mState.Options().listen, std::move(handlers)));
     std::vector<duty_factory> duties;
--- a/src/control/http_front.cpp
+++ b/src/control/http_front.cpp
@@ -17,7 +17,7 @@
 /// of the system, which bounds them.
 constexpr std::size_t kMaxWaiting = 128;
 /// Largest request: a document of an operator.
-constexpr std::size_t kMaxBody = 8 * 1024 * 1024;
+constexpr std::size_t kMaxBody = std::size_t{ 8 } * 1024 * 1024;
 
 /// Pool that starts threads only as connections come, so that a process that
 /// is not the relay keeps few.
--- a/src/control/node_state.cpp
+++ b/src/control/node_state.cpp
@@ -221,8 +221,8 @@
 {
   const std::lock_guard lock(mMutex);
   const time_point now = mClock.Now();
-  for (auto& [instance, plan] : aPlans) {
-    StoreGrants(instance, std::move(plan), now);
+  for (auto& item : aPlans) {
+    StoreGrants(item.first, std::move(item.second), now);
   }
   std::erase_if(mGrants, [&](const auto& aGrant) {
     return now - aGrant.second.planned > 2 * kGrantTerm;
@@ -474,6 +474,25 @@
   return !mStopping && mFeed.Freshness().Age(mClock.Now()).has_value();
 }
 
+void
+node_state::UpdateGauges()
+{
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  const std::lock_guard lock(mMutex);
+  const std::int64_t age = ViewAgeMs(mClock.Now());
+  mMetrics.SetGauge(
+    "control_view_age_seconds",
+    {},
+    age < 0 ? -1.0 : static_cast<double>(age) / kMillisecondsPerSecond);
+  mMetrics.SetGauge(
+    "control_offset", {}, static_cast<double>(mFeed.State().Offset()));
+  mMetrics.SetGauge(
+    "control_void_records", {}, static_cast<double>(mFeed.State().VoidCount()));
+  mMetrics.SetGauge("control_reads_log", {}, mReads ? 1.0 : 0.0);
+  mMetrics.SetGauge(
+    "control_entries", {}, static_cast<double>(mBoard.Entries().size()));
+}
+
 Json::Value
 node_state::Status() const
 {
--- a/src/control/node_state.hpp
+++ b/src/control/node_state.hpp
@@ -106,6 +106,8 @@
 
   /// @return Whether the process has configuration and may serve entries.
   [[nodiscard]] bool Ready() const;
+  /// Sets the gauges of the metrics to the present state.
+  void UpdateGauges();
   /// @return Content of `operator.status`.
   [[nodiscard]] Json::Value Status() const;
 
--- a/src/control/supervisor.cpp
+++ b/src/control/supervisor.cpp
@@ -47,7 +47,7 @@
 caf::behavior
 SupervisorBehavior(caf::stateful_actor<supervisor_state>* aSelf,
                    std::vector<duty_factory> aDuties,
-                   failure_handler aOnFailure)
+                   const failure_handler& aOnFailure)
 {
   aSelf->state.factories = std::move(aDuties);
   const auto start = [aSelf, aOnFailure](std::size_t aIndex) {
--- a/src/control/target_duty.cpp
+++ b/src/control/target_duty.cpp
@@ -48,9 +48,16 @@
   duration Step() override
   {
     if (!mKeeper->Holds(mRole)) {
-      mAccepted.reset();
+      if (mActive) {
+        // The next holder decides anew which targets drain.
+        mActive = false;
+        mAccepted.reset();
+        mDrainer = drain_planner();
+        mState.WithBoard([](zone_board& aBoard) { aBoard.SetDraining({}); });
+      }
       return kOrderDelay;
     }
+    mActive = true;
     const auto document = mState.WithFeed([&](const config_feed& aFeed) {
       const stage_config* config =
         aFeed.State().Find(mState.Options().environment, stage::Production);
@@ -111,7 +118,9 @@
                     std::set<std::string>& aDraining,
                     std::vector<std::string>& aStop)
   {
-    for (const auto& [target, since] : mDrains->List()) {
+    for (const auto& request : mDrains->List()) {
+      const std::string& target = request.first;
+      const time_point since = request.second;
       const bool listed =
         std::any_of(aListed.begin(), aListed.end(), [&](const auto& aTarget) {
           return aTarget.id == target;
@@ -278,6 +287,7 @@
   drain_planner mDrainer;
   std::map<std::string, std::int64_t> mSlots; ///< By class.
   std::optional<target_order> mAccepted;
+  bool mActive = false;           ///< Held the role in the last step.
   std::set<std::string> mStopped; ///< Targets stopped by own orders.
 };
 
--- a/src/control/weight_duty.cpp
+++ b/src/control/weight_duty.cpp
@@ -50,8 +50,11 @@
     if (!mKeeper->Holds(mRole) || mState.Stopping()) {
       return kRolloutDelay;
     }
-    for (const auto& [model, published] : Published()) {
-      const auto& [targetClass, version] = published;
+    for (const auto& item : Published()) {
+      const std::string& model = item.first;
+      const published_version& published = item.second;
+      const std::string& targetClass = published.first;
+      const std::int64_t version = published.second;
       std::vector<target_info> engines = mState.WithBoard(
         [&](const zone_board& aBoard) { return aBoard.ListedTargets(); });
       std::erase_if(engines, [&](const target_info& aTarget) {
