--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -7,6 +7,7 @@
 #include "control/rpc_methods.hpp"
 #include "control/work_duties.hpp"
 #include "control/zone_duties.hpp"
+#include "environment/json_support.hpp"
 
 namespace arbutusferry {
 
@@ -41,7 +42,10 @@
       return mDispatcher->Handle(aText);
     };
     handlers.ready = [this] { return mState.Ready(); };
-    handlers.metrics = [this] { return mState.Metrics().Export(); };
+    handlers.metrics = [this] {
+      mState.UpdateGauges();
+      return mState.Metrics().Export();
+    };
     BOOST_LEAF_ASSIGN(
       mFront, StartHttpFront(mState.Options().listen, std::move(handlers)));
     std::vector<duty_factory> duties;
@@ -121,7 +125,7 @@
                  const clock_source& aClock)
 {
   auto node = std::make_unique<running_node>(aOptions, aPlatform, aClock);
-  BOOST_LEAF_CHECK(node->Start());
+  ARBUTUSFERRY_CHECK(node->Start());
   return std::unique_ptr<control_node>(std::move(node));
 }
 
