--- a/src/routing/scheduler.cpp
+++ b/src/routing/scheduler.cpp
@@ -173,10 +173,16 @@
   } else {
     work.target->breaker.OnSuccess();
     mTenants[work.tenant].retries.OnSuccess(aNow);
-    auto& mean = mClasses[targetClass].meanService;
+    auto& entry = mClasses[targetClass];
     const double seconds =
       std::chrono::duration<double>(aNow - work.started).count();
-    mean += (mean <= 0 ? 1.0 : kServiceGain) * (seconds - mean);
+    const auto average = [&](double& aMean) {
+      aMean += (aMean <= 0 ? 1.0 : kServiceGain) * (seconds - aMean);
+    };
+    average(entry.meanService);
+    if (work.kind == work_kind::Interactive) {
+      average(entry.meanCall);
+    }
   }
   if (!work.target->listed && work.target->inFlight == 0) {
     mHints.Erase(work.target->info.id);
@@ -281,8 +287,13 @@
         entry.localLimit +=
           info.state == target_state::Live ? target->limit : 0;
       } else {
-        // Grants cover the own zone only. What the load report leaves free is
+        // Without slots lent by that zone, what its load report leaves free is
         // divided among the entries of the other zones.
+        const auto lent = mGrants.find(info.id);
+        if (mPhase == grant_phase::Valid && lent != mGrants.end()) {
+          target->limit = std::min(lent->second, info.slots);
+          continue;
+        }
         const auto others = std::max<std::int64_t>(
           info.running + info.waiting - target->reported, 0);
         target->limit = FallbackSlots(
@@ -387,12 +398,15 @@
   const auto check = [&](const placement_needs& aNeeds) {
     return Gather(entry, aNeeds, aNow, nullptr);
   };
+  const auto earliestEnd =
+    aNow + std::chrono::duration_cast<duration>(
+             std::chrono::duration<double>(entry.meanCall));
   while (mQueue->WaitingInClass(aClass) > 0 &&
          std::any_of(
            entry.targets.begin(), entry.targets.end(), [](const auto* aTarget) {
              return aTarget->inFlight < aTarget->limit;
            })) {
-    auto next = mQueue->Pop(aClass, check);
+    auto next = mQueue->Pop(aClass, check, earliestEnd);
     if (!next) {
       return;
     }
@@ -402,7 +416,7 @@
     ++target.inFlight;
     target.breaker.OnStart(aNow);
     mHints.Expect(target.info.id, next->item.prefix);
-    mRunning[next->id] = { &target, next->item.tenant, aNow };
+    mRunning[next->id] = { &target, next->item.tenant, next->item.kind, aNow };
     mOutcomes.push_back({ next->id, assignment{ next->id, target.info } });
   }
 }
