--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -5,6 +5,9 @@
 #include "control/http_front.hpp"
 #include "control/log_follower.hpp"
 #include "control/rpc_methods.hpp"
+#include "control/work_duties.hpp"
+#include "control/zone_duties.hpp"
+#include "environment/json_support.hpp"
 
 namespace arbutusferry {
 
@@ -18,8 +21,16 @@
                const clock_source& aClock)
     : mState(aOptions, aClock)
     , mPlatform(aPlatform)
-    , mDispatcher(MakeRpcDispatcher(MakeControlMethods(mState, aPlatform)))
+    , mKeeper(std::make_shared<role_keeper>(mState, aPlatform.log))
+    , mUsage(std::make_shared<usage_fold>())
+    , mDrains(std::make_shared<drain_requests>())
+    , mDispatcher(MakeRpcDispatcher(
+        MakeControlMethods(mState, aPlatform, mUsage, mDrains)))
   {
+    mState.UpdateFeed([this](config_feed& aFeed) {
+      aFeed.AddListener("usage", *mUsage);
+      return false;
+    });
   }
 
   ~running_node() override { Stop(); }
@@ -31,7 +42,10 @@
       return mDispatcher->Handle(aText);
     };
     handlers.ready = [this] { return mState.Ready(); };
-    handlers.metrics = [this] { return mState.Metrics().Export(); };
+    handlers.metrics = [this] {
+      mState.UpdateGauges();
+      return mState.Metrics().Export();
+    };
     BOOST_LEAF_ASSIGN(
       mFront, StartHttpFront(mState.Options().listen, std::move(handlers)));
     std::vector<duty_factory> duties;
@@ -41,6 +55,30 @@
                         return MakeDirectoryReader(mState, mPlatform.directory);
                       } });
     duties.push_back({ "load", [this] { return MakeLoadPoller(mState); } });
+    duties.push_back({ "zone", [this] { return MakeZoneSync(mState); } });
+    duties.push_back({ "summary", [this] { return MakeZoneSummary(mState); } });
+    duties.push_back({ "membership", [this] {
+                        return MakeMembershipWatch(mState, mKeeper);
+                      } });
+    duties.push_back({ "roles", [this] { return MakeRoleDuty(mKeeper); } });
+    duties.push_back({ "checkpoint", [this] {
+                        return MakeCheckpointDuty(
+                          mState, mKeeper, mPlatform.log);
+                      } });
+    duties.push_back({ "slots", [this] { return MakeSlotPlanning(mState); } });
+    duties.push_back({ "usage_batches", [this] {
+                        return MakeUsageBatches(mState, mPlatform.log);
+                      } });
+    duties.push_back({ "usage_reports", [this] {
+                        return MakeUsageReports(
+                          mState, mKeeper, mUsage, mPlatform);
+                      } });
+    duties.push_back({ "targets", [this] {
+                        return MakeTargetOrders(
+                          mState, mKeeper, mDrains, mPlatform);
+                      } });
+    duties.push_back(
+      { "weights", [this] { return MakeWeightOrders(mState, mKeeper); } });
     mSupervisor = StartSupervisor(
       std::move(duties),
       [this](const std::string& aDuty, const std::string& aReason) {
@@ -61,6 +99,7 @@
     if (mSupervisor) {
       mSupervisor->Stop();
       mSupervisor.reset();
+      mKeeper->ReleaseAll();
     }
     if (mFront) {
       mFront->Stop();
@@ -70,6 +109,9 @@
 private:
   node_state mState;
   platform_clients mPlatform;
+  std::shared_ptr<role_keeper> mKeeper;
+  std::shared_ptr<usage_fold> mUsage;
+  std::shared_ptr<drain_requests> mDrains;
   std::unique_ptr<rpc_dispatcher> mDispatcher;
   std::unique_ptr<http_front> mFront;
   std::unique_ptr<supervisor> mSupervisor;
@@ -83,7 +125,7 @@
                  const clock_source& aClock)
 {
   auto node = std::make_unique<running_node>(aOptions, aPlatform, aClock);
-  BOOST_LEAF_CHECK(node->Start());
+  ARBUTUSFERRY_CHECK(node->Start());
   return std::unique_ptr<control_node>(std::move(node));
 }
 
--- a/tests/support/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
@@ -50,7 +51,8 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<std::uint16_t>(aPort));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  (void)::connect(
+    socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   return socket;
 }
 
@@ -78,7 +80,8 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    (void)::bind(
+      mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     ::listen(mListener, 64);
     socklen_t size = sizeof(address);
     ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
@@ -93,6 +96,13 @@
     ::close(mListener);
   }
 
+  /// Replaces the function; applies to requests that arrive afterwards.
+  void Answer(handler aHandler)
+  {
+    const std::lock_guard lock(mMutex);
+    mHandler = std::move(aHandler);
+  }
+
   [[nodiscard]] std::string Address() const
   {
     return "127.0.0.1:" + std::to_string(mPort);
@@ -110,7 +120,12 @@
       const std::string request = ReadRequest(socket);
       if (!request.empty()) {
         ++mRequests;
-        mHandler(request, socket);
+        handler answer;
+        {
+          const std::lock_guard lock(mMutex);
+          answer = mHandler;
+        }
+        answer(request, socket);
       }
       ::close(socket);
     }
@@ -136,6 +151,7 @@
     return text;
   }
 
+  std::mutex mMutex;
   handler mHandler;
   int mListener;
   int mPort = 0;
