Apply tenant grants, hand over permits in parts, refuse control characters

cpp-httplib decodes percent escapes in header values, so %0d%0a in a caller's header became a line end; such requests are now refused with 400. A permit table larger than the receiver's body limit could not be handed over; it now goes in parts that take effect with the last one. The pool refused tasks for which it had just started a thread: idle threads are counted from their start. Usage counters use the common usage module.

--- a/include/arbutusferry/permit.hpp
+++ b/include/arbutusferry/permit.hpp
@@ -10,6 +10,7 @@
 #include <json/value.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -91,11 +92,15 @@
   /// Drops what was kept long enough.
   void Expire(time_point aNow);
 
-  /// @return Whole table, for the entry that takes over. A permit that still
-  /// runs is exported with the outcome `unknown`.
-  [[nodiscard]] Json::Value Export(time_point aNow) const;
+  /// @return The table in parts, for the entry that takes over. A permit that
+  /// still runs, or whose answer does not fit into a part, is exported with the
+  /// outcome `unknown`.
+  /// @param aPartBytes Greatest length of a part as JSON text, nearly.
+  [[nodiscard]] std::vector<Json::Value> Export(time_point aNow,
+                                                std::size_t aPartBytes) const;
 
-  /// Takes over the table of another instance. Repeating it changes nothing.
+  /// Takes over the table of another instance once all of its parts came.
+  /// Repeating it changes nothing.
   /// @param aPeer Sender, for errors.
   [[nodiscard]] result<void> Import(const Json::Value& aTable,
                                     const std::string& aPeer,
@@ -125,6 +130,13 @@
     time_point dropAt{};
     stored_answer answer;
   };
+  /// Parts of a table that is not whole yet.
+  struct staged_table
+  {
+    std::set<std::int64_t> parts;
+    std::map<std::string, std::string> secrets;
+    std::vector<std::pair<std::string, permit_entry>> permits;
+  };
   using permit_map = std::map<std::string, permit_entry, std::less<>>;
 
   [[nodiscard]] std::string Code(const std::string& aInstance,
@@ -132,6 +144,17 @@
                                  std::string_view aNonce) const;
   [[nodiscard]] bool Genuine(std::string_view aPermit) const;
   void Insert(const std::string& aPermit, permit_entry aEntry);
+  [[nodiscard]] static result<std::pair<std::string, permit_entry>> ReadEntry(
+    const Json::Value& aValue,
+    const std::string& aPeer,
+    const std::string& aPath,
+    const Json::Value& aSecrets,
+    const permit_limits& aLimits,
+    time_point aNow);
+  [[nodiscard]] Json::Value WriteEntry(const std::string& aPermit,
+                                       const permit_entry& aEntry,
+                                       time_point aNow,
+                                       std::size_t aPartBytes) const;
   static std::size_t Weight(const stored_answer& aAnswer);
 
   std::string mInstance;
@@ -139,6 +162,7 @@
   std::map<std::string, std::string, std::less<>> mSecrets; ///< By instance.
   permit_map mPermits;
   std::multimap<time_point, std::string> mDropOrder;
+  std::map<std::string, staged_table> mStaged; ///< By sender.
   std::size_t mBytes = 0;
 };
 
--- a/include/arbutusferry/step.hpp
+++ b/include/arbutusferry/step.hpp
@@ -210,6 +210,7 @@
   step_session(step_request aStep, delivery_cursor aCursor, step_parts aParts);
 
   void Tick(time_point aNow);
+  void Observe(const char* aName, duration aTook) const;
   void Submit(std::size_t aSample, time_point aNow);
   void OnAssigned(const std::shared_ptr<sample_attempt>& aAttempt,
                   const std::variant<assignment, error_info>& aAnswer);
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -75,11 +75,10 @@
   if (aCall.caller.tenant.empty()) {
     return;
   }
-  const std::int64_t length = aCall.config->document->usageWindow.count();
-  const unix_seconds now = aContext.parts.clock->UnixNow();
   usage_event event;
   event.tenant = aCall.caller.tenant;
-  event.window = now - now % length;
+  event.window = WindowStart(aContext.parts.clock->UnixNow(),
+                             aCall.config->document->usageWindow);
   event.promptTokens = aPromptTokens;
   event.generatedTokens = aGeneratedTokens;
   aContext.usageEvents.Push(std::move(event));
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -182,8 +182,13 @@
     if (const auto event = mContext.usageEvents.Pop(kTick)) {
       mContext.usage.Add(*event);
     } else {
-      mContext.usage.DropBefore(mContext.parts.clock->UnixNow() -
-                                kKeepCounters);
+      const std::size_t dropped = mContext.usage.DropBefore(
+        mContext.parts.clock->UnixNow() - kKeepCounters);
+      if (dropped > 0) {
+        mContext.parts.metrics->Count("arbutusferry_usage_late_dropped_total",
+                                      {},
+                                      static_cast<double>(dropped));
+      }
       if (aStop.stop_requested()) {
         return;
       }
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -81,6 +81,14 @@
          });
 }
 
+bool
+HasControl(const std::string& aText)
+{
+  return std::any_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return (aByte < ' ' && aByte != '\t') || aByte == 0x7f;
+  });
+}
+
 /// @return What is wrong with the framing of a request; empty if nothing.
 /// cpp-httplib reads a malformed length as 0 and takes the body for the next
 /// request, which would let one caller prepend bytes to another's request
@@ -117,6 +125,17 @@
   if (aRequest.has_header("Content-Encoding")) {
     return "header Content-Encoding: expected none";
   }
+  // The library decodes percent escapes in header values, so that an escaped
+  // line end would become a line of its own in a forwarded request.
+  const bool injected =
+    HasControl(aRequest.target) ||
+    std::any_of(
+      aRequest.headers.begin(), aRequest.headers.end(), [](const auto& aOne) {
+        return HasControl(aOne.first) || HasControl(aOne.second);
+      });
+  if (injected) {
+    return "control characters in the request line or a header";
+  }
   return {};
 }
 
--- a/src/entry/permit_calls.cpp
+++ b/src/entry/permit_calls.cpp
@@ -175,6 +175,25 @@
   return answer;
 }
 
+upstream_answer
+SendPart(entry_context& aContext,
+         const entry_info& aPeer,
+         const Json::Value& aPart)
+{
+  target_info peer;
+  peer.id = aPeer.instance;
+  peer.address = aPeer.address;
+  upstream_request request;
+  request.exchangeId = RandomHex(kExchangeIdBytes);
+  request.method = "POST";
+  request.path = "/internal/permits";
+  request.headers = { { "Content-Type", "application/json" } };
+  request.body = WriteJson(aPart);
+  request.deadline = aContext.Now() + kHandOverTimeout;
+  exchange_control control;
+  return aContext.parts.transport->Exchange(peer, request, {}, control);
+}
+
 } // namespace
 
 http_answer
@@ -319,14 +338,17 @@
 void
 HandOverPermits(entry_context& aContext)
 {
-  std::string table;
+  std::vector<Json::Value> parts;
   {
     const std::lock_guard lock(aContext.permitMutex);
     aContext.permits.Expire(aContext.Now());
-    if (aContext.permits.Size() == 0) {
-      return;
-    }
-    table = WriteJson(aContext.permits.Export(aContext.Now()));
+    // Half of the limit leaves room for what surrounds the permits.
+    parts = aContext.permits.Export(
+      aContext.Now(),
+      static_cast<std::size_t>(aContext.settings.limits.maxBodyBytes) / 2);
+  }
+  if (parts.empty()) {
+    return;
   }
   for (const entry_info& entry : aContext.view.Entries()) {
     if (entry.zone != aContext.settings.zone || entry.draining ||
@@ -338,24 +360,17 @@
       const std::lock_guard lock(aContext.permitMutex);
       aContext.handedTo = entry.address;
     }
-    target_info peer;
-    peer.id = entry.instance;
-    peer.address = entry.address;
-    upstream_request request;
-    request.exchangeId = RandomHex(kExchangeIdBytes);
-    request.method = "POST";
-    request.path = "/internal/permits";
-    request.headers = { { "Content-Type", "application/json" } };
-    request.body = table;
-    request.deadline = aContext.Now() + kHandOverTimeout;
-    exchange_control control;
-    const upstream_answer answer =
-      aContext.parts.transport->Exchange(peer, request, {}, control);
-    const bool accepted =
-      answer.result == outcome::Answered && answer.status == 200;
-    if (accepted || answer.result == outcome::Unknown) {
-      // After a lost answer a second entry must not get the table too: both
-      // would run an unused permit.
+    bool accepted = true;
+    bool mayDecide = false;
+    for (std::size_t i = 0; i < parts.size() && accepted; ++i) {
+      const upstream_answer answer = SendPart(aContext, entry, parts[i]);
+      accepted = answer.result == outcome::Answered && answer.status == 200;
+      // The table takes effect with its last part. After a lost answer to that
+      // one no second entry may get the table: both would run an unused permit.
+      mayDecide = i + 1 == parts.size() &&
+                  (accepted || answer.result == outcome::Unknown);
+    }
+    if (mayDecide) {
       Log(accepted ? log_level::Info : log_level::Warning,
           accepted ? "permits_handed_over" : "permits_hand_over_unknown",
           { { "peer", entry.address } });
--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -61,6 +61,7 @@
   request.demand = mParts.work->Demand();
   request.inFlight = mParts.work->InFlight();
   request.usage = mParts.takeUsage();
+  request.grantRound = mGrantRound;
   const time_point sent = mParts.clock->Now();
   std::string problem;
   try {
@@ -125,10 +126,16 @@
   const time_point now = mParts.clock->Now();
   // The time of the grant is not known exactly; counting from the send time
   // can only make it expire earlier.
+  const time_point expiry =
+    aSent + std::chrono::milliseconds(aResponse.grantTtlMs);
+  if (aResponse.hasGrants) {
+    mGrantRound = aResponse.grantRound;
+    mParts.work->UpdateTenantGrants(aResponse.tenantGrants, expiry);
+  }
   mParts.work->UpdateTargets(
     aResponse.targets,
     aResponse.hasGrants ? std::optional(aResponse.grants) : std::nullopt,
-    aSent + std::chrono::milliseconds(aResponse.grantTtlMs),
+    expiry,
     static_cast<std::size_t>(index),
     live.size(),
     now);
--- a/src/entry/sync_loop.hpp
+++ b/src/entry/sync_loop.hpp
@@ -53,6 +53,7 @@
   sync_parts mParts;
   std::size_t mCurrent = 0;
   std::unique_ptr<rpc_client> mClient;
+  std::int64_t mGrantRound = -1; ///< Round of the grants in use.
 };
 
 } // namespace arbutusferry
--- a/src/entry/thread_pool.cpp
+++ b/src/entry/thread_pool.cpp
@@ -25,6 +25,9 @@
     return false;
   }
   if (mIdle <= mTasks.size() && mThreads.size() < mMaxThreads) {
+    // Counted as idle from here on: until it runs, its task is in the queue,
+    // and a burst of tasks would otherwise be refused.
+    ++mIdle;
     mThreads.emplace_back([this] { Work(); });
   } else if (mIdle <= mTasks.size() && mTasks.size() - mIdle >= mMaxWaiting) {
     return false;
@@ -54,7 +57,6 @@
 {
   std::unique_lock lock(mMutex);
   for (;;) {
-    ++mIdle;
     mWake.wait(lock, [this] { return mStopping || !mTasks.empty(); });
     --mIdle;
     if (mTasks.empty()) {
@@ -69,6 +71,7 @@
       Log(log_level::Error, "task_failed", { { "message", exception.what() } });
     }
     lock.lock();
+    ++mIdle;
   }
 }
 
--- a/src/entry/usage_meter.hpp
+++ b/src/entry/usage_meter.hpp
@@ -2,11 +2,10 @@
 
 #include "arbutusferry/log_record.hpp"
 #include "arbutusferry/time.hpp"
+#include "arbutusferry/usage.hpp"
 
-#include <map>
 #include <mutex>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace arbutusferry {
@@ -34,19 +33,14 @@
   /// Notes that a control process has these counters.
   void Confirm(const std::vector<usage_counter>& aCounters);
 
-  /// Drops confirmed counters of windows that started before a time.
-  void DropBefore(unix_seconds aWindow);
+  /// Drops the counters of windows that started before a time.
+  /// @return Dropped counters that no control process has.
+  std::size_t DropBefore(unix_seconds aWindow);
 
 private:
-  struct counted
-  {
-    usage_counter counter;
-    std::int64_t confirmedRequests = 0;
-  };
-
   std::string mInstance;
   mutable std::mutex mMutex;
-  std::map<std::pair<unix_seconds, std::string>, counted> mCounters;
+  usage_counter_set mCounters;
 };
 
 } // namespace arbutusferry
--- a/src/exchange/permit.cpp
+++ b/src/exchange/permit.cpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/json.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace arbutusferry {
 
@@ -17,6 +18,13 @@
 /// Hexadecimal digits of a code that are kept: 128 bits.
 constexpr std::size_t kCodeDigits = 32;
 
+/// Most parts of one table.
+constexpr std::int64_t kMaxParts = 65'536;
+
+/// Senders whose tables may be incomplete at the same time. A sender that gives
+/// up half way never sends the rest.
+constexpr std::size_t kMaxStaged = 8;
+
 /// Parts of `<instance>.<nonce>.<code>`.
 struct permit_parts
 {
@@ -263,38 +271,96 @@
 }
 
 Json::Value
-permit_table::Export(time_point aNow) const
+permit_table::WriteEntry(const std::string& aPermit,
+                         const permit_entry& aEntry,
+                         time_point aNow,
+                         std::size_t aPartBytes) const
+{
+  Json::Value value;
+  value["permit"] = aPermit;
+  value["user"] = aEntry.user;
+  value["request_hash"] = aEntry.requestHash;
+  value["left_ms"] = static_cast<Json::Int64>(
+    std::max<std::int64_t>(1, ToMilliseconds(aEntry.dropAt - aNow)));
+  const bool fits = Weight(aEntry.answer) * 4 / 3 < aPartBytes;
+  if (aEntry.state == permit_state::Finished && fits) {
+    value["answer"] = WriteAnswer(aEntry.answer);
+  } else if (aEntry.state != permit_state::Unused) {
+    stored_answer unknown;
+    unknown.status = 502;
+    unknown.contentType = "application/json";
+    unknown.headers = { { kOutcomeHeader,
+                          std::string(EnumName(outcome::Unknown)) } };
+    unknown.body = R"({"error":{"outcome":"unknown","code":)"
+                   R"("broken_exchange","step":"permit","peer":"",)"
+                   R"("message":"the entry stopped during the request"}})";
+    value["answer"] = WriteAnswer(unknown);
+  }
+  return value;
+}
+
+std::vector<Json::Value>
+permit_table::Export(time_point aNow, std::size_t aPartBytes) const
 {
-  Json::Value table;
-  table["instance"] = mInstance;
   Json::Value secrets(Json::objectValue);
   for (const auto& [instance, secret] : mSecrets) {
     secrets[instance] = secret;
   }
-  table["secrets"] = secrets;
-  Json::Value permits(Json::arrayValue);
+  std::vector<Json::Value> parts;
+  std::size_t bytes = aPartBytes;
   for (const auto& [permit, entry] : mPermits) {
-    Json::Value value;
-    value["permit"] = permit;
-    value["user"] = entry.user;
-    value["request_hash"] = entry.requestHash;
-    value["left_ms"] = static_cast<Json::Int64>(
-      std::max<std::int64_t>(1, ToMilliseconds(entry.dropAt - aNow)));
-    if (entry.state == permit_state::Finished) {
-      value["answer"] = WriteAnswer(entry.answer);
-    } else if (entry.state == permit_state::Running) {
-      stored_answer unknown;
-      unknown.status = 502;
-      unknown.contentType = "application/json";
-      unknown.body = R"({"error":{"outcome":"unknown","code":)"
-                     R"("broken_exchange","step":"permit","peer":"",)"
-                     R"("message":"the entry stopped during the request"}})";
-      value["answer"] = WriteAnswer(unknown);
+    const Json::Value value = WriteEntry(permit, entry, aNow, aPartBytes);
+    const std::size_t size = WriteJson(value).size();
+    if (bytes + size > aPartBytes) {
+      Json::Value part;
+      part["instance"] = mInstance;
+      part["secrets"] = secrets;
+      part["part"] = static_cast<Json::UInt64>(parts.size());
+      part["permits"] = Json::Value(Json::arrayValue);
+      parts.push_back(part);
+      bytes = 0;
+    }
+    parts.back()["permits"].append(value);
+    bytes += size;
+  }
+  for (Json::Value& part : parts) {
+    part["parts"] = static_cast<Json::UInt64>(parts.size());
+  }
+  return parts;
+}
+
+result<std::pair<std::string, permit_table::permit_entry>>
+permit_table::ReadEntry(const Json::Value& aValue,
+                        const std::string& aPeer,
+                        const std::string& aPath,
+                        const Json::Value& aSecrets,
+                        const permit_limits& aLimits,
+                        time_point aNow)
+{
+  object_reader item(aValue, aPeer, aPath);
+  const std::string permit = item.String("permit");
+  const std::string issuer = IssuerOf(permit);
+  permit_entry entry;
+  entry.user = item.String("user");
+  entry.requestHash = item.String("request_hash", "");
+  const std::int64_t left =
+    item.Integer("left_ms", 1, ToMilliseconds(aLimits.keep));
+  entry.dropAt = aNow + std::chrono::milliseconds(left);
+  if (issuer.empty() || !aSecrets.isMember(issuer)) {
+    item.Fail("permit", "expected a permit of an instance in \"secrets\"");
+  }
+  if (item.Has("answer")) {
+    object_reader answer(item.Object("answer"), aPeer, item.Path("answer"));
+    entry.answer = ReadAnswer(answer);
+    entry.state = permit_state::Finished;
+    if (auto read = answer.Finish(); !read) {
+      return read.error();
     }
-    permits.append(value);
   }
-  table["permits"] = permits;
-  return table;
+  if (auto read = item.Finish(); !read) {
+    return read.error();
+  }
+  return std::pair(permit, std::move(entry));
 }
 
 result<void>
@@ -304,64 +370,60 @@
 {
   object_reader reader(aTable, aPeer);
   const std::string sender = reader.String("instance");
+  const std::int64_t parts = reader.Integer("parts", 1, kMaxParts);
+  const std::int64_t part = reader.Integer("part", 0, parts - 1);
   const Json::Value& secrets = reader.Object("secrets");
-  std::vector<std::pair<std::string, permit_entry>> incoming;
-  std::size_t index = 0;
-  for (const Json::Value& value : reader.Array("permits")) {
-    object_reader item(
-      value, aPeer, "permits[" + std::to_string(index++) + "]");
-    const std::string permit = item.String("permit");
-    const std::string issuer = IssuerOf(permit);
-    permit_entry entry;
-    entry.user = item.String("user");
-    entry.requestHash = item.String("request_hash", "");
-    const std::int64_t left =
-      item.Integer("left_ms", 1, ToMilliseconds(mLimits.keep));
-    entry.dropAt = aNow + std::chrono::milliseconds(left);
-    if (issuer.empty() || !secrets.isMember(issuer)) {
-      item.Fail("permit", "expected a permit of an instance in \"secrets\"");
-    }
-    if (item.Has("answer")) {
-      object_reader answer(item.Object("answer"), aPeer, item.Path("answer"));
-      entry.answer = ReadAnswer(answer);
-      entry.state = permit_state::Finished;
-      if (auto read = answer.Finish(); !read) {
-        return read.error();
-      }
-    }
-    if (auto read = item.Finish(); !read) {
-      return read.error();
-    }
-    incoming.emplace_back(permit, std::move(entry));
-  }
   for (const std::string& instance : secrets.getMemberNames()) {
     if (!secrets[instance].isString() || instance == mInstance) {
       reader.Fail("secrets", "expected texts by the ids of other instances");
     }
   }
-  if (!reader.Failed() && !secrets.isMember(sender)) {
+  if (!secrets.isMember(sender)) {
     reader.Fail("secrets", "expected the secret of the sender");
   }
+  std::vector<std::pair<std::string, permit_entry>> incoming;
+  for (const Json::Value& value : reader.Array("permits")) {
+    const std::string path = "permits[" + std::to_string(incoming.size()) + "]";
+    BOOST_LEAF_AUTO(entry,
+                    ReadEntry(value, aPeer, path, secrets, mLimits, aNow));
+    incoming.push_back(std::move(entry));
+  }
   if (auto read = reader.Finish(); !read) {
     return read.error();
   }
-  if (mPermits.size() + incoming.size() > 2 * mLimits.maxPermits) {
+  if (mSecrets.find(sender) != mSecrets.end()) {
+    return {}; // Taken over before; the state here is newer.
+  }
+  if (mStaged.size() >= kMaxStaged && mStaged.count(sender) == 0) {
+    mStaged.erase(mStaged.begin());
+  }
+  staged_table& staged = mStaged[sender];
+  if (!staged.parts.insert(part).second) {
+    return {};
+  }
+  if (mPermits.size() + staged.permits.size() + incoming.size() >
+      2 * mLimits.maxPermits) {
+    mStaged.erase(sender);
     return MakeError(error_code::Overloaded,
                      "take over permits",
                      aPeer,
                      "the permit table is full");
   }
-  // A permit that is here already was taken over before; its state here is
-  // newer.
-  for (auto& [permit, entry] : incoming) {
-    if (mPermits.find(permit) == mPermits.end() &&
-        mSecrets.find(IssuerOf(permit)) == mSecrets.end()) {
+  std::move(
+    incoming.begin(), incoming.end(), std::back_inserter(staged.permits));
+  for (const std::string& instance : secrets.getMemberNames()) {
+    staged.secrets[instance] = secrets[instance].asString();
+  }
+  if (static_cast<std::int64_t>(staged.parts.size()) < parts) {
+    return {};
+  }
+  for (auto& [permit, entry] : staged.permits) {
+    if (mSecrets.find(IssuerOf(permit)) == mSecrets.end()) {
       Insert(permit, std::move(entry));
     }
   }
-  for (const std::string& instance : secrets.getMemberNames()) {
-    mSecrets.emplace(instance, secrets[instance].asString());
-  }
+  mSecrets.merge(staged.secrets);
+  mStaged.erase(sender);
   return {};
 }
 
--- a/src/exchange/upstream_http.cpp
+++ b/src/exchange/upstream_http.cpp
@@ -333,7 +333,7 @@
   request.path = aRequest.path;
   request.body = aRequest.body;
   for (const auto& [name, value] : aRequest.headers) {
-    request.headers.emplace(name, value);
+    request.set_header(name, value); // Leaves out values with line ends.
   }
   request.headers.emplace(kExchangeHeader, aRequest.exchangeId);
   request.response_handler = [&](const httplib::Response& aResponse) {
--- a/src/samples/step_session.cpp
+++ b/src/samples/step_session.cpp
@@ -30,6 +30,7 @@
 {
   std::size_t sample = 0;
   exchange_control control;
+  time_point submitted{};
   time_point started{};
   work_id id = 0;        ///< Set when `Submit` returned.
   bool known = false;    ///< `id` is set.
@@ -70,6 +71,15 @@
   return true;
 }
 
+void
+step_session::Observe(const char* aName, duration aTook) const
+{
+  mParts.metrics->Observe(
+    aName,
+    { { "class", mParts.targetClass }, { "tenant", mParts.tenant } },
+    std::chrono::duration<double>(aTook).count());
+}
+
 void
 step_session::Tick(time_point aNow)
 {
@@ -117,6 +127,7 @@
 {
   const auto attempt = std::make_shared<sample_attempt>();
   attempt->sample = aSample;
+  attempt->submitted = aNow;
   work_item item;
   item.tenant = mParts.tenant;
   item.targetClass = mParts.targetClass;
@@ -178,6 +189,9 @@
       mProgress.Started(aAttempt->sample, now);
     }
   }
+  if (run) {
+    Observe("arbutusferry_queue_wait_seconds", now - aAttempt->submitted);
+  }
   if (run &&
       mParts.execute([self = shared_from_this(), aAttempt, target = *place] {
         self->RunAttempt(aAttempt, target);
@@ -222,7 +236,13 @@
   const upstream_answer answer = mParts.transport->Exchange(
     aPlace.target,
     MakeRequest(aAttempt->sample),
-    [&](const Json::Value& aEvent) { return record.answer.Add(aEvent); },
+    [&](const Json::Value& aEvent) {
+      if (record.answer.tokens.empty()) {
+        Observe("arbutusferry_first_token_seconds",
+                mParts.clock->Now() - aAttempt->submitted);
+      }
+      return record.answer.Add(aEvent);
+    },
     aAttempt->control);
   const time_point now = mParts.clock->Now();
   const bool complete =
@@ -262,6 +282,7 @@
   }
   Close(aAttempt);
   if (first) {
+    Observe("arbutusferry_latency_seconds", now - aAttempt->submitted);
     mRecords.Push(std::move(record));
     CancelOthers(aAttempt->sample);
   }
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -119,6 +119,8 @@
     { "400", post + "\r\n{}" },
     { "400", post + "Content-Length: 2\r\nContent-Encoding: gzip\r\n\r\n{}" },
     { "400", "GET /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}" },
+    { "400", "GET /a HTTP/1.1\r\nX-Request-Id: a%0d%0aX: b\r\n\r\n" },
+    { "400", "GET /a?b=\rc HTTP/1.1\r\nX: b\r\n\r\n" },
     { "400", post + "Content-Length: 100\r\n\r\nshort" },
     { "400", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" },
     { "400", "nonsense\r\n\r\n" },
--- a/tests/unit/permit_test.cpp
+++ b/tests/unit/permit_test.cpp
@@ -1,6 +1,7 @@
 #include "arbutusferry/hash.hpp"
 #include "arbutusferry/permit.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <iostream>
 #include <random>
@@ -134,10 +135,11 @@
   (void)first.Claim(permits[1], "u", "h", kStart);
   permit_table second = MakeTable("i2");
   permit_table third = MakeTable("i3");
-  const Json::Value table = first.Export(kStart + 1min);
+  const Json::Value table = first.Export(kStart + 1min, 1U << 20U).at(0);
   REQUIRE(second.Import(table, "p", kStart + 1min));
   const std::string own = IssueOne(second, kStart + 1min);
-  REQUIRE(third.Import(second.Export(kStart + 2min), "p", kStart + 2min));
+  REQUIRE(third.Import(
+    second.Export(kStart + 2min, 1U << 20U).at(0), "p", kStart + 2min));
   CHECK(third.Adopted() == std::vector<std::string>{ "i1", "i2" });
   const auto claim = [&](const std::string& aPermit, const char* aHash) {
     return third.Claim(aPermit, "u", aHash, kStart + 2min);
@@ -155,12 +157,44 @@
         permit_action::Wait);
 }
 
+// Guards against tables that are too long for one request, and against an entry
+// that decides with half a table.
+TEST_CASE("A table in parts takes effect with its last part")
+{
+  permit_table first = MakeTable("i1");
+  const auto permits = first.Issue(30, "u", kStart).value();
+  for (std::size_t i = 0; i < 30; i += 2) {
+    (void)first.Claim(permits[i], "u", "h", kStart);
+    first.Finish(
+      permits[i], MakeAnswer(std::string(i == 0 ? 5000 : 100, 'a')), kStart);
+  }
+  auto parts = first.Export(kStart, 3000);
+  REQUIRE(parts.size() > 2);
+  std::reverse(parts.begin(), parts.end());
+  permit_table second = MakeTable("i2");
+  const auto claim = [&](std::size_t aPermit) {
+    return second.Claim(permits[aPermit], "u", "h", kStart);
+  };
+  for (const Json::Value& part : parts) {
+    CHECK(claim(1).action == permit_action::Foreign);
+    CHECK(second.Adopted().empty());
+    REQUIRE(second.Import(part, "p", kStart));
+    REQUIRE(second.Import(part, "p", kStart));
+  }
+  // Too large for a part: it ran, and its answer is lost.
+  CHECK(claim(0).answer->result == outcome::Unknown);
+  for (std::size_t i = 1; i < 30; ++i) {
+    CHECK(claim(i).action ==
+          (i % 2 == 0 ? permit_action::Replay : permit_action::Run));
+  }
+}
+
 // Guards against tables that were changed on their way.
 TEST_CASE("A malformed hand-over changes nothing")
 {
   permit_table first = MakeTable("i1");
   const std::string permit = IssueOne(first);
-  const Json::Value good = first.Export(kStart);
+  const Json::Value good = first.Export(kStart, 1U << 20U).at(0);
   for (int change = 0; change < 6; ++change) {
     Json::Value bad = good;
     Json::Value& item = bad["permits"][0];
@@ -212,7 +246,7 @@
       if (random() % 40 == 0) {
         entries.push_back(MakeTable("i" + std::to_string(entries.size())));
         REQUIRE(entries.back().Import(
-          entries[entries.size() - 2].Export(now), "p", now));
+          entries[entries.size() - 2].Export(now, 1U << 20U).at(0), "p", now));
         running.clear();
         continue;
       }
