Use only targets whose kind fits the routes of their class

The platform started an engine in the class of a plain service when the control process ordered a target of it; a booking sent there ended as unknown (answer without its exchange id). The entry now leaves such targets out.

--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <map>
 #include <mutex>
+#include <set>
 
 namespace arbutusferry {
 
@@ -90,6 +92,28 @@
   return false;
 }
 
+std::vector<target_info>
+sync_loop::UsableTargets(std::vector<target_info> aTargets) const
+{
+  std::map<std::string, std::set<target_kind>> kinds;
+  const auto state = mParts.view->State();
+  for (const stage each : { stage::Trial, stage::Production }) {
+    const stage_config* config = state->Find(mParts.environment, each);
+    if (config != nullptr && config->document) {
+      for (const route_config& route : config->document->routes) {
+        kinds[route.targetClass].insert(route.kind == route_kind::Service
+                                          ? target_kind::Service
+                                          : target_kind::Engine);
+      }
+    }
+  }
+  std::erase_if(aTargets, [&](const target_info& aTarget) {
+    const auto wanted = kinds.find(aTarget.targetClass);
+    return wanted != kinds.end() && wanted->second.count(aTarget.kind) == 0;
+  });
+  return aTargets;
+}
+
 void
 sync_loop::Apply(const node_sync_response& aResponse, time_point aSent)
 {
@@ -133,7 +157,7 @@
     mParts.work->UpdateTenantGrants(aResponse.tenantGrants, expiry);
   }
   mParts.work->UpdateTargets(
-    aResponse.targets,
+    UsableTargets(aResponse.targets),
     aResponse.hasGrants ? std::optional(aResponse.grants) : std::nullopt,
     expiry,
     static_cast<std::size_t>(index),
--- a/src/entry/sync_loop.hpp
+++ b/src/entry/sync_loop.hpp
@@ -48,6 +48,11 @@
   bool Once(std::int64_t aHoldMs);
 
 private:
+  /// @return The targets whose kind fits the routes of their class. The
+  /// platform's list may hold an engine in a class of services; a call sent to
+  /// it could not be answered.
+  [[nodiscard]] std::vector<target_info> UsableTargets(
+    std::vector<target_info> aTargets) const;
   void Apply(const node_sync_response& aResponse, time_point aSent);
 
   sync_parts mParts;
