--- a/src/entry/sync_loop.hpp
+++ b/src/entry/sync_loop.hpp
@@ -48,12 +48,18 @@
   bool Once(std::int64_t aHoldMs);
 
 private:
+  /// @return The targets whose kind fits the routes of their class. The
+  /// platform's list may hold an engine in a class of services; a call sent to
+  /// it could not be answered.
+  [[nodiscard]] std::vector<target_info> UsableTargets(
+    std::vector<target_info> aTargets) const;
   void Apply(const node_sync_response& aResponse, time_point aSent);
 
   sync_parts mParts;
   std::size_t mCurrent = 0;
   std::unique_ptr<rpc_client> mClient;
   node_sync_lists mLists;
+  std::int64_t mGrantRound = -1; ///< Round of the grants in use.
 };
 
 } // namespace arbutusferry
