--- a/standins/common/tcp_proxy.cpp
+++ b/standins/common/tcp_proxy.cpp
@@ -26,9 +26,9 @@
 
 using steady = std::chrono::steady_clock;
 
-constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr std::size_t kPieceBytes = 65'536;
 /// Bytes held for a receiver that does not read.
-constexpr std::size_t kBufferBytes = 1024 * 1024;
+constexpr std::size_t kBufferBytes = 1'048'576;
 
 std::optional<sockaddr_in>
 ParseAddress(const std::string& aText)
--- a/standins/common/trainer.cpp
+++ b/standins/common/trainer.cpp
@@ -73,10 +73,10 @@
   void Sample(const Json::Value& aRecord)
   {
     const std::pair id(aRecord["group"].asString(), aRecord["index"].asInt64());
-    const auto group =
-      std::find_if(mPlan.groups.begin(),
-                   mPlan.groups.end(),
-                   [&](const step_group& each) { return each.id == id.first; });
+    const auto group = std::find_if(
+      mPlan.groups.begin(), mPlan.groups.end(), [&](const step_group& aGroup) {
+        return aGroup.id == id.first;
+      });
     if (group == mPlan.groups.end() || id.second < 0 ||
         id.second >= group->count) {
       ++mReport.unexpected;
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -294,6 +294,7 @@
     }
   };
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   for (int caller = 0; caller < kThreads; ++caller) {
     callers.emplace_back([&, caller] {
       try {
@@ -307,7 +308,10 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
-  CHECK(failures == std::vector<std::string>{});
+  for (const std::string& failure : failures) {
+    UNSCOPED_INFO(failure);
+  }
+  CHECK(failures.empty());
   desk.Fault({});
   std::map<std::string, int> runs;
   for (const auto& target : desk.Cluster().Targets()) {
--- a/tests/integration/exactly_once_test.cpp
+++ b/tests/integration/exactly_once_test.cpp
@@ -186,8 +186,8 @@
   Explain(report);
   CHECK(report.Correct(step.plan));
   const bool mixed = std::any_of(
-    report.samples.begin(), report.samples.end(), [](const auto& each) {
-      return each.second["segments"].size() == 2;
+    report.samples.begin(), report.samples.end(), [](const auto& aSample) {
+      return aSample.second["segments"].size() == 2;
     });
   CHECK(mixed);
 }
--- a/tests/integration/planned_stops_test.cpp
+++ b/tests/integration/planned_stops_test.cpp
@@ -56,7 +56,7 @@
   }
   [[nodiscard]] int Answered() const { return mAnswered; }
   /// @return Calls that were neither answered whole nor refused as not run.
-  [[nodiscard]] std::vector<std::string> Cut() const
+  [[nodiscard]] std::string Cut() const
   {
     const std::lock_guard lock(mMutex);
     return mCut;
@@ -83,8 +83,8 @@
       } else if (reply.Outcome() != "not_run" &&
                  reply.failure != "Connection") {
         const std::lock_guard lock(mMutex);
-        mCut.push_back(std::to_string(reply.status) + " " + reply.failure +
-                       " " + reply.body);
+        mCut += std::to_string(reply.status) + " " + reply.failure + " " +
+                reply.body + "\n";
       }
     }
   }
@@ -94,7 +94,7 @@
   bool mService;
   mutable std::mutex mMutex;
   std::vector<std::string> mEntries;
-  std::vector<std::string> mCut;
+  std::string mCut;
   std::atomic<int> mAnswered{ 0 };
   std::atomic<bool> mStop{ false };
   std::vector<std::thread> mThreads;
@@ -140,13 +140,13 @@
     });
     load.UpdateEntries();
     WaitMoreAnswers(load, 20);
-    CHECK(load.Cut() == std::vector<std::string>{});
+    CHECK_THAT(load.Cut(), Catch::Matchers::Equals(""));
   }
   // The last: an entry that lost its own control process uses the other one.
   CHECK(cluster.Vms()[0].control->Terminate() == 0);
   WaitMoreAnswers(load, 40);
   load.Stop();
-  CHECK(load.Cut() == std::vector<std::string>{});
+  CHECK_THAT(load.Cut(), Catch::Matchers::Equals(""));
 }
 
 // Targets cost money: too many or too few, or one stopped with work on it.
@@ -205,7 +205,7 @@
   CHECK(stopped["in_flight"].asInt() == 0);
   WaitMoreAnswers(load, 20);
   load.Stop();
-  CHECK(load.Cut() == std::vector<std::string>{});
+  CHECK_THAT(load.Cut(), Catch::Matchers::Equals(""));
 }
 
 // A bill that misses requests, or has them twice, is wrong either way.
--- a/tests/integration/thin_path_test.cpp
+++ b/tests/integration/thin_path_test.cpp
@@ -38,7 +38,7 @@
   }
   aCluster.PublishLists();
   aCluster.Apply(ExampleDocument("shop", aZones));
-  const std::string key = aCluster.Grant("acme");
+  std::string key = aCluster.Grant("acme");
   aCluster.WaitReady();
   return key;
 }
--- a/tests/integration/withdrawn_key_test.cpp
+++ b/tests/integration/withdrawn_key_test.cpp
@@ -119,7 +119,7 @@
     route["deadline_ms"] = 600'000;
   }
   aCluster.Apply(document);
-  const std::string key = aCluster.Grant("acme");
+  std::string key = aCluster.Grant("acme");
   aCluster.WaitReady();
   for (std::size_t vm = 0; vm < kZones; ++vm) {
     WaitUntil("entry " + std::to_string(vm) + " serves", [&] {
