--- a/tests/unit/freshness_test.cpp
+++ b/tests/unit/freshness_test.cpp
@@ -321,7 +321,8 @@
   void ReadLog(node& aNode, bool aFaults)
   {
     if (aNode.read && aNode.read->first <= mNow) {
-      const auto [sent, batch] = std::move(aNode.read->second);
+      const time_point sent = aNode.read->second.first;
+      const log_batch batch = std::move(aNode.read->second.second);
       aNode.read.reset();
       aNode.state->UpdateFeed([&](config_feed& aFeed) {
         return aFeed.OnLogBatch(batch, kReadLimit, sent, aNode.clock.Now());
