--- a/standins/experiment/control.cpp
+++ b/standins/experiment/control.cpp
@@ -277,7 +277,9 @@
       const auto most =
         name == kSampler ? mDeployment.samplers[zone] : std::int64_t{ 2 };
       zone_supply supply;
-      supply.limits = { std::to_string(zone), 1, most, most - 1 };
+      // Samples are repeatable: every other zone needs no protected sampler.
+      const std::int64_t least = name == kDesk || zone % 2 == 0 ? 1 : 0;
+      supply.limits = { std::to_string(zone), least, most, most - least };
       supply.availableReclaimable = mAvailable[zone];
       for (const auto& info : targets) {
         if (ZoneOf(info) == zone && info.targetClass == name &&
@@ -373,17 +375,15 @@
       const bool contended =
         std::accumulate(wanted.begin(), wanted.end(), 0.0) > slots[name];
       const auto parts = WeightedMaxMin(slots[name], weights, wanted);
-      double level = 0;
-      for (std::size_t i = 0; i < parts.size(); ++i) {
-        level = std::max(level, parts[i] / weights[i]);
-      }
+      std::size_t index = 0;
       for (const auto& [tenant, work] : tenants) {
         auto& record = mService[{ tenant, name }];
         record.windowAttained += work.second * kSyncPeriod;
         record.waiting = work.first;
         if (work.first > 0 && contended) {
-          record.windowEntitled += level * mShares[tenant] * kSyncPeriod;
+          record.windowEntitled += parts[index] * kSyncPeriod;
         }
+        ++index;
       }
     }
   }
