Plan the zone's own targets when the planner has no zone name

The control process set no zone in the planner's options, so all targets would have counted as borrowed and no fallback slots would have been kept for entries without grants. It now sets the zone, and an empty name means that all targets are the zone's own.

--- a/include/arbutusferry/slot_planner.hpp
+++ b/include/arbutusferry/slot_planner.hpp
@@ -64,7 +64,8 @@
 /// Settings of a slot planner.
 struct planner_options
 {
-  std::string zone;                        ///< Own availability zone.
+  /// Own availability zone. When it is empty, all targets count as its own.
+  std::string zone;
   duration term = std::chrono::seconds(5); ///< Validity of grants.
   duration assumedDelivery = std::chrono::seconds(1);
   std::int64_t firstRound = 1; ///< Differs between planner processes.
--- a/src/control/slot_planning.cpp
+++ b/src/control/slot_planning.cpp
@@ -22,6 +22,7 @@
     : mState(aState)
   {
     mOptions.firstRound = FirstRound(aState.Instance());
+    mOptions.zone = aState.Options().zone;
   }
 
   duration Step() override
--- a/src/routing/slot_planner.cpp
+++ b/src/routing/slot_planner.cpp
@@ -499,7 +499,8 @@
       continue;
     }
     auto& plan = classes.try_emplace(target.targetClass, empty).first->second;
-    const bool own = target.zone == self.options.zone;
+    const bool own =
+      self.options.zone.empty() || target.zone == self.options.zone;
     plan.name = target.targetClass;
     plan.targets.push_back(&target);
     plan.own.push_back(own);
