--- a/include/arbutusferry/fair_queue.hpp
+++ b/include/arbutusferry/fair_queue.hpp
@@ -20,6 +20,7 @@
   bool reclaimable = false;       ///< May run on reclaimable targets.
   std::vector<std::string> avoid; ///< Sorted.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated code.
   auto operator<=>(const placement_needs&) const = default;
 };
 
--- a/standins/experiment/catalog.cpp
+++ b/standins/experiment/catalog.cpp
@@ -5,17 +5,17 @@
 const std::vector<deployment>&
 Deployments()
 {
-  static const std::vector<deployment> sDeployments{
+  static const std::vector<deployment> kDeployments{
     { "trust", 0.001, { 4, 4, 3 }, { 1, 1, 1 }, { 4, 3, 3 } },
     { "boothshare", 0.0005, { 3, 2, 2, 2 }, { 1, 1, 1, 1 }, { 3, 3, 3, 2 } },
   };
-  return sDeployments;
+  return kDeployments;
 }
 
 const std::vector<policy_set>&
 Policies()
 {
-  static const std::vector<policy_set> sPolicies{
+  static const std::vector<policy_set> kPolicies{
     { "ours", true, true, true, fleet_kind::Forecast },
     { "fifo", false, true, true, fleet_kind::Forecast },
     { "round_robin", true, false, true, fleet_kind::Forecast },
@@ -24,13 +24,13 @@
     { "threshold", true, true, true, fleet_kind::Threshold },
     { "naive", false, false, false, fleet_kind::Fixed },
   };
-  return sPolicies;
+  return kPolicies;
 }
 
 const std::vector<scenario>&
 Scenarios()
 {
-  static const std::vector<scenario> sScenarios = [] {
+  static const std::vector<scenario> kScenarios = [] {
     std::vector<scenario> all(8);
     all[0].name = "calm";
     all[1].name = "flood";
@@ -49,7 +49,7 @@
     all[7].partition = true;
     return all;
   }();
-  return sScenarios;
+  return kScenarios;
 }
 
 } // namespace arbutusferry::experiment
--- a/standins/experiment/control.cpp
+++ b/standins/experiment/control.cpp
@@ -117,7 +117,7 @@
 }
 
 void
-simulation::Every(seconds aPeriod, std::function<void()> aAction)
+simulation::Every(seconds aPeriod, const std::function<void()>& aAction)
 {
   After(aPeriod, [this, aPeriod, aAction] {
     aAction();
--- a/standins/experiment/simulation.hpp
+++ b/standins/experiment/simulation.hpp
@@ -53,7 +53,7 @@
   };
 
   void After(seconds aDelay, std::function<void()> aAction);
-  void Every(seconds aPeriod, std::function<void()> aAction);
+  void Every(seconds aPeriod, const std::function<void()>& aAction);
   [[nodiscard]] time_point Now() const;
   [[nodiscard]] double Uniform(double aLow, double aHigh);
   [[nodiscard]] double Exponential(double aMean);
