Send entries the targets of all zones

Cause: node.sync answers left out targets of other zones, so an entry whose zone had no target refused every call with 503 for as long as the test waited (60 s, 3 of 3 runs of cross_zone_test). Loads of other zones' targets are still not passed on, so their free slots are estimated; that costs efficiency only.

--- a/src/control/zone_board.cpp
+++ b/src/control/zone_board.cpp
@@ -443,10 +443,9 @@
   if (aAnswer.hasLists) {
     aAnswer.entries = mEntries;
   }
+  // Targets of other zones belong to the lists: an entry uses them when its own
+  // zone has none or a longer delay.
   for (const target_info& target : mTargets) {
-    if (target.zone != mZone) {
-      continue;
-    }
     if (aAnswer.hasLists) {
       aAnswer.targets.push_back(target);
       continue;
