--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -205,11 +205,11 @@
     'import json,sys; print(json.loads(sys.stdin.read().split(" ",2)[2])["total"])')"
 done
 for zone in "${zones[@]}"; do
-  printf 'control-%s: ' "$zone"
+  printf 'control-%s:' "$zone"
   events "$work/control-$zone.err"
-  printf 'entry-%s:   ' "$zone"
-  http GET "$(address "entry-$zone")/metrics" | grep -E '_total(\{| )|_count(\{| )' | head -n 6 | tr '\n' ';'
-  echo
+  printf 'entry-%s:\n' "$zone"
+  http GET "$(address "entry-$zone")/metrics" |
+    sed -nE 's/^arbutusferry_calls_total\{class="([^"]*)",outcome="([^"]*)",tenant="([^"]*)"\} (.*)$/  \3 \1 \2 \4/p'
 done
 if grep -lF -e "${acme##*_}" -e "${birch##*_}" "$work"/*.err; then fail "a log contains a key"; fi
 
