--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <map>
 #include <mutex>
+#include <set>
 
 namespace arbutusferry {
 
@@ -62,6 +64,7 @@
   request.inFlight = mParts.work->InFlight();
   request.usage = mParts.takeUsage();
   request.view = mLists.View();
+  request.grantRound = mGrantRound;
   const time_point sent = mParts.clock->Now();
   std::string problem;
   try {
@@ -91,6 +94,28 @@
   return false;
 }
 
+std::vector<target_info>
+sync_loop::UsableTargets(std::vector<target_info> aTargets) const
+{
+  std::map<std::string, std::set<target_kind>> kinds;
+  const auto state = mParts.view->State();
+  for (const stage each : { stage::Trial, stage::Production }) {
+    const stage_config* config = state->Find(mParts.environment, each);
+    if (config != nullptr && config->document) {
+      for (const route_config& route : config->document->routes) {
+        kinds[route.targetClass].insert(route.kind == route_kind::Service
+                                          ? target_kind::Service
+                                          : target_kind::Engine);
+      }
+    }
+  }
+  std::erase_if(aTargets, [&](const target_info& aTarget) {
+    const auto wanted = kinds.find(aTarget.targetClass);
+    return wanted != kinds.end() && wanted->second.count(aTarget.kind) == 0;
+  });
+  return aTargets;
+}
+
 void
 sync_loop::Apply(const node_sync_response& aResponse, time_point aSent)
 {
@@ -127,10 +152,16 @@
   const time_point now = mParts.clock->Now();
   // The time of the grant is not known exactly; counting from the send time
   // can only make it expire earlier.
+  const time_point expiry =
+    aSent + std::chrono::milliseconds(aResponse.grantTtlMs);
+  if (aResponse.hasGrants) {
+    mGrantRound = aResponse.grantRound;
+    mParts.work->UpdateTenantGrants(aResponse.tenantGrants, expiry);
+  }
   mParts.work->UpdateTargets(
-    aResponse.targets,
+    UsableTargets(aResponse.targets),
     aResponse.hasGrants ? std::optional(aResponse.grants) : std::nullopt,
-    aSent + std::chrono::milliseconds(aResponse.grantTtlMs),
+    expiry,
     static_cast<std::size_t>(index),
     live.size(),
     now);
