Swap engine versions by tokens sent in the step test

The engines now move on by themselves when a stream has sent 8 tokens, before any sample ends, and the step has 96 samples, more than the ordered targets hold at once.

--- a/tests/integration/thin_path_test.cpp
+++ b/tests/integration/thin_path_test.cpp
@@ -4,6 +4,7 @@
 #include "common/token_sequence.hpp"
 #include "common/trainer.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -129,8 +130,20 @@
   cluster cluster(Zones(3));
   const std::string key = Prepare(cluster, 3);
   WaitServes(cluster, key);
+  // The engines start with version 1. Each moves on when the first of its
+  // streams has sent 8 tokens, before any sample (16 tokens or more) ends.
+  for (const auto& target : cluster.Targets()) {
+    if (target.info.kind == target_kind::Engine) {
+      SendJson(target.Direct(),
+               "PUT",
+               "/admin/behavior",
+               Parse(R"({"swap_after_tokens":8})"));
+    }
+  }
+  // Targets that the system orders have up to 24 slots and keep version 1; 96
+  // samples do not fit there, so the listed engines run some.
   standin::step_plan plan =
-    standin::MakeStep("step-1", "slip-reader", 12, 4, 64, 7);
+    standin::MakeStep("step-1", "slip-reader", 24, 4, 64, 7);
   plan.stalenessBound = 1;
   std::atomic<std::int64_t> version{ 2 };
   standin::trainer_options options;
@@ -139,19 +152,6 @@
   }
   options.key = key;
   options.version = &version;
-  // The engines start with version 1; they move on during the step.
-  options.onSample = [&](std::size_t aCount) {
-    if (aCount == 16) {
-      for (const auto& target : cluster.Targets()) {
-        if (target.info.kind == target_kind::Engine) {
-          SendJson(target.Direct(),
-                   "PUT",
-                   "/admin/behavior",
-                   Parse(R"({"version":2})"));
-        }
-      }
-    }
-  };
   const standin::step_report report = standin::RunStep(plan, options);
   for (const std::string& failure : report.failures) {
     UNSCOPED_INFO(failure);
@@ -160,4 +160,11 @@
   CHECK(report.posts == 1);
   CHECK(report.tokensByVersion.count(1) == 1);
   CHECK(report.tokensByVersion.count(2) == 1);
+  // The sample in which an engine moved on names both versions.
+  CHECK(std::any_of(
+    report.samples.begin(), report.samples.end(), [](const auto& aSample) {
+      const Json::Value& segments = aSample.second["segments"];
+      return segments.size() == 2 && segments[0]["version"] == 1 &&
+             segments[1]["version"] == 2;
+    }));
 }
