--- a/src/control/node_state.hpp
+++ b/src/control/node_state.hpp
@@ -106,6 +106,8 @@
 
   /// @return Whether the process has configuration and may serve entries.
   [[nodiscard]] bool Ready() const;
+  /// Sets the gauges of the metrics to the present state.
+  void UpdateGauges();
   /// @return Content of `operator.status`.
   [[nodiscard]] Json::Value Status() const;
 
@@ -144,6 +146,13 @@
     time_point planned{};
     std::int64_t version = 0; ///< Changes with the slots.
   };
+  /// What an entry was last answered.
+  struct seen_lists
+  {
+    std::int64_t version = 0; ///< Of lists and grants.
+    std::string view;
+    list_versions lists;
+  };
   /// What a member was last answered, to date its next statement.
   struct last_answer
   {
@@ -183,9 +192,9 @@
   duration mRelayAge{};
   config_feed mFeed;
   zone_board mBoard;
-  std::map<std::string, std::int64_t> mSeenByEntry; ///< List versions.
-  std::map<std::string, last_answer> mAnswers;      ///< By member.
-  std::map<std::string, given_grants> mGrants;      ///< By entry instance.
+  std::map<std::string, seen_lists> mSeenByEntry; ///< By entry instance.
+  std::map<std::string, last_answer> mAnswers;    ///< By member.
+  std::map<std::string, given_grants> mGrants;    ///< By entry instance.
   /// When each VM that may have accepted a change was last listed.
   std::map<std::string, time_point> mListed;
 };
