--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -63,8 +63,8 @@
   request.demand = mParts.work->Demand();
   request.inFlight = mParts.work->InFlight();
   request.usage = mParts.takeUsage();
-  request.grantRound = mGrantRound;
   request.view = mLists.View();
+  request.grantRound = mGrantRound;
   const time_point sent = mParts.clock->Now();
   std::string problem;
   try {
--- a/src/routing/slot_planner.cpp
+++ b/src/routing/slot_planner.cpp
@@ -475,6 +475,11 @@
     }
   }
   for (auto& [zone, state] : self.zones) {
+    if (aNow - state.borrower.lastReport >= self.options.term) {
+      // Loans have expired. What a zone that was cut off still runs here shows
+      // in the load reports of the targets.
+      state.borrower.inFlight.clear();
+    }
     empty.borrowers.push_back(entries.size());
     entries.push_back(&state.borrower);
     names.push_back(zone);
@@ -494,7 +499,8 @@
       continue;
     }
     auto& plan = classes.try_emplace(target.targetClass, empty).first->second;
-    const bool own = target.zone == self.options.zone;
+    const bool own =
+      self.options.zone.empty() || target.zone == self.options.zone;
     plan.name = target.targetClass;
     plan.targets.push_back(&target);
     plan.own.push_back(own);
