Pass the load reports of targets on to other zones

The other zone's engine was listed, but with weight version -1, because zone.summary carried no load reports, and a target without a version takes no versioned work.

Ruled out: the retry budget as the cause of the whole stall (the waiting samples were first attempts), and the circuit breaker (it opened with the first failures and passed three probes in 7 s).

All loads of a zone are sent with each summary, so that a target listed after its report came is not missed.

--- a/include/arbutusferry/zone_sync.hpp
+++ b/include/arbutusferry/zone_sync.hpp
@@ -104,6 +104,7 @@
   std::optional<std::vector<entry_info>> entries; ///< Of the answering zone.
   /// Sums over the answering zone by tenant and class.
   std::vector<tenant_demand> demand;
+  std::vector<target_load> loads; ///< Of the answering zone's targets.
   std::optional<isolation_report> isolation;
 };
 
--- a/src/control/zone_board.cpp
+++ b/src/control/zone_board.cpp
@@ -281,6 +281,12 @@
   remote_zone& zone = mZones[aAnswer.zone];
   zone.heard = aNow;
   zone.demand = aAnswer.demand;
+  for (const target_load& load : aAnswer.loads) {
+    const target_info* target = FindTarget(load.target);
+    if (target != nullptr && target->zone == aAnswer.zone) {
+      SetLoad(load, false);
+    }
+  }
   if (aAnswer.entries) {
     zone.entries = *aAnswer.entries;
     RebuildEntries();
@@ -473,6 +479,15 @@
     }
   }
   aAnswer.demand = ZoneDemand();
+  // All loads are sent each time: a zone that lists a target later than its
+  // load report came would otherwise miss the report and, without a weight
+  // version, never send the target versioned work.
+  for (const target_info& target : mTargets) {
+    if (target.zone == mZone && mLoadVersions.count(target.id) > 0) {
+      aAnswer.loads.push_back(
+        { target.id, target.running, target.waiting, target.weightVersion });
+    }
+  }
 }
 
 std::vector<tenant_demand>
--- a/src/membership/zone_sync.cpp
+++ b/src/membership/zone_sync.cpp
@@ -412,6 +412,7 @@
     value["entries"] = WriteList(*aResponse.entries, WriteEntryInfo);
   }
   PutList(value, "demand", aResponse.demand, WriteTenantDemand);
+  PutList(value, "loads", aResponse.loads, WriteTargetLoad);
   if (aResponse.isolation) {
     value["isolation"] = WriteIsolation(*aResponse.isolation);
   }
@@ -436,6 +437,11 @@
     ReadList(reader, "demand", [&](const auto& aItem, const auto& aPath) {
       return ReadTenantDemand(aItem, aPeer, aPath);
     }));
+  BOOST_LEAF_ASSIGN(
+    response.loads,
+    ReadList(reader, "loads", [&](const auto& aItem, const auto& aPath) {
+      return ReadTargetLoad(aItem, aPeer, aPath);
+    }));
   BOOST_LEAF_ASSIGN(response.isolation, TakeIsolation(reader, aPeer));
   if (!problem.empty()) {
     reader.Fail(problem, "expected versions");
