Serve accepted connections before a stopping entry closes its socket

Cause: on SIGTERM the entry closed its listening socket as soon as no request was active. Connections in the kernel's backlog, whose request was already sent, were reset, and accepted ones without a complete head were closed without an answer. planned_stops_test failed in 1 of 6 runs on a quiet machine and in a full run under load with "0 Read". Ruled out: requests in progress, which were counted and waited for.

The server now drops new connection requests by a socket filter, answers what the kernel has accepted with Connection: close, and closes when nothing is left or after 2 s without a request.

--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -5,9 +5,14 @@
 #include "exchange/socket_stream.hpp"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <cctype>
+#include <linux/filter.h>
+#include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace arbutusferry {
@@ -26,6 +31,14 @@
 /// Length of the queue of the kernel; cpp-httplib asks for 5 only.
 constexpr int kBacklog = 512;
 
+/// Longest time for which a stopping server keeps connections without a
+/// request open.
+constexpr duration kDrainTime = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds kDrainPoll{ 10 };
+/// Checks in a row that must see no connection: one that was just accepted is
+/// in neither the backlog nor the count for a moment.
+constexpr int kDrainChecks = 5;
+
 /// State of the connection that the present thread serves.
 struct connection_state
 {
@@ -40,20 +53,27 @@
 class connection_queue final : public httplib::TaskQueue
 {
 public:
-  explicit connection_queue(const http_limits& aLimits)
-    : mServing(aLimits.maxConnections, aLimits.maxWaiting)
+  /// @param aOpen Counts accepted connections that have not ended.
+  connection_queue(const http_limits& aLimits, std::atomic<int>& aOpen)
+    : mOpen(aOpen)
+    , mServing(aLimits.maxConnections, aLimits.maxWaiting)
     , mRefusing(1, kMaxRefusals)
   {
   }
 
-  void enqueue(std::function<void()> aConnection) override
+  void enqueue(std::function<void()> aAccepted) override
   {
-    if (mServing.Run(aConnection)) {
+    ++mOpen;
+    std::function<void()> connection = [this, aAccepted] {
+      aAccepted();
+      --mOpen;
+    };
+    if (mServing.Run(connection)) {
       return;
     }
-    std::function<void()> refusal = [aConnection] {
+    std::function<void()> refusal = [connection] {
       gRefusing = true;
-      aConnection();
+      connection();
       gRefusing = false;
     };
     if (!mRefusing.Run(refusal)) {
@@ -68,6 +88,7 @@
   }
 
 private:
+  std::atomic<int>& mOpen;
   thread_pool mServing;
   thread_pool mRefusing;
 };
@@ -160,6 +181,26 @@
 
   void RaiseBacklog() { ::listen(svr_sock_, kBacklog); }
 
+  [[nodiscard]] std::atomic<int>& Open() noexcept { return mOpen; }
+
+  /// Takes no new connections and serves those that the kernel has accepted:
+  /// closing the listening socket at once would reset connections whose
+  /// request is already sent. Each answer closes its connection. Returns when
+  /// all connections ended or the remaining ones were idle for `kDrainTime`.
+  void Drain()
+  {
+    mDraining = true;
+    RefuseConnects();
+    const time_point end = mClock.Now() + kDrainTime;
+    int quiet = 0;
+    while (quiet < kDrainChecks && mClock.Now() < end) {
+      pollfd backlog{ svr_sock_, POLLIN, 0 };
+      const bool empty = ::poll(&backlog, 1, 0) == 0;
+      quiet = empty && mOpen == 0 ? quiet + 1 : 0;
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+  }
+
   void WakeIdle()
   {
     mStopping = true;
@@ -170,6 +211,27 @@
   }
 
 private:
+  /// Lets the kernel drop connection requests (segments with SYN), so that the
+  /// backlog only shrinks. Callers retry and are refused after the close.
+  void RefuseConnects()
+  {
+    constexpr std::uint32_t kFlagsOffset = 13;
+    constexpr std::uint32_t kSyn = 0x02;
+    constexpr std::uint32_t kWhole = 0xffffffff;
+    std::array<sock_filter, 4> code{ {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSyn, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, kWhole),
+    } };
+    const sock_fprog program{ code.size(), code.data() };
+    if (::setsockopt(
+          svr_sock_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) !=
+        0) {
+      Log(log_level::Warning, "refuse_connects_failed");
+    }
+  }
+
   bool process_and_close_socket(socket_t aSocket) override
   {
     socket_stream stream(aSocket, mClock);
@@ -204,6 +266,10 @@
           // Room for the framing of a body that comes in small chunks.
           aStream.SetReadBudget(mLimits.maxBodyBytes * 2 + 65'536);
           Prepare(state, aRequest);
+          if (mDraining && !state.mustClose) {
+            state.mustClose = true;
+            aRequest.headers.emplace("Connection", "close");
+          }
         });
       if (!served && aStream.Written() == written) {
         WriteHeadError(aStream);
@@ -266,6 +332,8 @@
   const clock_source& mClock;
   int mWake;
   std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mDraining{ false };
+  std::atomic<int> mOpen{ 0 };
   std::string mRefusal;
   std::string mHeadTooLarge;
   std::string mHeadTooSlow;
@@ -304,7 +372,9 @@
                 "Request Header Fields Too Large"),
       RawAnswer(mErrors(408, "the head of the request came too slowly"),
                 "Request Timeout"));
-    mServer.new_task_queue = [this] { return new connection_queue(mLimits); };
+    mServer.new_task_queue = [this] {
+      return new connection_queue(mLimits, mServer.Open());
+    };
     mServer.set_tcp_nodelay(true);
     mServer.set_payload_max_length(mLimits.maxBodyBytes);
     Route();
@@ -315,6 +385,7 @@
 
   void Stop() override
   {
+    mServer.Drain();
     mServer.WakeIdle();
     mServer.stop();
   }
--- a/tests/support/harness_process.cpp
+++ b/tests/support/harness_process.cpp
@@ -17,8 +17,6 @@
 #include <sys/wait.h>
 #include <thread>
 
-extern char** environ;
-
 namespace arbutusferry::harness {
 
 namespace {
@@ -105,7 +103,7 @@
 temporary_directory::Write(const std::string& aName,
                            const std::string& aText) const
 {
-  const std::string path = Path(aName);
+  std::string path = Path(aName);
   std::ofstream(path, std::ios::binary) << aText;
   return path;
 }
