--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -228,3 +228,29 @@
   ::close(caller);
   CHECK_FALSE(ended.get_future().get());
 }
+
+// A stop that closes the listening socket at once resets connections that the
+// kernel accepted and whose request is already sent.
+TEST_CASE("A stop answers requests that were sent before")
+{
+  const system_clock_source clock;
+  const auto server = MakeHttpServer(
+    {},
+    clock,
+    [](const http_call&) {
+      http_answer answer;
+      answer.body = "served";
+      return answer;
+    },
+    [](int, const std::string&) { return http_answer{}; });
+  const std::string address = server->Bind("127.0.0.1:0").value();
+  const int port = std::stoi(address.substr(address.find(':') + 1));
+  // Nothing accepts yet, so the request waits in the backlog.
+  const int socket = Connect(port);
+  SendAll(socket, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::thread serving([&] { server->Serve(); });
+  server->Stop();
+  serving.join();
+  CHECK(ReadAll(socket).find("served") != std::string::npos);
+  ::close(socket);
+}
