Repeat samples after a backoff when the retry budget is used up

Cause: after an engine crashed, the last samples of a step were refused by the retry budget on every tick, and no success refilled it while the step waited for them. Ruled out: the circuit breaker, which opens within a millisecond, and missing targets and load reports, which caused the earlier 60 s stall.

A refused sample is now sent again after 1 s, doubled up to 8 s, so with all engines failing a sample is sent at most 10 times in a minute.

--- a/include/arbutusferry/step.hpp
+++ b/include/arbutusferry/step.hpp
@@ -223,6 +223,8 @@
                const std::string& aMessage,
                std::string& aOut);
   [[nodiscard]] bool SpareSlots() const;
+  /// Lets repeated attempts through by the retry budget, or after a backoff.
+  [[nodiscard]] bool MayAttempt(std::size_t aSample, time_point aNow);
   [[nodiscard]] upstream_request MakeRequest(std::size_t aSample) const;
 
   step_request mStep;
@@ -231,6 +233,7 @@
   bounded_ring<sample_record> mRecords;
   time_point mNextTick{};
   time_point mNoSubmitBefore{};
+  std::map<std::size_t, time_point> mRetryAt; ///< Backoff by sample.
 
   std::mutex mMutex; ///< Guards what follows.
   step_progress mProgress;
--- a/src/samples/step_session.cpp
+++ b/src/samples/step_session.cpp
@@ -15,6 +15,12 @@
 /// Pause of submission after the queue refused an item.
 constexpr duration kShedPause = std::chrono::seconds(1);
 
+/// Backoff of a sample that the retry budget refuses. A step is not complete
+/// without it, and when the last samples of a step fail no success refills the
+/// budget: a crashed engine held a step up for 22 s.
+constexpr duration kFirstBackoff = std::chrono::seconds(1);
+constexpr int kMaxBackoffDoublings = 3; ///< Up to 8 s.
+
 /// Targets that a sample avoids after failures; older ones may be tried again.
 constexpr std::size_t kMaxAvoided = 4;
 
@@ -102,15 +108,9 @@
     late = mProgress.Stragglers(aNow);
   }
   for (const std::size_t sample : ready) {
-    bool repeated = false;
-    {
-      const std::lock_guard lock(mMutex);
-      repeated = mProgress.Attempts(sample) > 0;
-    }
-    if (repeated && !mParts.work->TryRetry(mParts.tenant, aNow)) {
-      continue;
+    if (MayAttempt(sample, aNow)) {
+      Submit(sample, aNow);
     }
-    Submit(sample, aNow);
   }
   if (ready.empty() && !late.empty() && SpareSlots()) {
     for (const std::size_t sample : late) {
@@ -122,6 +122,31 @@
   }
 }
 
+bool
+step_session::MayAttempt(std::size_t aSample, time_point aNow)
+{
+  int attempts = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    attempts = mProgress.Attempts(aSample);
+  }
+  if (attempts == 0) {
+    return true;
+  }
+  if (mParts.work->TryRetry(mParts.tenant, aNow)) {
+    mRetryAt.erase(aSample);
+    return true;
+  }
+  const int doublings = std::min(attempts - 1, kMaxBackoffDoublings);
+  const auto [entry, isNew] =
+    mRetryAt.try_emplace(aSample, aNow + kFirstBackoff * (1 << doublings));
+  if (isNew || aNow < entry->second) {
+    return false;
+  }
+  mRetryAt.erase(entry);
+  return true;
+}
+
 void
 step_session::Submit(std::size_t aSample, time_point aNow)
 {
