--- a/src/rpc/rpc_http.cpp
+++ b/src/rpc/rpc_http.cpp
@@ -28,6 +28,10 @@
     mClient.set_connection_timeout(aTimeout);
     mClient.set_read_timeout(aTimeout);
     mClient.set_write_timeout(aTimeout);
+    // Sync messages repeat names and lists. Only gzip is offered: the library
+    // prefers Brotli at its slowest level.
+    mClient.set_compress(true);
+    mClient.set_default_headers({ { "Accept-Encoding", "gzip" } });
   }
 
   std::string Send(const std::string& aMessage)
