--- a/apps/arbutusferry-control/main.cpp
+++ b/apps/arbutusferry-control/main.cpp
@@ -1,12 +1,6 @@
 #include "arbutusferry/control_node.hpp"
-#include "arbutusferry/json.hpp"
-#include "arbutusferry/logging.hpp"
 #include "arbutusferry/settings.hpp"
-
-#include <csignal>
-#include <gflags/gflags.h>
-#include <iostream>
-#include <malloc.h>
+#include "common/daemon.hpp"
 
 DEFINE_string(settings, "", "Settings file (JSON with comments).");
 DEFINE_bool(check, false, "Check the settings, then stop.");
@@ -15,24 +9,16 @@
 
 using namespace arbutusferry;
 
-constexpr int kSuccess = 0;
-constexpr int kFailed = 1;
-constexpr int kBadSettings = 2;
-
 /// Calls to the platform end before the guard of a lease does, so that a
 /// sender that hangs cannot act after its lease.
 constexpr std::chrono::milliseconds kPlatformTimeout{ 1500 };
 
-/// Every thread would otherwise reserve an arena of its own, which costs
-/// memory that the budget of the process does not have.
-constexpr int kMallocArenas = 2;
-
-int
-Report(const error_info& aError, int aCode)
-{
-  std::cerr << FormatError(aError) << '\n';
-  return aCode;
-}
+/// The budget of the process is 32 MB.
+constexpr daemon::description kDescription{
+  "arbutusferry-control",
+  "follows the configuration of an availability zone",
+  2
+};
 
 control_options
 ToOptions(const control_settings& aSettings)
@@ -52,16 +38,11 @@
   return options;
 }
 
-int
+daemon::exit_code
 Run(const control_settings& aSettings)
 {
-  // The signals are waited for in this thread; all others inherit the mask.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  InitLogging("arbutusferry-control", aSettings.logLevel);
+  const sigset_t signals = daemon::BlockStopSignals();
+  InitLogging(kDescription.name, aSettings.logLevel);
   const system_clock_source clock;
   auto started = Capture([&] {
     return StartControlNode(
@@ -70,48 +51,24 @@
       clock);
   });
   if (const auto* failure = std::get_if<error_info>(&started)) {
-    return Report(*failure, kFailed);
+    return daemon::Report(*failure, daemon::exit_code::Failed);
   }
   auto& node = std::get<std::unique_ptr<control_node>>(started);
-  Json::Value ready(Json::objectValue);
-  ready["ready"] = true;
-  ready["address"] = node->Address();
-  ready["instance"] = node->Instance();
-  std::cout << WriteJson(ready) << std::endl;
-  int received = 0;
-  sigwait(&signals, &received);
-  Log(log_level::Info, "stopping");
-  node->Stop();
-  Log(log_level::Info, "stopped");
-  return kSuccess;
+  daemon::ServeUntilSignal(
+    signals, node->Address(), node->Instance(), [&] { node->Stop(); });
+  return daemon::exit_code::Success;
 }
 
 } // namespace
 
 int
 main(int aCount, char** aArguments)
-try {
-  mallopt(M_ARENA_MAX, kMallocArenas);
-  gflags::SetUsageMessage(
-    "follows the configuration of an availability zone\n"
-    "usage: arbutusferry-control --settings FILE [--check]");
-  gflags::SetVersionString(ARBUTUSFERRY_VERSION);
-  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  if (FLAGS_settings.empty() || aCount > 1) {
-    std::cerr << "command line: field \"--settings\": expected a file\n";
-    return kBadSettings;
-  }
-  auto settings = Capture([] { return LoadControlSettings(FLAGS_settings); });
-  if (const auto* failure = std::get_if<error_info>(&settings)) {
-    return Report(*failure, kBadSettings);
-  }
-  if (FLAGS_check) {
-    std::cout << FLAGS_settings << ": valid\n";
-    return kSuccess;
-  }
-  return Run(std::get<control_settings>(settings));
-} catch (const std::exception& exception) {
-  std::fputs(exception.what(), stderr);
-  std::fputc('\n', stderr);
-  return kFailed;
+{
+  return daemon::Main(aCount,
+                      aArguments,
+                      kDescription,
+                      FLAGS_settings,
+                      FLAGS_check,
+                      LoadControlSettings,
+                      Run);
 }
--- a/apps/arbutusferry-entry/main.cpp
+++ b/apps/arbutusferry-entry/main.cpp
@@ -1,13 +1,7 @@
 #include "arbutusferry/entry_server.hpp"
-#include "arbutusferry/json.hpp"
-#include "arbutusferry/logging.hpp"
 #include "arbutusferry/rpc_http.hpp"
 #include "arbutusferry/settings.hpp"
-
-#include <csignal>
-#include <gflags/gflags.h>
-#include <iostream>
-#include <malloc.h>
+#include "common/daemon.hpp"
 
 DEFINE_string(settings, "", "Settings file (JSON with comments).");
 DEFINE_bool(check, false, "Check the settings, then stop.");
@@ -16,33 +10,18 @@
 
 using namespace arbutusferry;
 
-constexpr int kSuccess = 0;
-constexpr int kFailed = 1;
-constexpr int kBadSettings = 2;
-
 /// Longest call of the control process, above the hold of a sync.
 constexpr std::chrono::milliseconds kControlTimeout{ 3000 };
 
-/// Every thread would otherwise reserve a memory arena of its own.
-constexpr int kMallocArenas = 4;
-
-int
-Report(const error_info& aError, int aCode)
-{
-  std::cerr << FormatError(aError) << '\n';
-  return aCode;
-}
+constexpr daemon::description kDescription{
+  "arbutusferry-entry",
+  "serves callers and trainers in front of the targets",
+  4
+};
 
-int
-Run(const entry_settings& aSettings)
+entry_parts
+MakeParts(const entry_settings& aSettings)
 {
-  // The signals are waited for in this thread; all others inherit the mask.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  InitLogging("arbutusferry-entry", aSettings.logLevel);
   entry_parts parts;
   parts.clock = std::make_shared<system_clock_source>();
   parts.metrics = std::make_shared<metrics_registry>();
@@ -57,22 +36,23 @@
   parts.makeClient = [](const std::string& aAddress) {
     return MakeHttpRpcClient(aAddress, kControlTimeout);
   };
-  const auto server = MakeEntryServer(aSettings, parts);
+  return parts;
+}
+
+daemon::exit_code
+Run(const entry_settings& aSettings)
+{
+  const sigset_t signals = daemon::BlockStopSignals();
+  InitLogging(kDescription.name, aSettings.logLevel);
+  const auto server = MakeEntryServer(aSettings, MakeParts(aSettings));
   const auto started = Capture([&] { return server->Start(); });
   if (const auto* failure = std::get_if<error_info>(&started)) {
-    return Report(*failure, kFailed);
+    return daemon::Report(*failure, daemon::exit_code::Failed);
   }
-  Json::Value ready(Json::objectValue);
-  ready["ready"] = true;
-  ready["address"] = server->Address();
-  ready["instance"] = server->Instance();
-  std::cout << WriteJson(ready) << std::endl;
-  int received = 0;
-  sigwait(&signals, &received);
-  Log(log_level::Info, "stopping");
-  server->Shutdown();
-  Log(log_level::Info, "stopped");
-  return kSuccess;
+  daemon::ServeUntilSignal(signals, server->Address(), server->Instance(), [&] {
+    server->Shutdown();
+  });
+  return daemon::exit_code::Success;
 }
 
 } // namespace
@@ -80,23 +60,11 @@
 int
 main(int aCount, char** aArguments)
 {
-  mallopt(M_ARENA_MAX, kMallocArenas);
-  gflags::SetUsageMessage(
-    "serves callers and trainers in front of the targets\n"
-    "usage: arbutusferry-entry --settings FILE [--check]");
-  gflags::SetVersionString(ARBUTUSFERRY_VERSION);
-  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  if (FLAGS_settings.empty() || aCount > 1) {
-    std::cerr << "command line: field \"--settings\": expected a file\n";
-    return kBadSettings;
-  }
-  auto settings = Capture([] { return LoadEntrySettings(FLAGS_settings); });
-  if (const auto* failure = std::get_if<error_info>(&settings)) {
-    return Report(*failure, kBadSettings);
-  }
-  if (FLAGS_check) {
-    std::cout << FLAGS_settings << ": valid\n";
-    return kSuccess;
-  }
-  return Run(std::get<entry_settings>(settings));
+  return daemon::Main(aCount,
+                      aArguments,
+                      kDescription,
+                      FLAGS_settings,
+                      FLAGS_check,
+                      LoadEntrySettings,
+                      Run);
 }
--- a/src/control/zone_board.hpp
+++ b/src/control/zone_board.hpp
@@ -66,7 +66,7 @@
   /// Puts the lists that the reader does not have into an answer.
   void FillAnswer(zone_sync_response& aAnswer,
                   const list_versions& aSeen) const;
-  /// Puts the targets of the own zone and all entries into an answer, or only
+  /// Puts the targets of all zones and all entries into an answer, or only
   /// the loads that changed if the entry holds the lists `aSeen`.
   void FillEntryAnswer(node_sync_response& aAnswer,
                        const std::optional<list_versions>& aSeen) const;
--- /dev/null
+++ b/src/control/zone_board_usage.cpp
@@ -0,0 +1,82 @@
+#include "control/zone_board.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry {
+
+void
+zone_board::MergeUsage(const std::vector<usage_counter>& aCounters)
+{
+  for (const usage_counter& counter : aCounters) {
+    usage_item& known =
+      mUsage[{ counter.window, counter.tenant, counter.instance }];
+    usage_counter& merged = known.counter;
+    if (!merged.tenant.empty() && merged.requests >= counter.requests &&
+        merged.promptTokens >= counter.promptTokens &&
+        merged.generatedTokens >= counter.generatedTokens) {
+      continue;
+    }
+    merged.tenant = counter.tenant;
+    merged.window = counter.window;
+    merged.instance = counter.instance;
+    merged.requests = std::max(merged.requests, counter.requests);
+    merged.promptTokens = std::max(merged.promptTokens, counter.promptTokens);
+    merged.generatedTokens =
+      std::max(merged.generatedTokens, counter.generatedTokens);
+    known.told = false;
+    known.logged = false;
+  }
+}
+
+zone_board::usage_item*
+zone_board::FindUsage(const usage_counter& aCounter)
+{
+  const auto found =
+    mUsage.find({ aCounter.window, aCounter.tenant, aCounter.instance });
+  if (found == mUsage.end()) {
+    return nullptr;
+  }
+  const usage_counter& known = found->second.counter;
+  // The counter may have grown since the message was written.
+  return known.requests == aCounter.requests &&
+             known.promptTokens == aCounter.promptTokens &&
+             known.generatedTokens == aCounter.generatedTokens
+           ? &found->second
+           : nullptr;
+}
+
+std::vector<usage_counter>
+zone_board::UnloggedUsage() const
+{
+  std::vector<usage_counter> counters;
+  for (const auto& [key, item] : mUsage) {
+    if (!item.logged) {
+      counters.push_back(item.counter);
+    }
+  }
+  return counters;
+}
+
+void
+zone_board::OnUsageLogged(const std::vector<usage_counter>& aCounters)
+{
+  for (const usage_counter& counter : aCounters) {
+    if (usage_item* known = FindUsage(counter)) {
+      known->logged = true;
+    }
+  }
+}
+
+std::size_t
+zone_board::DropUsageBefore(unix_seconds aWindow)
+{
+  std::size_t dropped = 0;
+  const auto end = mUsage.lower_bound({ aWindow, {}, {} });
+  for (auto item = mUsage.begin(); item != end; ++item) {
+    dropped += item->second.logged || item->second.told ? 0 : 1;
+  }
+  mUsage.erase(mUsage.begin(), end);
+  return dropped;
+}
+
+} // namespace arbutusferry
--- a/src/exchange/headers.cpp
+++ b/src/exchange/headers.cpp
@@ -1,3 +1,4 @@
+#include "arbutusferry/percent.hpp"
 #include "arbutusferry/upstream.hpp"
 
 #include <algorithm>
@@ -45,34 +46,6 @@
                                                           "key",
                                                           "access_token" };
 
-int
-HexDigit(char aLetter)
-{
-  if (aLetter >= '0' && aLetter <= '9') {
-    return aLetter - '0';
-  }
-  const int lower = std::tolower(static_cast<unsigned char>(aLetter));
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-/// Decodes percent escapes, so that an escaped name is recognised too.
-std::string
-Decode(std::string_view aText)
-{
-  std::string text;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    if (aText[i] == '%' && i + 2 < aText.size() &&
-        HexDigit(aText[i + 1]) >= 0 && HexDigit(aText[i + 2]) >= 0) {
-      text +=
-        static_cast<char>(HexDigit(aText[i + 1]) * 16 + HexDigit(aText[i + 2]));
-      i += 2;
-    } else {
-      text += aText[i];
-    }
-  }
-  return text;
-}
-
 template<std::size_t Size>
 header_list
 Filter(const header_list& aHeaders,
@@ -127,7 +100,8 @@
     const std::size_t end = query.find_first_of("&;");
     const std::string_view parameter = query.substr(0, end);
     const std::string_view name = parameter.substr(0, parameter.find('='));
-    if (!parameter.empty() && !Contains(kKeyParameters, Decode(name))) {
+    // An escaped name selects the same parameter at the target.
+    if (!parameter.empty() && !Contains(kKeyParameters, DecodePercent(name))) {
       target += separator;
       target += parameter;
       separator = '&';
