Test a paused holder of the usage role with processes

The holder is stopped past its lease, the next one reports, and no report of the earlier one follows; each window keeps one set of figures. The platform's own check is off.

--- a/tests/integration/role_holder_test.cpp
+++ b/tests/integration/role_holder_test.cpp
@@ -1,9 +1,11 @@
 #include "support/harness.hpp"
 
 #include "arbutusferry/json.hpp"
+#include "arbutusferry/lease.hpp"
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 
 using namespace arbutusferry;
 using harness::cluster;
@@ -13,7 +15,8 @@
 
 namespace {
 
-const std::string kRole = "orders/z1";
+const std::string kOrders = "orders/z1";
+const std::string kUsage = "usage";
 
 Json::Value
 Document(int aSamplers)
@@ -28,20 +31,54 @@
   return document;
 }
 
-/// @return Newest valid claim of the role, null if none.
+/// @return Newest valid claim of the role, null if none. Two processes may
+/// claim at once; the later record is then void.
 Json::Value
-NewestClaim(cluster& aCluster)
+NewestClaim(cluster& aCluster, const std::string& aRole)
 {
+  role_table roles;
   Json::Value newest;
   for (const Json::Value& event : aCluster.History("append")) {
-    const Json::Value& record = event["content"]["record"];
-    if (record["type"] == "lease_claimed" && record["role"] == kRole) {
-      newest = event["content"];
+    const Json::Value& content = event["content"];
+    const auto record =
+      Capture([&] { return ReadLogRecord(content["record"]); });
+    const auto* read = std::get_if<std::optional<log_record>>(&record);
+    if (read == nullptr || !*read) {
+      continue;
+    }
+    const log_offset offset = content["offset"].asInt64();
+    roles.Apply(offset, content["id"].asString(), **read, time_point{});
+    if (roles.Find(aRole).claim == offset) {
+      newest = content;
     }
   }
   return newest;
 }
 
+/// @return Index of the VM whose control process has this instance id; the
+/// number of VMs if there is none.
+std::size_t
+IndexOf(cluster& aCluster, const std::string& aInstance)
+{
+  std::size_t index = 0;
+  while (index < aCluster.Vms().size() &&
+         aCluster.Vms()[index].control->Ready()["instance"] != aInstance) {
+    ++index;
+  }
+  return index;
+}
+
+/// @return Usage reports with at least this fencing token.
+int
+Reports(cluster& aCluster, std::int64_t aFencing)
+{
+  int count = 0;
+  for (const Json::Value& event : aCluster.History("usage")) {
+    count += event["content"]["fencing"].asInt64() >= aFencing ? 1 : 0;
+  }
+  return count;
+}
+
 /// @return Number of samplers that the platform lists.
 int
 Samplers(cluster& aCluster)
@@ -70,13 +107,9 @@
            Parse(R"({"check_fencing":false})"));
   cluster.Apply(Document(1));
   WaitUntil("a target was ordered", [&] { return Samplers(cluster) == 1; });
-  const Json::Value first = NewestClaim(cluster);
+  const Json::Value first = NewestClaim(cluster, kOrders);
   const std::string holder = first["record"]["holder"].asString();
-  std::size_t stopped = 0;
-  while (stopped < 2 &&
-         cluster.Vms()[stopped].control->Ready()["instance"] != holder) {
-    ++stopped;
-  }
+  const std::size_t stopped = IndexOf(cluster, holder);
   REQUIRE(stopped < 2);
   cluster.Vms()[stopped].control->Signal(SIGSTOP);
   const auto apply = [&](int aSamplers) {
@@ -90,10 +123,11 @@
     CHECK(result.exitCode == 0);
   };
   apply(2);
-  WaitUntil("the other process claimed the role",
-            [&] { return NewestClaim(cluster)["record"]["holder"] != holder; });
+  WaitUntil("the other process claimed the role", [&] {
+    return NewestClaim(cluster, kOrders)["record"]["holder"] != holder;
+  });
   WaitUntil("the new holder ordered", [&] { return Samplers(cluster) == 2; });
-  const std::int64_t newest = NewestClaim(cluster)["offset"].asInt64();
+  const std::int64_t newest = NewestClaim(cluster, kOrders)["offset"].asInt64();
   cluster.Vms()[stopped].control->Signal(SIGCONT);
   apply(3);
   WaitUntil("the next order was carried out",
@@ -112,3 +146,65 @@
   }
   CHECK(sawNew);
 }
+
+// A report of a holder that slept past its lease could bill a window a second
+// time with other figures.
+TEST_CASE("a holder that was stopped past its lease sends no usage report")
+{
+  harness::cluster_options options;
+  options.vmsPerZone = 2;
+  options.timing["usage_batch_ms"] = 500;
+  cluster cluster(options);
+  cluster.AddTarget("z1", "desk", target_kind::Service, 8);
+  cluster.PublishLists();
+  SendJson(cluster.Platform(),
+           "PUT",
+           "/admin/faults",
+           Parse(R"({"check_fencing":false})"));
+  Json::Value document = Document(1);
+  document["usage"]["window_s"] = 2;
+  document["usage"]["grace_s"] = 1;
+  cluster.Apply(document);
+  const std::string key = cluster.Grant("acme");
+  cluster.WaitReady();
+  const auto call = [&](std::size_t aVm) {
+    return harness::Call(cluster.Entry(aVm), "/quotes", "x", key).status == 200;
+  };
+  WaitUntil("a window was reported", [&] {
+    call(0);
+    return Reports(cluster, 0) > 0;
+  });
+  const Json::Value first = NewestClaim(cluster, kUsage);
+  const std::string holder = first["record"]["holder"].asString();
+  const std::size_t stopped = IndexOf(cluster, holder);
+  REQUIRE(stopped < 2);
+  cluster.Vms()[stopped].control->Signal(SIGSTOP);
+  Json::Value second;
+  WaitUntil("the other process claimed the role and reported", [&] {
+    call(1 - stopped);
+    second = NewestClaim(cluster, kUsage);
+    return second["record"]["holder"] != holder &&
+           Reports(cluster, second["offset"].asInt64()) > 0;
+  });
+  cluster.Vms()[stopped].control->Signal(SIGCONT);
+  const std::int64_t fencing = second["offset"].asInt64();
+  const int before = Reports(cluster, fencing);
+  WaitUntil("more windows were reported", [&] {
+    call(1 - stopped);
+    return Reports(cluster, fencing) >= before + 2;
+  });
+  bool sawNew = false;
+  std::map<std::string, Json::Value> figures; // By window.
+  for (const Json::Value& event : cluster.History("usage")) {
+    const Json::Value& report = event["content"];
+    INFO(WriteJson(event));
+    sawNew = sawNew || report["fencing"].asInt64() >= fencing;
+    if (sawNew) {
+      CHECK(report["fencing"].asInt64() >= fencing);
+    }
+    const auto [known, isNew] =
+      figures.try_emplace(report["window"].asString(), report["lines"]);
+    CHECK((isNew || known->second == report["lines"]));
+  }
+  CHECK(sawNew);
+}
