Refuse a port in use with an error of the settings, exit status 2

Cause: cpp-httplib sets SO_REUSEPORT by default, so a second daemon on the same address started without an error and shared the first one's connections; the new unit test failed with a successful bind. A port held by another program was reported with status 1 and without the field. Both daemons now set SO_REUSEADDR only, and the error names file, field and what was expected.

--- a/apps/common/daemon.hpp
+++ b/apps/common/daemon.hpp
@@ -39,6 +39,18 @@
   return aCode;
 }
 
+/// Prints why a daemon could not start. An error of the settings, such as an
+/// address in use, names their file.
+[[nodiscard]] inline exit_code
+ReportStart(error_info aError, const std::string& aFile)
+{
+  if (aError.code != error_code::InvalidSettings) {
+    return Report(aError, exit_code::Failed);
+  }
+  aError.peer = aFile + ": " + aError.peer;
+  return Report(aError, exit_code::BadSettings);
+}
+
 /// Blocks the signals that stop a daemon. Call before any thread starts: all
 /// threads inherit the mask.
 [[nodiscard]] inline sigset_t
--- a/src/control/http_front.cpp
+++ b/src/control/http_front.cpp
@@ -87,6 +87,12 @@
     mServer.new_task_queue = [] { return new growing_pool; };
     mServer.set_payload_max_length(kMaxBody);
     mServer.set_tcp_nodelay(true);
+    // The library's default also sets SO_REUSEPORT, with which two processes
+    // share a port and its connections without an error.
+    mServer.set_socket_options([](socket_t aSocket) {
+      const int yes = 1;
+      ::setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
     // The default closes a connection after 5 requests.
     mServer.set_keep_alive_max_count(1'000'000);
     mServer.set_keep_alive_timeout(5);
@@ -170,8 +176,10 @@
   auto front = std::make_unique<httplib_front>(aListen.substr(0, colon),
                                                std::move(aHandlers));
   if (!front->Bind(port)) {
-    return MakeError(
-      error_code::Unavailable, "listen", aListen, "cannot bind the address");
+    return MakeError(error_code::InvalidSettings,
+                     "bind",
+                     aListen,
+                     "field \"listen\": expected a free address of this host");
   }
   return std::unique_ptr<http_front>(std::move(front));
 }
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -376,6 +376,12 @@
       return new connection_queue(mLimits, mServer.Open());
     };
     mServer.set_tcp_nodelay(true);
+    // The library's default also sets SO_REUSEPORT, with which two processes
+    // share a port and its connections without an error.
+    mServer.set_socket_options([](socket_t aSocket) {
+      const int yes = 1;
+      ::setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
     mServer.set_payload_max_length(mLimits.maxBodyBytes);
     Route();
   }
@@ -421,8 +427,10 @@
   const bool bound = port == 0 ? (port = mServer.bind_to_any_port(host)) > 0
                                : mServer.bind_to_port(host, port);
   if (!bound) {
-    return MakeError(
-      error_code::Unavailable, "bind", aAddress, "cannot listen here");
+    return MakeError(error_code::InvalidSettings,
+                     "bind",
+                     aAddress,
+                     "field \"listen\": expected a free address of this host");
   }
   mServer.RaiseBacklog();
   return host + ":" + std::to_string(port);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -254,3 +254,17 @@
   CHECK(ReadAll(socket).find("served") != std::string::npos);
   ::close(socket);
 }
+
+// Guards against a message that does not say which field of the settings is
+// wrong when the port is in use.
+TEST_CASE("An address in use is an error of the settings")
+{
+  server_fixture fixture;
+  const auto second = MakeHttpServer(
+    {}, fixture.clock, {}, [](int, const auto&) { return http_answer{}; });
+  const auto bound = Capture(
+    [&] { return second->Bind("127.0.0.1:" + std::to_string(fixture.port)); });
+  REQUIRE(bound.index() == 1);
+  CHECK(std::get<1>(bound).code == error_code::InvalidSettings);
+  CHECK(std::get<1>(bound).message.find("\"listen\"") != std::string::npos);
+}
