--- a/src/environment/json_support.hpp
+++ b/src/environment/json_support.hpp
@@ -91,4 +91,16 @@
   return list_result(std::move(items));
 }
 
+/// @return A JSON list with each item written by `aWrite`.
+template<typename Item, typename Write>
+[[nodiscard]] Json::Value
+WriteList(const std::vector<Item>& aItems, Write aWrite)
+{
+  Json::Value list(Json::arrayValue);
+  for (const Item& item : aItems) {
+    list.append(aWrite(item));
+  }
+  return list;
+}
+
 } // namespace arbutusferry
--- a/src/membership/node_sync.cpp
+++ b/src/membership/node_sync.cpp
@@ -13,17 +13,6 @@
 
 constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
 
-template<typename Item, typename Write>
-Json::Value
-WriteList(const std::vector<Item>& aItems, Write aWrite)
-{
-  Json::Value list(Json::arrayValue);
-  for (const Item& item : aItems) {
-    list.append(aWrite(item));
-  }
-  return list;
-}
-
 } // namespace
 
 Json::Value
--- a/src/membership/zone_sync.cpp
+++ b/src/membership/zone_sync.cpp
@@ -12,17 +12,6 @@
 
 constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
 
-template<typename Item, typename Write>
-Json::Value
-WriteList(const std::vector<Item>& aItems, Write aWrite)
-{
-  Json::Value list(Json::arrayValue);
-  for (const Item& item : aItems) {
-    list.append(aWrite(item));
-  }
-  return list;
-}
-
 /// Lists that are empty are left out, since most of them mostly are.
 template<typename Item, typename Write>
 void
