--- /dev/null
+++ b/include/arbutusferry/node/asio_net.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "arbutusferry/node/event_loop.hpp"
+#include "arbutusferry/node/http_client.hpp"
+#include "arbutusferry/node/http_listener.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace arbutusferry::node {
+
+/// The event loop of the operating system.
+class asio_loop final : public event_loop
+{
+public:
+  [[nodiscard]] time_point Now() const noexcept override;
+  [[nodiscard]] unix_seconds UnixNow() const noexcept override;
+  [[nodiscard]] std::int64_t UnixMilliseconds() const noexcept override;
+  [[nodiscard]] std::unique_ptr<timer> After(
+    duration aDelay,
+    std::function<void()> aFunction) override;
+  [[nodiscard]] boost::asio::io_context& Context() noexcept
+  {
+    return mContext;
+  }
+
+private:
+  boost::asio::io_context mContext{ 1 };
+};
+
+/// @return A client that keeps idle connections for reuse.
+[[nodiscard]] std::unique_ptr<http_client>
+MakeHttpClient(asio_loop& aLoop);
+
+/// Listens on an address.
+/// @param aHandler Must outlive the listener.
+/// @return The listener, or `InvalidSettings` if the address can't be used.
+[[nodiscard]] result<std::unique_ptr<http_listener>>
+Listen(asio_loop& aLoop,
+       const socket_address& aAddress,
+       request_handler& aHandler);
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "arbutusferry/node/batch_book.hpp"
+#include "arbutusferry/node/event_loop.hpp"
+#include "arbutusferry/node/record_log.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace arbutusferry::node {
+
+/// Bytes of a journal value and back.
+[[nodiscard]] std::string
+EncodeBatch(const batch_request& aBatch);
+[[nodiscard]] std::optional<batch_request>
+DecodeBatch(const std::string& aText);
+[[nodiscard]] std::string
+EncodeResult(const batch_result& aResult);
+[[nodiscard]] std::optional<batch_result>
+DecodeResult(const std::string& aText);
+
+/// Keys of the journal.
+[[nodiscard]] std::string
+BatchKey(const std::string& aBatch, std::size_t aPart);
+[[nodiscard]] std::string
+ResultKey(const std::string& aBatch, std::size_t aPosition);
+[[nodiscard]] std::string
+EndKey(const std::string& aBatch);
+[[nodiscard]] std::string
+UsageKey(std::int64_t aWindow);
+
+/// What a journal holds, as read at the beginning of a term.
+struct journal_contents
+{
+  std::vector<batch_request> batches;
+  std::map<std::string, std::map<std::size_t, batch_result>> results;
+  std::set<std::string> ended;
+  std::map<std::int64_t, std::string> usage; ///< By window.
+};
+
+/// Collects the records of a journal.
+class journal_reader
+{
+public:
+  void Add(const log_entry& aEntry);
+  /// Joins the parts of batches.
+  [[nodiscard]] journal_contents Finish();
+
+private:
+  std::map<std::string, std::map<std::size_t, std::string>> mParts;
+  journal_contents mContents;
+};
+
+/// The leader's writer of one journal partition. Appends go out one call at a
+/// time, as many records together as wait. A call without an answer is
+/// repeated with its sequence number until the store says what became of it.
+class batch_journal
+{
+public:
+  /// @param aFenced Called once when a later leader has taken over.
+  batch_journal(event_loop& aLoop,
+                record_log& aLog,
+                log_partition aWhere,
+                std::uint64_t aEpoch,
+                std::function<void()> aFenced);
+
+  /// Fences earlier writers, then reads the journal.
+  /// @param aDone Receives the contents.
+  void Open(std::function<void(journal_contents)> aDone);
+  /// Appends records, all or nothing.
+  /// @param aDone Called when they are durable.
+  void Append(std::vector<log_record> aRecords, std::function<void()> aDone);
+  /// @return Appends that are not durable yet.
+  [[nodiscard]] std::size_t Waiting() const noexcept
+  {
+    return mQueue.size() + mSending.size();
+  }
+  /// @return Since when the present call has been without success.
+  [[nodiscard]] std::optional<time_point> StuckSince() const noexcept
+  {
+    return mStuckSince;
+  }
+
+private:
+  struct entry
+  {
+    std::vector<log_record> records;
+    std::function<void()> done;
+  };
+
+  void Fence();
+  void ReadPage(const std::string& aAfter);
+  void SendNext();
+  void SendCall();
+  void OnAnswer(const append_result& aResult);
+  void Retry();
+
+  event_loop& mLoop;
+  record_log& mLog;
+  log_partition mWhere;
+  std::uint64_t mEpoch;
+  std::function<void()> mFenced;
+  std::function<void(journal_contents)> mOpened;
+  journal_reader mReader;
+  std::deque<entry> mQueue;
+  std::vector<entry> mSending;
+  std::vector<log_record> mCall;
+  std::uint64_t mSequence = 0;
+  bool mOpen = false;
+  bool mDoubt = false; ///< The present call may have been carried out.
+  std::optional<time_point> mStuckSince;
+  std::unique_ptr<timer> mTimer;
+  /// Answers that arrive after the journal is gone are dropped.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "arbutusferry/node/batch_book.hpp"
+#include "arbutusferry/node/batch_journal.hpp"
+#include "arbutusferry/node/environment_view.hpp"
+#include "arbutusferry/node/event_loop.hpp"
+#include "arbutusferry/node/http_client.hpp"
+#include "arbutusferry/node/sampler_pool.hpp"
+#include "arbutusferry/node/target_protocol.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace arbutusferry::node {
+
+/// How a call about a batch ended.
+enum class batch_outcome
+{
+  Done,
+  NotFound,
+  Unavailable, ///< This process can't tell at present.
+};
+
+/// Access to the operator's environment in force.
+class environment_source
+{
+public:
+  virtual ~environment_source() = default;
+  [[nodiscard]] virtual const environment_view& Environment() const = 0;
+};
+
+/// Owns all batches during one term of leadership: accepts them, runs their
+/// items, keeps their results and orders weights.
+class batch_leader final : private run_owner
+{
+public:
+  struct parts
+  {
+    event_loop& loop;
+    http_client& client;
+    record_log& log;
+    target_view& targets;
+    const target_protocol& protocol;
+    const environment_source& environment;
+    std::string holder;
+    /// How long an ended batch can be read after its submission.
+    std::chrono::milliseconds readableFor{ 120'000 };
+    /// Calls `aFenced` of `Start` when a later leader was seen.
+    std::function<void()> superseded;
+    /// Whether orders may be sent now.
+    std::function<bool()> mayAct;
+  };
+
+  batch_leader(parts aParts, std::uint64_t aFence);
+  ~batch_leader() override;
+  batch_leader(const batch_leader&) = delete;
+  batch_leader& operator=(const batch_leader&) = delete;
+
+  /// Fences earlier leaders, reads the journal and starts to run items.
+  /// @param aReady Receives the usage figures that were fixed earlier.
+  void Start(std::function<void(std::map<std::int64_t, std::string>)> aReady);
+  [[nodiscard]] bool Ready() const noexcept { return mReady; }
+
+  /// Accepts a batch.
+  /// @param aDone Called when it is durable, also if it was accepted before.
+  void Submit(batch_request aRequest, std::function<void()> aDone);
+  /// @return The batch of a tenant, or null.
+  [[nodiscard]] batch* Find(const std::string& aId, const std::string& aTenant);
+  /// Calls a function when a batch has results from a position on, is closed,
+  /// or the time is up.
+  void AwaitResults(const std::string& aId,
+                    std::size_t aAfter,
+                    std::chrono::milliseconds aWait,
+                    std::function<void()> aDone);
+  /// Ends a batch.
+  /// @param aDone Called when the end is durable.
+  void End(batch& aBatch, std::function<void()> aDone);
+  /// Appends other records of the term, such as usage figures.
+  void AppendRecords(std::vector<log_record> aRecords,
+                     std::function<void()> aDone)
+  {
+    mJournal.Append(std::move(aRecords), std::move(aDone));
+  }
+  void NameVersion(const std::string& aModel, std::int64_t aVersion);
+  /// Notes changed targets.
+  void OnTargetsChanged() { ScheduleSoon(); }
+  [[nodiscard]] std::size_t OpenItems() const;
+
+private:
+  struct waiter
+  {
+    std::string batch;
+    std::size_t after = 0;
+    time_point until;
+    std::function<void()> done;
+  };
+
+  void Restore(journal_contents aContents);
+  void ScheduleSoon();
+  void Tick();
+  void Place();
+  void MoveSlowRuns();
+  void GiveUpItems();
+  void ExpireBatches();
+  void WakeWaiters();
+  void Finish(batch& aBatch, std::size_t aIndex, result_state aState);
+  [[nodiscard]] std::vector<waiting_item> Waiting();
+  [[nodiscard]] bool StartRun(const waiting_item& aItem,
+                              const std::string& aSampler);
+
+  void OnRunEvent(const item_run& aRun,
+                  std::string aData,
+                  std::int64_t aVersion) override;
+  void OnRunEnded(const item_run& aRun, run_end aEnd) override;
+
+  parts mParts;
+  batch_book mBook;
+  batch_journal mJournal;
+  sampler_pool mPool;
+  std::function<void(std::map<std::int64_t, std::string>)> mOnReady;
+  bool mReady = false;
+  std::vector<waiter> mWaiters;
+  std::map<std::string, std::vector<std::function<void()>>> mAccepting;
+  std::unique_ptr<timer> mSoon;
+  std::unique_ptr<periodic> mTicker;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/duty_desk.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "arbutusferry/node/environment_view.hpp"
+#include "arbutusferry/node/event_loop.hpp"
+#include "arbutusferry/node/target_view.hpp"
+#include "arbutusferry/node/usage_windows.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// How a call to the platform's ordering and billing interface ended.
+enum class duty_status
+{
+  Done,
+  Conflict, ///< A higher fence was seen, or nothing is to be had at present.
+  Failed,   ///< Not accepted, or no answer.
+};
+
+/// The platform's ordering and billing interface.
+class duty_client
+{
+public:
+  virtual ~duty_client() = default;
+  virtual void ReportUsage(std::int64_t aWindow,
+                           const tenant_counts& aCounts,
+                           std::uint64_t aFence,
+                           std::function<void(duty_status)> aDone) = 0;
+  virtual void OrderTargets(const std::string& aService,
+                            const std::string& aZone,
+                            int aCount,
+                            std::uint64_t aFence,
+                            std::function<void(duty_status)> aDone) = 0;
+};
+
+/// Sends one usage report for each window: fixes its figures in the journal
+/// first, so that every repeat, also by a later leader, is the same.
+class usage_desk
+{
+public:
+  struct parts
+  {
+    event_loop& loop;
+    duty_client& client;
+    std::uint64_t fence = 0;
+    std::chrono::milliseconds window{ 5'000 };
+    /// Time after a window's end until which its report is due.
+    std::chrono::milliseconds due{ 10'000 };
+    /// Makes the figures of a window durable, then calls the function.
+    std::function<void(std::int64_t, const tenant_counts&,
+                       std::function<void()>)>
+      fix;
+    std::function<bool()> mayAct;
+    std::function<void()> superseded;
+  };
+
+  usage_desk(parts aParts, std::map<std::int64_t, std::string> aFixed);
+  /// Takes the counts of a process.
+  void Add(const std::string& aProcess, const window_counts& aWindows)
+  {
+    mSum.Add(aProcess, aWindows);
+  }
+  /// Sends what is due.
+  void Tick();
+
+private:
+  struct report
+  {
+    tenant_counts counts;
+    bool fixed = false;
+    bool busy = false;
+    bool done = false;
+  };
+  void Send(std::int64_t aWindow);
+
+  parts mParts;
+  usage_sum mSum;
+  std::map<std::int64_t, report> mReports;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+/// Decides how many targets to order for each service and zone.
+class scale_plan
+{
+public:
+  struct order
+  {
+    std::string service;
+    std::string zone;
+    int count = 0;
+  };
+  /// @param aZones All zones.
+  /// @return Orders to send now.
+  [[nodiscard]] std::vector<order> Due(const environment_view& aEnvironment,
+                                       const target_view& aTargets,
+                                       const std::vector<std::string>& aZones,
+                                       time_point aNow);
+  /// Notes how an order ended.
+  void Note(const order& aOrder, duty_status aStatus, time_point aNow);
+
+private:
+  struct state
+  {
+    int ordered = -1;
+    time_point notBefore;
+    bool busy = false;
+  };
+  std::map<std::pair<std::string, std::string>, state> mStates;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "arbutusferry/node/batch_leader.hpp"
+#include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/duty_desk.hpp"
+#include "arbutusferry/node/keyed_follower.hpp"
+#include "arbutusferry/node/role_claim.hpp"
+#include "arbutusferry/node/usage_windows.hpp"
+
+#include <memory>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// What a node is told of itself and of the deployment.
+struct node_settings
+{
+  std::string vm;
+  std::string zone;
+  socket_address peerAddress; ///< Where other nodes reach this one.
+  std::vector<std::string> zones;
+  /// Share of a core; nodes with more claim the leadership sooner.
+  double cpuShare = 1.0;
+  /// Lease of the leadership where targets don't check fences.
+  std::chrono::milliseconds lease{ 3'000 };
+  bool fencesChecked = true;
+  std::chrono::milliseconds usageWindow{ 5'000 };
+  std::chrono::milliseconds usageDue{ 10'000 };
+  std::chrono::milliseconds batchReadable{ 120'000 };
+};
+
+/// One node: its view of the deployment, the forwarding of plain requests, and
+/// the leadership while it holds it.
+class ferry_node final
+  : public environment_source
+  , private run_counter
+{
+public:
+  struct parts
+  {
+    event_loop& loop;
+    http_client& client;
+    record_log& log;
+    const target_protocol& protocol;
+    const caller_protocol& callers;
+    duty_client& duties;
+  };
+
+  ferry_node(parts aParts, node_settings aSettings);
+  ~ferry_node() override;
+
+  void Start();
+  /// Gives the leadership up and stops claiming it.
+  void Resign();
+
+  /// Takes a version of the environment, unless it is older than the present.
+  void SetEnvironment(environment_view aEnvironment);
+  void NameVersion(const std::string& aModel, std::int64_t aVersion);
+  void UpdateTarget(const target_entry& aTarget);
+  void RemoveTarget(const std::string& aId);
+
+  [[nodiscard]] const environment_view& Environment() const override
+  {
+    return mEnvironment;
+  }
+  [[nodiscard]] call_forwarder& Forwarder() noexcept { return mForwarder; }
+  [[nodiscard]] event_loop& Loop() noexcept { return mParts.loop; }
+  /// @return The batches, if this node leads and has read the journal.
+  [[nodiscard]] batch_leader* Leader() noexcept;
+  /// @return Whether absence from the leader's state proves absence.
+  [[nodiscard]] bool Certain() const;
+  /// @return The leader's address as last read, if it is another node.
+  [[nodiscard]] std::optional<socket_address> LeaderAddress() const;
+  /// @return Whether routes and targets are known.
+  [[nodiscard]] bool Serving() const noexcept
+  {
+    return mEnvironment.Version() > 0 && !mTargets.All().empty();
+  }
+
+private:
+  class role_observer;
+  class usage_observer;
+
+  void CountRun(const std::string& aTenant,
+                std::int64_t aUnixMilliseconds) override;
+  void SaveUsage();
+  void StepRole();
+  void WriteRole(role_record aRecord);
+  void FollowLeadership();
+  void Depose(const char* aReason);
+  void TickDuties();
+
+  parts mParts;
+  node_settings mSettings;
+  std::string mInstance; ///< Node and incarnation.
+  environment_view mEnvironment;
+  target_view mTargets;
+  std::map<std::string, std::int64_t> mNamedVersions;
+  call_forwarder mForwarder;
+  usage_meter mMeter;
+  bool mSavingUsage = false;
+  std::unique_ptr<role_observer> mRoleObserver;
+  std::unique_ptr<keyed_follower> mRoleFollower;
+  role_claim mClaim;
+  bool mWritingRole = false;
+  bool mResigned = false;
+  std::unique_ptr<batch_leader> mLeader;
+  std::unique_ptr<usage_observer> mUsageObserver;
+  std::unique_ptr<keyed_follower> mUsageFollower;
+  std::unique_ptr<usage_desk> mUsage;
+  scale_plan mScale;
+  std::unique_ptr<periodic> mRoleTicker;
+  std::unique_ptr<periodic> mSlowTicker;
+  std::unique_ptr<timer> mDeposing;
+  std::unique_ptr<timer> mRelease;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/http_client.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "arbutusferry/address.hpp"
+#include "arbutusferry/node/http_message.hpp"
+#include "arbutusferry/time.hpp"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace arbutusferry::node {
+
+/// Why an exchange ended without a complete response.
+enum class exchange_failure
+{
+  NotSent,  ///< No connection: the peer has received nothing.
+  Broken,   ///< The connection ended or broke; the peer may have acted.
+  Protocol, ///< The peer sent bytes that are no response.
+  Timeout,  ///< No complete response in time; the peer may have acted.
+};
+
+/// @return A name for log lines.
+[[nodiscard]] constexpr std::string_view
+FailureName(exchange_failure aFailure) noexcept
+{
+  switch (aFailure) {
+    case exchange_failure::NotSent:
+      return "not_sent";
+    case exchange_failure::Broken:
+      return "broken";
+    case exchange_failure::Protocol:
+      return "protocol";
+    case exchange_failure::Timeout:
+      break;
+  }
+  return "timeout";
+}
+
+/// Receives one response as it arrives. Nothing follows `OnEnd` or
+/// `OnFailure`.
+class response_sink
+{
+public:
+  virtual ~response_sink() = default;
+  virtual void OnHead(int aStatus, const header_list& aHeaders) = 0;
+  virtual void OnBody(std::string_view aPart) = 0;
+  virtual void OnEnd() = 0;
+  virtual void OnFailure(exchange_failure aFailure) = 0;
+};
+
+struct exchange_options
+{
+  /// Longest wait for a new connection.
+  std::chrono::milliseconds connect{ 1'000 };
+  /// Longest time without a byte from the peer, from the sending on.
+  std::chrono::milliseconds silence{ 10'000 };
+  /// Header by which a peer names the request of a response. A response that
+  /// names another request is skipped. Empty if there is none.
+  std::string echoHeader;
+};
+
+/// A running exchange.
+class http_exchange
+{
+public:
+  virtual ~http_exchange() = default;
+  /// Ends the exchange and closes its connection; the sink hears nothing more.
+  virtual void Cancel() = 0;
+};
+
+/// Sends requests over kept connections.
+class http_client
+{
+public:
+  virtual ~http_client() = default;
+  /// Sends a request; the sink is called from the event loop, never from
+  /// within this call.
+  virtual std::shared_ptr<http_exchange> Send(
+    const socket_address& aPeer,
+    http_request aRequest,
+    const exchange_options& aOptions,
+    std::shared_ptr<response_sink> aSink) = 0;
+};
+
+/// Collects a whole response and calls a function with it.
+class whole_response final : public response_sink
+{
+public:
+  using callback = std::function<void(const http_response*, exchange_failure)>;
+  /// @param aDone Receives the response, or null and the failure.
+  explicit whole_response(callback aDone)
+    : mDone(std::move(aDone))
+  {
+  }
+  void OnHead(int aStatus, const header_list& aHeaders) override
+  {
+    mResponse.status = aStatus;
+    mResponse.headers = aHeaders;
+  }
+  void OnBody(std::string_view aPart) override { mResponse.body += aPart; }
+  void OnEnd() override { mDone(&mResponse, exchange_failure::Broken); }
+  void OnFailure(exchange_failure aFailure) override
+  {
+    mDone(nullptr, aFailure);
+  }
+
+private:
+  callback mDone;
+  http_response mResponse;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/http_message.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace arbutusferry::node {
+
+/// Header fields in order of appearance; names compare without case.
+class header_list
+{
+public:
+  using entry = std::pair<std::string, std::string>;
+
+  header_list() = default;
+  header_list(std::initializer_list<entry> aEntries)
+    : mEntries(aEntries)
+  {
+  }
+
+  void Add(std::string aName, std::string aValue)
+  {
+    mEntries.emplace_back(std::move(aName), std::move(aValue));
+  }
+  /// Removes all fields of a name.
+  void Remove(std::string_view aName);
+  /// @return The first value of a name, or nothing.
+  [[nodiscard]] std::optional<std::string_view> Find(
+    std::string_view aName) const;
+  /// @return The first value, or an empty view.
+  [[nodiscard]] std::string_view Get(std::string_view aName) const
+  {
+    return Find(aName).value_or(std::string_view{});
+  }
+  /// @return How many fields have this name.
+  [[nodiscard]] std::size_t Count(std::string_view aName) const;
+  [[nodiscard]] auto begin() const noexcept { return mEntries.begin(); }
+  [[nodiscard]] auto end() const noexcept { return mEntries.end(); }
+
+private:
+  std::vector<entry> mEntries;
+};
+
+/// @return Whether two header names or tokens are equal without case.
+[[nodiscard]] bool
+EqualIgnoringCase(std::string_view aLeft, std::string_view aRight) noexcept;
+
+/// @return Whether a comma-separated list holds a token.
+[[nodiscard]] bool
+HasToken(std::string_view aList, std::string_view aToken) noexcept;
+
+struct http_request
+{
+  std::string method;
+  std::string target; ///< Path and query as received.
+  header_list headers;
+  std::string body;
+};
+
+struct http_response
+{
+  int status = 0;
+  header_list headers;
+  std::string body;
+};
+
+/// @return A decimal integer without sign, or nothing.
+[[nodiscard]] std::optional<std::int64_t>
+ParseInteger(std::string_view aText) noexcept;
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/role_claim.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "arbutusferry/address.hpp"
+#include "arbutusferry/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// Record of the leadership topic: a claim, a renewal or a release.
+struct role_record
+{
+  std::string holder;     ///< Process that leads: node and incarnation.
+  std::string vm;         ///< Its node.
+  socket_address address; ///< Where it takes calls of other nodes.
+  std::string zone;
+  /// Fencing number of the term: rises with every change of the holder.
+  std::uint64_t fence = 0;
+  bool released = false; ///< The holder gave the role up.
+};
+
+[[nodiscard]] std::string
+EncodeRole(const role_record& aRecord);
+/// @return The record, or nothing if the bytes are none.
+[[nodiscard]] std::optional<role_record>
+DecodeRole(const std::string& aText);
+
+/// Decides when a process claims, renews and leaves the leadership.
+class role_claim
+{
+public:
+  struct timing
+  {
+    /// Interval of renewals.
+    std::chrono::milliseconds renew{ 500 };
+    /// Silence of the holder after which others claim the role.
+    std::chrono::milliseconds silence{ 2'000 };
+    /// Age of the last renewal up to which the holder may act; without a
+    /// value, targets and platform check fences themselves.
+    std::optional<std::chrono::milliseconds> mayActFor;
+    /// How long a process that lost the role stays away.
+    std::chrono::milliseconds stayAway{ 4'000 };
+    /// Delay of this process's claims, so that not all claim at once.
+    std::chrono::milliseconds rank{ 0 };
+  };
+
+  role_claim(role_record aSelf, timing aTiming, time_point aNow);
+
+  /// Takes a record of the topic into account.
+  void Observe(std::uint64_t aOffset,
+               const role_record& aRecord,
+               time_point aNow);
+  /// @return Whether to append a claim or renewal now.
+  [[nodiscard]] bool ShouldWrite(time_point aNow) const;
+  /// @return The record to append on condition that the topic ends at `aEnd`.
+  [[nodiscard]] role_record NextRecord(std::uint64_t aEnd) const;
+  /// Notes that a record was sent.
+  void Sent(time_point aNow) { mLastSent = aNow; }
+  /// Notes that the store confirmed a record sent at `aSentAt`.
+  void Confirmed(time_point aSentAt);
+  /// Notes that a store, target or the platform refused this process's fence.
+  void Superseded(time_point aNow);
+
+  [[nodiscard]] bool Leads() const noexcept { return mLeads; }
+  /// @return Whether orders and reports may be sent.
+  [[nodiscard]] bool MayAct(time_point aNow) const;
+  /// @return Whether no other process can have claimed the role yet, so that
+  /// absence from this process's state proves absence.
+  [[nodiscard]] bool Certain(time_point aNow) const;
+  [[nodiscard]] std::uint64_t Fence() const noexcept { return mFence; }
+  /// @return The holder as last read; nothing if released or never held.
+  [[nodiscard]] const std::optional<role_record>& Holder() const noexcept
+  {
+    return mHolder;
+  }
+
+private:
+  role_record mSelf;
+  timing mTiming;
+  std::optional<role_record> mHolder;
+  bool mLeads = false;
+  std::uint64_t mFence = 0;
+  std::uint64_t mHighestFence = 0;
+  time_point mLastHeard;  ///< Last record of the holder.
+  time_point mLastSent;   ///< Last own append.
+  time_point mConfirmed;  ///< Sending time of the last confirmed append.
+  time_point mAwayUntil;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "arbutusferry/node/item_run.hpp"
+#include "arbutusferry/node/item_scheduler.hpp"
+#include "arbutusferry/node/target_view.hpp"
+#include "arbutusferry/node/version_plan.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// The leader's view of samplers: their runs, pace and weights. Sends the
+/// orders of weights and follows them until they hold.
+class sampler_pool
+{
+public:
+  struct parts
+  {
+    event_loop& loop;
+    http_client& client;
+    target_view& targets;
+    const target_protocol& protocol;
+    std::string holder;
+    std::uint64_t fence = 0;
+    /// Called when a target has seen a higher fence.
+    std::function<void()> superseded;
+    /// Called when a sampler may have room or weights that it had not.
+    std::function<void()> changed;
+  };
+
+  explicit sampler_pool(parts aParts)
+    : mParts(std::move(aParts))
+  {
+  }
+
+  /// Takes the targets that run models from the view.
+  /// @param aServices Services that run models.
+  void Refresh(const std::set<std::string>& aServices);
+  /// @return States of the samplers of a service.
+  [[nodiscard]] std::vector<sampler_state> States(
+    const std::string& aService) const;
+  [[nodiscard]] sampler_state State(const std::string& aId) const;
+
+  void AddRun(std::shared_ptr<item_run> aRun);
+  /// Notes how a run ended, and forgets it.
+  void EndRun(const item_run& aRun, run_end aEnd);
+  /// Notes the time between two events of a run.
+  void NoteEvent(const item_run& aRun);
+  [[nodiscard]] const std::set<std::shared_ptr<item_run>>& Runs()
+    const noexcept
+  {
+    return mRuns;
+  }
+  /// Cancels and forgets a run without judging its sampler.
+  void CancelRun(const std::shared_ptr<item_run>& aRun);
+  void CancelAll();
+
+  void NameVersion(const std::string& aModel, std::int64_t aVersion)
+  {
+    mPlan.Name(aModel, aVersion);
+  }
+  /// Sends due orders of weights.
+  /// @param aModels Models in use.
+  /// @param aSingleVersion Models with samples that must have one version.
+  void OrderWeights(const std::set<std::string>& aModels,
+                    const std::set<std::string>& aSingleVersion);
+  /// @return The version of a model that a sampler is believed to have.
+  [[nodiscard]] std::int64_t VersionOf(const std::string& aId,
+                                       const std::string& aModel) const;
+
+private:
+  struct pending_order
+  {
+    version_plan::order order;
+    time_point sentAt;
+    bool accepted = false;
+    time_point nextReport; ///< When to ask how far the load is.
+  };
+  struct sampler
+  {
+    target_entry entry;
+    std::map<std::string, std::int64_t> versions;
+    std::uint64_t ordersAccepted = 0;
+    std::optional<double> eventMilliseconds;
+    int running = 0;
+    std::map<std::string, int> groups;
+    std::optional<pending_order> order;
+    bool reporting = false;
+    time_point orderNotBefore;
+    time_point avoidUntil;
+    int failures = 0;
+    time_point paceSince; ///< Last time the pace was measured.
+  };
+
+  [[nodiscard]] bool Usable(const sampler& aSampler, time_point aNow) const;
+  [[nodiscard]] sampler_state StateOf(const std::string& aId,
+                                      const sampler& aSampler) const;
+  /// Takes a run off the load of its sampler.
+  void Leave(const item_run& aRun);
+  void SendOrder(const version_plan::order& aOrder, bool aKeepRuns);
+  void OnOrderAnswer(const std::string& aId, const http_response* aResponse);
+  void AskReport(const std::string& aId);
+  void OnReport(const std::string& aId, const http_response* aResponse);
+
+  parts mParts;
+  version_plan mPlan;
+  std::map<std::string, sampler> mSamplers;
+  std::set<std::shared_ptr<item_run>> mRuns;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "arbutusferry/node/http_message.hpp"
+#include "arbutusferry/node/target_view.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// What a response of a target says of the request.
+enum class target_verdict
+{
+  Genuine,     ///< The target's own answer, to be passed on.
+  NotRun,      ///< The target did not run the request.
+  WrongTarget, ///< Another target, or another weight version; not run.
+  Failed,      ///< It ran, or may have run, and failed.
+  Impossible,  ///< The request can never be done.
+};
+
+/// A sample to generate.
+struct item_call
+{
+  std::string id;
+  std::string path;
+  std::string host;
+  std::string tenant;
+  header_list headers;
+  std::string body;
+  std::string group; ///< Items of a group share their prompt.
+  std::int64_t expectedVersion = 0; ///< Weights the target must have.
+  std::size_t resumeAfter = 0;      ///< Events that are there already.
+  std::chrono::milliseconds timeLeft{ 0 };
+};
+
+/// An order to load a weight version.
+struct weight_order
+{
+  std::string model;
+  std::int64_t version = 0;
+  /// Whether runs go on under the new version or finish first.
+  bool keepRuns = true;
+  std::string holder;
+  std::uint64_t fence = 0;
+  std::uint64_t expectedOrders = 0;
+};
+
+enum class order_verdict
+{
+  Accepted,
+  Holds,   ///< The target has that version already.
+  Busy,    ///< Another order is in progress, or another count of orders.
+  Fenced,  ///< The target has seen a higher fence.
+  Wrong,   ///< Another target has the address.
+  Refused, ///< The target doesn't know the order.
+};
+
+/// What a target reports of its state.
+struct target_report
+{
+  std::map<std::string, std::int64_t> modelVersions;
+  std::uint64_t ordersAccepted = 0;
+  bool busy = false;
+};
+
+/// Writes requests to targets and reads what their responses say.
+class target_protocol
+{
+public:
+  virtual ~target_protocol() = default;
+  /// Adds what a plain request needs on its way to a target.
+  virtual void Prepare(http_request& aRequest,
+                       const target_entry& aTarget,
+                       std::chrono::milliseconds aTimeLeft) const = 0;
+  [[nodiscard]] virtual target_verdict Judge(
+    int aStatus,
+    const header_list& aHeaders) const = 0;
+  /// Header by which a response names its request.
+  [[nodiscard]] virtual std::string EchoHeader() const = 0;
+  [[nodiscard]] virtual http_request MakeItemRequest(
+    const item_call& aCall,
+    const target_entry& aTarget) const = 0;
+  /// @return The weight version that a response or event line names.
+  [[nodiscard]] virtual std::optional<std::int64_t> WeightVersion(
+    const header_list& aHeaders) const = 0;
+  [[nodiscard]] virtual std::optional<std::int64_t> WeightVersionOfLine(
+    std::string_view aLine) const = 0;
+  [[nodiscard]] virtual http_request MakeOrder(
+    const weight_order& aOrder,
+    const target_entry& aTarget) const = 0;
+  [[nodiscard]] virtual order_verdict JudgeOrder(int aStatus) const = 0;
+  [[nodiscard]] virtual http_request MakeReportRequest() const = 0;
+  [[nodiscard]] virtual std::optional<target_report> ReadReport(
+    const http_response& aResponse) const = 0;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/include/arbutusferry/node/usage_windows.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// Requests that began in a window, by tenant.
+using tenant_counts = std::map<std::string, std::int64_t>;
+
+/// Counts of one process in its latest windows, by window number.
+using window_counts = std::map<std::int64_t, tenant_counts>;
+
+[[nodiscard]] std::string
+EncodeUsage(const window_counts& aWindows);
+[[nodiscard]] std::optional<window_counts>
+DecodeUsage(const std::string& aText);
+[[nodiscard]] std::string
+EncodeCounts(const tenant_counts& aCounts);
+[[nodiscard]] std::optional<tenant_counts>
+DecodeCounts(const std::string& aText);
+
+/// Counts the requests of this process by window. Its newest saved record holds
+/// all windows that may still be reported.
+class usage_meter
+{
+public:
+  explicit usage_meter(std::int64_t aWindowMilliseconds)
+    : mWindowMilliseconds(aWindowMilliseconds)
+  {
+  }
+  void Count(const std::string& aTenant, std::int64_t aUnixMilliseconds);
+  /// @return Whether there are counts that were not taken.
+  [[nodiscard]] bool Changed() const noexcept { return mChanged; }
+  /// @return The counts to save.
+  [[nodiscard]] const window_counts& Take();
+  /// Notes that the counts taken last could not be saved.
+  void Restore() { mChanged = true; }
+
+private:
+  std::int64_t mWindowMilliseconds;
+  window_counts mWindows;
+  bool mChanged = false;
+};
+
+/// Adds up the records of all processes.
+class usage_sum
+{
+public:
+  void Add(const std::string& aProcess, const window_counts& aWindows);
+  [[nodiscard]] tenant_counts Total(std::int64_t aWindow) const;
+  void ExpireBefore(std::int64_t aWindow);
+
+private:
+  std::map<std::int64_t, std::map<std::string, tenant_counts>> mWindows;
+};
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/net/asio_loop.cpp
@@ -0,0 +1,62 @@
+#include "arbutusferry/node/asio_net.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace arbutusferry::node {
+
+namespace {
+
+class asio_timer final : public timer
+{
+public:
+  asio_timer(boost::asio::io_context& aContext,
+             duration aDelay,
+             std::function<void()> aFunction)
+    : mTimer(aContext)
+  {
+    mTimer.expires_after(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDelay));
+    mTimer.async_wait([function = std::move(aFunction),
+                       alive = std::weak_ptr<bool>(mAlive)](
+                        const boost::system::error_code& aError) {
+      // A timer that was destroyed after it expired must not fire either.
+      if (!aError && !alive.expired()) {
+        function();
+      }
+    });
+  }
+
+private:
+  boost::asio::steady_timer mTimer;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+time_point
+asio_loop::Now() const noexcept
+{
+  return boot_clock::now();
+}
+
+unix_seconds
+asio_loop::UnixNow() const noexcept
+{
+  return UnixMilliseconds() / 1000;
+}
+
+std::int64_t
+asio_loop::UnixMilliseconds() const noexcept
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::unique_ptr<timer>
+asio_loop::After(duration aDelay, std::function<void()> aFunction)
+{
+  return std::make_unique<asio_timer>(mContext, aDelay, std::move(aFunction));
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,485 @@
+#include "arbutusferry/node/asio_net.hpp"
+#include "message_parser.hpp"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace arbutusferry::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using net_error = boost::system::error_code;
+using std::chrono::milliseconds;
+
+/// How long a connection is kept whose peer states no time: peers state theirs
+/// in whole seconds, so an unstated one is shorter than a second.
+constexpr milliseconds kUnstatedKeepAlive{ 300 };
+/// A connection is not reused so shortly before its peer closes it: more than
+/// the time that a request spends on the way.
+constexpr milliseconds kKeepAliveMargin{ 400 };
+/// Idle connections kept for one peer.
+constexpr std::size_t kMaxIdlePerPeer = 64;
+
+class asio_client;
+
+/// One connection to a peer, which carries one exchange at a time.
+class client_connection final
+  : public std::enable_shared_from_this<client_connection>
+  , private parse_events
+{
+public:
+  client_connection(asio_loop& aLoop, asio_client& aClient, std::string aPeer)
+    : mLoop(aLoop)
+    , mClient(aClient)
+    , mPeer(std::move(aPeer))
+    , mSocket(aLoop.Context())
+  {
+  }
+
+  void Connect(const socket_address& aAddress);
+  void Begin(http_request aRequest,
+             const exchange_options& aOptions,
+             std::shared_ptr<response_sink> aSink);
+  /// Ends the exchange of a sink, unless the connection has gone on to another.
+  void Cancel(const response_sink* aSink);
+  void Close();
+  [[nodiscard]] bool Usable(time_point aNow) const
+  {
+    return mConnected && !mClosed && aNow < mIdleUntil;
+  }
+  [[nodiscard]] const std::string& Peer() const noexcept { return mPeer; }
+
+private:
+  void OnParsedHead() override;
+  void OnParsedBody(std::string_view aPart) override;
+  void Write();
+  void WaitReadable();
+  void ReadAvailable();
+  void Parse();
+  void Finish();
+  void Fail(exchange_failure aFailure);
+  void WatchSilence();
+  void NewParser();
+  void KeepFor(time_point aNow);
+
+  asio_loop& mLoop;
+  asio_client& mClient;
+  std::string mPeer;
+  tcp::socket mSocket;
+  bool mConnected = false;
+  bool mClosed = false;
+  bool mWritten = false;
+  bool mSkip = false; ///< The present message belongs to no request.
+  bool mHeadOnly = false;
+  std::string mOutput;
+  std::string mInput;
+  std::string mRequestId;
+  exchange_options mOptions;
+  std::shared_ptr<response_sink> mSink;
+  std::optional<message_parser<false>> mParser;
+  std::unique_ptr<timer> mTimer;
+  time_point mLastByte;
+  time_point mIdleUntil;
+};
+
+class client_exchange final : public http_exchange
+{
+public:
+  explicit client_exchange(std::shared_ptr<client_connection> aConnection,
+                           std::weak_ptr<response_sink> aSink)
+    : mConnection(std::move(aConnection))
+    , mSink(std::move(aSink))
+  {
+  }
+  void Cancel() override;
+
+private:
+  std::weak_ptr<client_connection> mConnection;
+  std::weak_ptr<response_sink> mSink;
+};
+
+class asio_client final : public http_client
+{
+public:
+  explicit asio_client(asio_loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+  ~asio_client() override
+  {
+    for (auto& [peer, list] : mIdle) {
+      for (const auto& connection : std::exchange(list, {})) {
+        connection->Close();
+      }
+    }
+  }
+
+  std::shared_ptr<http_exchange> Send(
+    const socket_address& aPeer,
+    http_request aRequest,
+    const exchange_options& aOptions,
+    std::shared_ptr<response_sink> aSink) override
+  {
+    const std::string peer = FormatAddress(aPeer);
+    auto connection = TakeIdle(peer);
+    const bool fresh = !connection;
+    if (fresh) {
+      connection = std::make_shared<client_connection>(mLoop, *this, peer);
+    }
+    auto exchange = std::make_shared<client_exchange>(connection, aSink);
+    connection->Begin(std::move(aRequest), aOptions, std::move(aSink));
+    if (fresh) {
+      connection->Connect(aPeer);
+    }
+    return exchange;
+  }
+
+  void Keep(const std::shared_ptr<client_connection>& aConnection)
+  {
+    auto& list = mIdle[aConnection->Peer()];
+    list.push_back(aConnection);
+    if (list.size() > kMaxIdlePerPeer) {
+      auto oldest = list.front();
+      list.pop_front();
+      oldest->Close();
+    }
+  }
+
+  void Forget(const client_connection* aConnection)
+  {
+    const auto found = mIdle.find(aConnection->Peer());
+    if (found == mIdle.end()) {
+      return;
+    }
+    std::erase_if(found->second, [&](const auto& aEntry) {
+      return aEntry.get() == aConnection;
+    });
+    if (found->second.empty()) {
+      mIdle.erase(found);
+    }
+  }
+
+private:
+  /// The newest idle connection, since older ones end sooner.
+  std::shared_ptr<client_connection> TakeIdle(const std::string& aPeer)
+  {
+    const auto found = mIdle.find(aPeer);
+    if (found == mIdle.end()) {
+      return nullptr;
+    }
+    const time_point now = mLoop.Now();
+    while (!found->second.empty()) {
+      auto connection = found->second.back();
+      found->second.pop_back();
+      if (connection->Usable(now)) {
+        return connection;
+      }
+      connection->Close();
+    }
+    return nullptr;
+  }
+
+  asio_loop& mLoop;
+  std::map<std::string, std::deque<std::shared_ptr<client_connection>>> mIdle;
+};
+
+void
+client_exchange::Cancel()
+{
+  const auto connection = mConnection.lock();
+  const auto sink = mSink.lock();
+  if (connection && sink) {
+    connection->Cancel(sink.get());
+  }
+  mConnection.reset();
+}
+
+void
+client_connection::Connect(const socket_address& aAddress)
+{
+  net_error error;
+  const auto address = asio::ip::make_address(aAddress.ip, error);
+  auto self = shared_from_this();
+  if (error) {
+    asio::post(mLoop.Context(),
+               [self] { self->Fail(exchange_failure::NotSent); });
+    return;
+  }
+  mTimer = mLoop.After(mOptions.connect,
+                       [this] { Fail(exchange_failure::NotSent); });
+  mSocket.async_connect({ address, aAddress.port },
+                        [self](const net_error& aError) {
+                          if (self->mClosed) {
+                            return;
+                          }
+                          if (aError) {
+                            self->Fail(exchange_failure::NotSent);
+                            return;
+                          }
+                          net_error ignored;
+                          self->mSocket.set_option(tcp::no_delay(true),
+                                                   ignored);
+                          self->mSocket.non_blocking(true, ignored);
+                          self->mConnected = true;
+                          self->Write();
+                          self->WaitReadable();
+                        });
+}
+
+void
+client_connection::Begin(http_request aRequest,
+                         const exchange_options& aOptions,
+                         std::shared_ptr<response_sink> aSink)
+{
+  mOptions = aOptions;
+  mSink = std::move(aSink);
+  mWritten = false;
+  mHeadOnly = aRequest.method == "HEAD";
+  mRequestId = mOptions.echoHeader.empty()
+                 ? std::string()
+                 : std::string(aRequest.headers.Get(mOptions.echoHeader));
+  NewParser();
+  mOutput = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
+  if (!aRequest.body.empty() || aRequest.method == "POST" ||
+      aRequest.method == "PUT" || aRequest.method == "PATCH") {
+    aRequest.headers.Remove("Content-Length");
+    aRequest.headers.Add("Content-Length",
+                         std::to_string(aRequest.body.size()));
+  }
+  AppendHeaders(mOutput, aRequest.headers);
+  mOutput += aRequest.body;
+  if (mConnected) {
+    Write();
+  }
+}
+
+void
+client_connection::NewParser()
+{
+  mSkip = false;
+  mParser.emplace(static_cast<parse_events&>(*this));
+  mParser->skip(mHeadOnly);
+  mParser->header_limit(64 * 1024);
+  mParser->body_limit(boost::none);
+}
+
+void
+client_connection::Write()
+{
+  mLastByte = mLoop.Now();
+  WatchSilence();
+  asio::async_write(mSocket,
+                    asio::buffer(mOutput),
+                    [self = shared_from_this()](const net_error& aError,
+                                                std::size_t) {
+                      if (self->mClosed) {
+                        return;
+                      }
+                      self->mOutput.clear();
+                      self->mWritten = !aError;
+                      // A peer may answer and close before it has read all:
+                      // reading tells.
+                    });
+}
+
+void
+client_connection::WatchSilence()
+{
+  const duration left =
+    mOptions.silence - (mLoop.Now() - mLastByte) + milliseconds(1);
+  mTimer = mLoop.After(left, [this] {
+    if (mLoop.Now() - mLastByte >= mOptions.silence) {
+      Fail(exchange_failure::Timeout);
+    } else {
+      WatchSilence();
+    }
+  });
+}
+
+void
+client_connection::WaitReadable()
+{
+  mSocket.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const net_error& aError) {
+                       if (self->mClosed) {
+                         return;
+                       }
+                       if (aError) {
+                         self->Fail(exchange_failure::Broken);
+                         return;
+                       }
+                       self->ReadAvailable();
+                     });
+}
+
+void
+client_connection::ReadAvailable()
+{
+  // One thread serves all connections, so they share the buffer.
+  static std::array<char, 64 * 1024> sBuffer;
+  net_error error;
+  const std::size_t size = mSocket.read_some(asio::buffer(sBuffer), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    WaitReadable();
+    return;
+  }
+  if (!mSink) {
+    // Bytes or an end on an idle connection: it can't be used again.
+    Close();
+    return;
+  }
+  mLastByte = mLoop.Now();
+  mInput.append(sBuffer.data(), size);
+  if (size > 0) {
+    Parse();
+  }
+  if (mClosed) {
+    return;
+  }
+  if (error) {
+    if (mSink && error == asio::error::eof && mParser->is_header_done() &&
+        mParser->need_eof() && !mSkip) {
+      Close();
+      std::exchange(mSink, nullptr)->OnEnd();
+      return;
+    }
+    Fail(exchange_failure::Broken);
+    return;
+  }
+  WaitReadable();
+}
+
+void
+client_connection::Parse()
+{
+  const auto self = shared_from_this();
+  while (mSink && !mInput.empty()) {
+    net_error error;
+    const std::size_t used = mParser->put(asio::buffer(mInput), error);
+    if (mClosed) {
+      return;
+    }
+    mInput.erase(0, used);
+    if (error == http::error::need_more) {
+      return;
+    }
+    if (error) {
+      Fail(exchange_failure::Protocol);
+      return;
+    }
+    if (mParser->is_done()) {
+      if (mSkip) {
+        NewParser();
+        continue;
+      }
+      Finish();
+      return;
+    }
+    if (used == 0) {
+      return;
+    }
+  }
+}
+
+void
+client_connection::OnParsedHead()
+{
+  const auto& headers = mParser->headers;
+  const auto named = headers.Find(
+    mOptions.echoHeader.empty() ? std::string_view(" ") : mOptions.echoHeader);
+  mSkip = mParser->status < 200 || (named && *named != mRequestId);
+  if (!mSkip && mSink) {
+    const auto sink = mSink;
+    sink->OnHead(mParser->status, headers);
+  }
+}
+
+void
+client_connection::OnParsedBody(std::string_view aPart)
+{
+  if (!mSkip && mSink) {
+    const auto sink = mSink;
+    sink->OnBody(aPart);
+  }
+}
+
+void
+client_connection::KeepFor(time_point aNow)
+{
+  duration keep = kUnstatedKeepAlive;
+  const std::string_view stated = mParser->headers.Get("Keep-Alive");
+  if (const auto at = stated.find("timeout="); at != std::string_view::npos) {
+    std::string_view digits = stated.substr(at + 8);
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    if (const auto seconds = ParseInteger(digits)) {
+      keep = std::chrono::seconds(*seconds) - kKeepAliveMargin;
+    }
+  }
+  mIdleUntil = aNow + keep;
+}
+
+void
+client_connection::Finish()
+{
+  mTimer.reset();
+  const auto sink = std::exchange(mSink, nullptr);
+  if (mParser->keep_alive() && mInput.empty() && mWritten) {
+    KeepFor(mLoop.Now());
+    mClient.Keep(shared_from_this());
+  } else {
+    Close();
+  }
+  sink->OnEnd();
+}
+
+void
+client_connection::Fail(exchange_failure aFailure)
+{
+  const auto self = shared_from_this();
+  const auto sink = std::exchange(mSink, nullptr);
+  Close();
+  if (sink) {
+    sink->OnFailure(aFailure);
+  }
+}
+
+void
+client_connection::Cancel(const response_sink* aSink)
+{
+  if (mSink.get() == aSink) {
+    mSink.reset();
+    Close();
+  }
+}
+
+void
+client_connection::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  mClosed = true;
+  mTimer.reset();
+  net_error ignored;
+  mSocket.close(ignored);
+  mClient.Forget(this);
+}
+
+} // namespace
+
+std::unique_ptr<http_client>
+MakeHttpClient(asio_loop& aLoop)
+{
+  return std::make_unique<asio_client>(aLoop);
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/net/message_parser.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "arbutusferry/node/http_message.hpp"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <string>
+
+namespace arbutusferry::node {
+
+/// What a parser reports while it reads a message.
+class parse_events
+{
+public:
+  virtual ~parse_events() = default;
+  /// The header is complete; the start line and fields are in the parser.
+  virtual void OnParsedHead() = 0;
+  virtual void OnParsedBody(std::string_view aPart) = 0;
+};
+
+/// Reads one HTTP message from pieces of a byte stream.
+template<bool IsRequest>
+class message_parser final
+  : public boost::beast::http::basic_parser<IsRequest>
+{
+  using error_code = boost::beast::error_code;
+  using string_view = boost::beast::string_view;
+
+public:
+  explicit message_parser(parse_events& aEvents)
+    : mEvents(aEvents)
+  {
+    this->eager(true);
+  }
+
+  std::string method;
+  std::string target;
+  int status = 0;
+  header_list headers;
+
+private:
+  void on_request_impl(boost::beast::http::verb,
+                       string_view aMethod,
+                       string_view aTarget,
+                       int,
+                       error_code&) override
+  {
+    method.assign(aMethod.data(), aMethod.size());
+    target.assign(aTarget.data(), aTarget.size());
+  }
+  void on_response_impl(int aStatus, string_view, int, error_code&) override
+  {
+    status = aStatus;
+  }
+  void on_field_impl(boost::beast::http::field,
+                     string_view aName,
+                     string_view aValue,
+                     error_code&) override
+  {
+    headers.Add(std::string(aName.data(), aName.size()),
+                std::string(aValue.data(), aValue.size()));
+  }
+  void on_header_impl(error_code&) override { mEvents.OnParsedHead(); }
+  void on_body_init_impl(boost::optional<std::uint64_t> const&,
+                         error_code&) override
+  {
+  }
+  std::size_t on_body_impl(string_view aBody, error_code&) override
+  {
+    mEvents.OnParsedBody({ aBody.data(), aBody.size() });
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override
+  {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 string_view aBody,
+                                 error_code&) override
+  {
+    mEvents.OnParsedBody({ aBody.data(), aBody.size() });
+    return aBody.size();
+  }
+  void on_finish_impl(error_code&) override {}
+
+  parse_events& mEvents;
+};
+
+/// Appends the fields of a message and the empty line.
+void
+AppendHeaders(std::string& aText, const header_list& aHeaders);
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/batch_book.cpp
@@ -0,0 +1,197 @@
+#include "arbutusferry/node/batch_book.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+/// How long progress of an item whose batch ended is kept: a trainer brings
+/// unfinished groups again in one of its next steps, seconds later.
+constexpr std::chrono::seconds kKeepProgress{ 30 };
+
+} // namespace
+
+bool
+item_progress::FitsVersion(std::int64_t aMinimum) const
+{
+  return std::all_of(
+    versions.begin(), versions.end(), [&](std::int64_t aVersion) {
+      return aVersion >= aMinimum;
+    });
+}
+
+std::string
+item_progress::Text() const
+{
+  std::string text;
+  for (std::size_t index = 0; index < events.size(); ++index) {
+    if (index > 0) {
+      text += '\n';
+    }
+    text += events[index];
+  }
+  return text;
+}
+
+std::vector<std::int64_t>
+item_progress::DistinctVersions() const
+{
+  const std::set<std::int64_t> distinct(versions.begin(), versions.end());
+  return { distinct.begin(), distinct.end() };
+}
+
+batch::batch(batch_request aRequest, bool aEnded)
+  : mRequest(std::move(aRequest))
+  , mItems(mRequest.items.size())
+  , mEnded(aEnded)
+{
+  for (std::size_t index = 0; index < mRequest.items.size(); ++index) {
+    mIndex.emplace(mRequest.items[index].id, index);
+    ++mUnlisted[mRequest.items[index].group];
+  }
+}
+
+std::optional<std::size_t>
+batch::FindItem(const std::string& aId) const
+{
+  const auto found = mIndex.find(aId);
+  return found == mIndex.end() ? std::nullopt : std::optional(found->second);
+}
+
+void
+batch::List(batch_result aResult)
+{
+  open_item& item = mItems.at(aResult.item);
+  item.phase = item_phase::Listed;
+  item.progress = {};
+  batch_item& request = mRequest.items[aResult.item];
+  request.body.clear();
+  request.body.shrink_to_fit();
+  if (--mUnlisted[request.group] == 0) {
+    ++mCompleteGroups;
+  }
+  mResults.push_back(std::move(aResult));
+  assignedPositions = std::max(assignedPositions, mResults.size());
+}
+
+void
+batch::End()
+{
+  mEnded = true;
+  for (std::size_t index = 0; index < mItems.size(); ++index) {
+    mItems[index].progress = {};
+    mRequest.items[index].body.clear();
+    mRequest.items[index].body.shrink_to_fit();
+  }
+}
+
+std::size_t
+batch::Unlisted(const std::string& aGroup) const
+{
+  const auto found = mUnlisted.find(aGroup);
+  return found == mUnlisted.end() ? 0 : found->second;
+}
+
+batch&
+batch_book::Add(batch_request aRequest, bool aEnded)
+{
+  const std::string id = aRequest.id;
+  auto added = std::make_unique<batch>(std::move(aRequest), aEnded);
+  for (std::size_t index = 0; !aEnded && index < added->Items().size();
+       ++index) {
+    const auto kept = mKept.find(added->Request().items[index].id);
+    if (kept == mKept.end()) {
+      continue;
+    }
+    open_item& item = added->Items()[index];
+    item.carried = true;
+    if (kept->second.progress.FitsVersion(added->Request().minimumVersion)) {
+      item.progress = std::move(kept->second.progress);
+    }
+    mKept.erase(kept);
+  }
+  return *(mBatches[id] = std::move(added));
+}
+
+batch*
+batch_book::Find(const std::string& aId)
+{
+  const auto found = mBatches.find(aId);
+  return found == mBatches.end() ? nullptr : found->second.get();
+}
+
+void
+batch_book::End(batch& aBatch, time_point aNow)
+{
+  if (aBatch.Ended()) {
+    return;
+  }
+  for (std::size_t index = 0; index < aBatch.Items().size(); ++index) {
+    open_item& item = aBatch.Items()[index];
+    if (item.phase != item_phase::Listed) {
+      mKept[aBatch.Request().items[index].id] = { std::move(item.progress),
+                                                  aNow };
+    }
+  }
+  aBatch.End();
+}
+
+void
+batch_book::Erase(const std::string& aId)
+{
+  mBatches.erase(aId);
+}
+
+void
+batch_book::ExpireProgress(time_point aNow)
+{
+  std::erase_if(mKept, [&](const auto& aEntry) {
+    return aNow - aEntry.second.since >= kKeepProgress;
+  });
+}
+
+std::vector<event_stream::event>
+event_stream::Feed(std::string_view aBytes)
+{
+  std::vector<event> events;
+  for (const char byte : aBytes) {
+    if (byte != '\n') {
+      mLine += byte;
+      continue;
+    }
+    if (!mLine.empty() && mLine.back() == '\r') {
+      mLine.pop_back();
+    }
+    if (mLine.empty()) {
+      if (mHasData) {
+        events.push_back(std::move(mEvent));
+      }
+      mEvent = {};
+      mHasData = mHasFields = false;
+      continue;
+    }
+    mHasFields = true;
+    std::string_view line = mLine;
+    const auto value = [&](std::size_t aSkip) {
+      std::string_view rest = line.substr(aSkip);
+      return rest.starts_with(' ') ? rest.substr(1) : rest;
+    };
+    if (line.starts_with("data:")) {
+      if (mHasData) {
+        mEvent.data += '\n';
+      }
+      mEvent.data += value(5);
+      mHasData = true;
+    } else if (line.starts_with("id:")) {
+      mEvent.id =
+        static_cast<std::size_t>(ParseInteger(value(3)).value_or(0));
+    } else {
+      mEvent.otherLines.emplace_back(line);
+    }
+    mLine.clear();
+  }
+  return events;
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/batch_journal.cpp
@@ -0,0 +1,411 @@
+#include "arbutusferry/node/batch_journal.hpp"
+
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Pause before a call is repeated.
+constexpr milliseconds kRetryPause{ 100 };
+/// Digits of positions and parts, so that keys sort by number.
+constexpr int kNumberDigits = 6;
+/// Room of a record for its key and lengths.
+constexpr std::size_t kRecordOverhead = 300;
+
+std::string
+Numbered(std::size_t aNumber)
+{
+  std::string digits = std::to_string(aNumber);
+  return std::string(
+           kNumberDigits - std::min<std::size_t>(kNumberDigits, digits.size()),
+           '0') +
+         digits;
+}
+
+std::optional<Json::Value>
+ParseObject(const std::string& aText, const char* aWhat)
+{
+  const auto parsed = Capture([&] { return ParseJson(aText, aWhat); });
+  if (const auto* value = std::get_if<Json::Value>(&parsed);
+      value && value->isObject()) {
+    return *value;
+  }
+  Log(log_level::Error, "journal_record_unreadable", { { "what", aWhat } });
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string
+EncodeBatch(const batch_request& aBatch)
+{
+  Json::Value value(Json::objectValue);
+  value["id"] = aBatch.id;
+  value["tenant"] = aBatch.tenant;
+  value["host"] = aBatch.host;
+  value["route"] = aBatch.route;
+  value["model"] = aBatch.model;
+  value["step"] = Json::Int64(aBatch.step);
+  value["minimum_version"] = Json::Int64(aBatch.minimumVersion);
+  value["target_groups"] = Json::UInt64(aBatch.targetGroups);
+  value["submitted_unix_ms"] = Json::Int64(aBatch.submittedUnixMs);
+  Json::Value& items = value["items"] = Json::Value(Json::arrayValue);
+  for (const batch_item& item : aBatch.items) {
+    Json::Value entry(Json::objectValue);
+    entry["id"] = item.id;
+    entry["path"] = item.path;
+    Json::Value& headers = entry["headers"] = Json::Value(Json::arrayValue);
+    for (const auto& [name, text] : item.headers) {
+      headers.append(name);
+      headers.append(text);
+    }
+    entry["body"] = EncodeBase64Url(item.body);
+    entry["tokens"] = Json::Int64(item.tokens);
+    entry["group"] = item.group;
+    entry["hint"] = Json::Int64(item.lengthHint);
+    items.append(std::move(entry));
+  }
+  return WriteJson(value);
+}
+
+std::optional<batch_request>
+DecodeBatch(const std::string& aText)
+{
+  const auto value = ParseObject(aText, "batch");
+  if (!value) {
+    return std::nullopt;
+  }
+  batch_request batch;
+  batch.id = (*value)["id"].asString();
+  batch.tenant = (*value)["tenant"].asString();
+  batch.host = (*value)["host"].asString();
+  batch.route = (*value)["route"].asString();
+  batch.model = (*value)["model"].asString();
+  batch.step = (*value)["step"].asInt64();
+  batch.minimumVersion = (*value)["minimum_version"].asInt64();
+  batch.targetGroups = (*value)["target_groups"].asUInt64();
+  batch.submittedUnixMs = (*value)["submitted_unix_ms"].asInt64();
+  for (const Json::Value& entry : (*value)["items"]) {
+    batch_item item;
+    item.id = entry["id"].asString();
+    item.path = entry["path"].asString();
+    const Json::Value& headers = entry["headers"];
+    for (Json::ArrayIndex index = 0; index + 1 < headers.size(); index += 2) {
+      item.headers.Add(headers[index].asString(),
+                       headers[index + 1].asString());
+    }
+    item.body = DecodeBase64Url(entry["body"].asString()).value_or("");
+    item.tokens = entry["tokens"].asInt64();
+    item.group = entry["group"].asString();
+    item.lengthHint = entry["hint"].asInt64();
+    batch.items.push_back(std::move(item));
+  }
+  return batch;
+}
+
+std::string
+EncodeResult(const batch_result& aResult)
+{
+  Json::Value value(Json::objectValue);
+  value["item"] = Json::UInt64(aResult.item);
+  value["errored"] = aResult.state == result_state::Errored;
+  value["text"] = aResult.text;
+  Json::Value& versions = value["versions"] = Json::Value(Json::arrayValue);
+  for (const std::int64_t version : aResult.versions) {
+    versions.append(Json::Int64(version));
+  }
+  return WriteJson(value);
+}
+
+std::optional<batch_result>
+DecodeResult(const std::string& aText)
+{
+  const auto value = ParseObject(aText, "result");
+  if (!value) {
+    return std::nullopt;
+  }
+  batch_result result;
+  result.item = (*value)["item"].asUInt64();
+  result.state = (*value)["errored"].asBool() ? result_state::Errored
+                                              : result_state::Completed;
+  result.text = (*value)["text"].asString();
+  for (const Json::Value& version : (*value)["versions"]) {
+    result.versions.push_back(version.asInt64());
+  }
+  return result;
+}
+
+std::string
+BatchKey(const std::string& aBatch, std::size_t aPart)
+{
+  return "b/" + Numbered(aPart) + "/" + aBatch;
+}
+
+std::string
+ResultKey(const std::string& aBatch, std::size_t aPosition)
+{
+  return "r/" + Numbered(aPosition) + "/" + aBatch;
+}
+
+std::string
+EndKey(const std::string& aBatch)
+{
+  return "e/" + aBatch;
+}
+
+std::string
+UsageKey(std::int64_t aWindow)
+{
+  return "u/" + std::to_string(aWindow);
+}
+
+void
+journal_reader::Add(const log_entry& aEntry)
+{
+  const auto& [key, value] = aEntry.record;
+  if (key.size() < 3 || value.empty()) {
+    return;
+  }
+  const std::string rest = key.substr(2);
+  if (key.starts_with("e/")) {
+    mContents.ended.insert(rest);
+  } else if (key.starts_with("u/")) {
+    if (const auto window = ParseInteger(rest)) {
+      mContents.usage[*window] = value;
+    }
+  } else if (rest.size() > kNumberDigits + 1) {
+    const auto number = ParseInteger(rest.substr(0, kNumberDigits));
+    const std::string id = rest.substr(kNumberDigits + 1);
+    if (!number) {
+      return;
+    }
+    const auto index = static_cast<std::size_t>(*number);
+    if (key.starts_with("b/")) {
+      mParts[id][index] = value;
+    } else if (auto result = DecodeResult(value)) {
+      mContents.results[id][index] = std::move(*result);
+    }
+  }
+}
+
+journal_contents
+journal_reader::Finish()
+{
+  for (const auto& [id, parts] : mParts) {
+    // The first byte of the first part is the number of parts in decimal, up
+    // to a colon.
+    std::string text;
+    for (const auto& [part, value] : parts) {
+      text += value;
+    }
+    const auto colon = text.find(':');
+    const auto count = ParseInteger(text.substr(0, colon));
+    if (colon == std::string::npos || !count ||
+        static_cast<std::size_t>(*count) != parts.size()) {
+      continue; // Its writer stopped before the last part: never accepted.
+    }
+    if (auto decoded = DecodeBatch(text.substr(colon + 1))) {
+      mContents.batches.push_back(std::move(*decoded));
+    }
+  }
+  mParts.clear();
+  return std::move(mContents);
+}
+
+batch_journal::batch_journal(event_loop& aLoop,
+                             record_log& aLog,
+                             log_partition aWhere,
+                             std::uint64_t aEpoch,
+                             std::function<void()> aFenced)
+  : mLoop(aLoop)
+  , mLog(aLog)
+  , mWhere(std::move(aWhere))
+  , mEpoch(aEpoch)
+  , mFenced(std::move(aFenced))
+{
+}
+
+void
+batch_journal::Open(std::function<void(journal_contents)> aDone)
+{
+  mOpened = std::move(aDone);
+  Fence();
+}
+
+void
+batch_journal::Fence()
+{
+  append_request request;
+  request.where = mWhere;
+  request.producer = log_producer{ "leader", mEpoch, mSequence };
+  mLog.Append(std::move(request),
+              [this, alive = std::weak_ptr<bool>(mAlive)](
+                const append_result& aResult) {
+                if (alive.expired()) {
+                  return;
+                }
+                switch (aResult.status) {
+                  case append_status::Done:
+                  case append_status::WrongSequence: // The epoch is ours.
+                    ReadPage({});
+                    break;
+                  case append_status::Fenced:
+                    mFenced();
+                    break;
+                  default:
+                    mTimer = mLoop.After(kRetryPause, [this] { Fence(); });
+                    break;
+                }
+              });
+}
+
+void
+batch_journal::ReadPage(const std::string& aAfter)
+{
+  mLog.Newest(mWhere,
+              aAfter,
+              [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](
+                newest_result aResult) {
+                if (alive.expired()) {
+                  return;
+                }
+                if (!aResult.done) {
+                  mTimer = mLoop.After(kRetryPause,
+                                       [this, aAfter] { ReadPage(aAfter); });
+                  return;
+                }
+                std::string last;
+                for (const log_entry& entry : aResult.entries) {
+                  mReader.Add(entry);
+                  last = entry.record.key;
+                }
+                if (aResult.more && !last.empty()) {
+                  ReadPage(last);
+                  return;
+                }
+                mOpen = true;
+                mOpened(mReader.Finish());
+                SendNext();
+              });
+}
+
+void
+batch_journal::Append(std::vector<log_record> aRecords,
+                      std::function<void()> aDone)
+{
+  mQueue.push_back({ std::move(aRecords), std::move(aDone) });
+  SendNext();
+}
+
+void
+batch_journal::SendNext()
+{
+  if (!mOpen || !mSending.empty() || mQueue.empty()) {
+    return;
+  }
+  mCall.clear();
+  std::size_t bytes = 0;
+  while (!mQueue.empty()) {
+    std::size_t size = 0;
+    for (const log_record& record : mQueue.front().records) {
+      size += record.value.size() + kRecordOverhead;
+    }
+    if (!mSending.empty() && bytes + size > mLog.MaxCallBytes()) {
+      break;
+    }
+    bytes += size;
+    mSending.push_back(std::move(mQueue.front()));
+    mQueue.pop_front();
+    for (log_record& record : mSending.back().records) {
+      mCall.push_back(std::move(record));
+    }
+  }
+  mDoubt = false;
+  SendCall();
+}
+
+void
+batch_journal::SendCall()
+{
+  append_request request;
+  request.where = mWhere;
+  request.records = mCall;
+  request.producer = log_producer{ "leader", mEpoch, mSequence };
+  mLog.Append(
+    std::move(request),
+    [this, alive = std::weak_ptr<bool>(mAlive)](const append_result& aResult) {
+      if (!alive.expired()) {
+        OnAnswer(aResult);
+      }
+    });
+}
+
+void
+batch_journal::OnAnswer(const append_result& aResult)
+{
+  switch (aResult.status) {
+    case append_status::Fenced:
+      mFenced();
+      return;
+    case append_status::WrongSequence:
+      if (!mDoubt || aResult.expectedSequence != mSequence + 1) {
+        // The store counts from another number, as after the fencing append.
+        mSequence = aResult.expectedSequence;
+        SendCall();
+        return;
+      }
+      break; // The earlier try of this call was carried out.
+    case append_status::Done:
+      break;
+    case append_status::Unknown:
+      mDoubt = true;
+      Retry();
+      return;
+    case append_status::Refused:
+    case append_status::WrongEnd:
+      Retry();
+      return;
+  }
+  if (mStuckSince) {
+    Log(log_level::Info,
+        "journal_regained",
+        { { "epoch", std::to_string(mEpoch) },
+          { "ms",
+            std::to_string(ToMilliseconds(mLoop.Now() - *mStuckSince)) } });
+    mStuckSince.reset();
+  }
+  ++mSequence;
+  const auto alive = std::weak_ptr<bool>(mAlive);
+  for (entry& sent : std::exchange(mSending, {})) {
+    if (sent.done) {
+      sent.done();
+    }
+    if (alive.expired()) {
+      return;
+    }
+  }
+  SendNext();
+}
+
+void
+batch_journal::Retry()
+{
+  if (!mStuckSince) {
+    mStuckSince = mLoop.Now();
+    Log(log_level::Warning,
+        "journal_stuck",
+        { { "epoch", std::to_string(mEpoch) },
+          { "sequence", std::to_string(mSequence) },
+          { "in_doubt", mDoubt ? "yes" : "no" } });
+  }
+  mTimer = mLoop.After(kRetryPause, [this] { SendCall(); });
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/call_forwarder.cpp
@@ -0,0 +1,511 @@
+#include "arbutusferry/node/call_forwarder.hpp"
+
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Silence after which an idempotent request is also sent to another target:
+/// several times the work of an ordinary request (25 ms on both deployments).
+constexpr milliseconds kHedgeAfter{ 120 };
+/// Pause before a request that found no room is offered again.
+constexpr milliseconds kRoomPause{ 25 };
+/// Longest wait for a connection to a target.
+constexpr milliseconds kConnectTimeout{ 400 };
+/// Time before the caller's deadline at which a final answer is sent, so that
+/// it arrives in time.
+constexpr milliseconds kAnswerMargin{ 20 };
+/// A target gets no request with less time than this.
+constexpr milliseconds kLeastTime{ 5 };
+/// When a refused caller may come back: a target that was full or failed has
+/// had time to recover.
+constexpr milliseconds kRetryAfter{ 200 };
+/// Bytes that a slow reader of a stream may fall behind.
+constexpr std::size_t kMaxBehind = std::size_t{ 1 } << 20;
+
+/// One call on its way; kept alive by its exchanges and timers.
+class forwarded_call final
+  : public std::enable_shared_from_this<forwarded_call>
+{
+public:
+  forwarded_call(const call_forwarder::parts& aParts,
+                 plain_call aCall,
+                 std::shared_ptr<responder> aResponder,
+                 std::shared_ptr<std::size_t> aActive)
+    : mParts(aParts)
+    , mCall(std::move(aCall))
+    , mResponder(std::move(aResponder))
+    , mActive(std::move(aActive))
+    , mStarted(aParts.loop.Now())
+  {
+    ++*mActive;
+  }
+  ~forwarded_call() { --*mActive; }
+  forwarded_call(const forwarded_call&) = delete;
+  forwarded_call& operator=(const forwarded_call&) = delete;
+
+  void Start();
+
+private:
+  class attempt;
+
+  [[nodiscard]] bool MayRepeat() const
+  {
+    return mCall.route.kind == route_kind::Idempotent;
+  }
+  [[nodiscard]] time_point GiveUpAt() const
+  {
+    return std::min(mCall.deadline - kAnswerMargin, mCall.timeout);
+  }
+  void Offer();
+  void Hedge();
+  void OnTimeUp();
+  void OnCallerGone();
+  void OnAttemptFailed(attempt& aAttempt, bool aMayHaveRun);
+  void OnNotRun(attempt& aAttempt, target_verdict aVerdict);
+  void OnAttemptDone(attempt& aAttempt);
+  void Conclude(http_response aResponse, const char* aOutcome);
+  void Refuse(const char* aReason);
+  void Fail(bool aTimedOut, const char* aReason);
+  void StopAttempts(const attempt* aExcept);
+  void Write(const char* aOutcome, const std::string& aTarget);
+
+  const call_forwarder::parts& mParts;
+  plain_call mCall;
+  std::shared_ptr<responder> mResponder;
+  std::shared_ptr<std::size_t> mActive;
+  time_point mStarted;
+  std::vector<std::shared_ptr<attempt>> mRunning;
+  std::vector<std::string> mTried;
+  std::set<std::string> mUsed; ///< Targets that may have run it.
+  bool mMayHaveRun = false;
+  bool mEnded = false;
+  bool mCounted = false;
+  std::unique_ptr<timer> mTimeUp;
+  std::unique_ptr<timer> mNext;
+  std::unique_ptr<timer> mHedge;
+};
+
+/// One offer to one target.
+class forwarded_call::attempt final : public response_sink
+{
+public:
+  attempt(std::shared_ptr<forwarded_call> aCall,
+          std::string aTarget,
+          std::int64_t aSentUnixMs)
+    : mCall(std::move(aCall))
+    , mTarget(std::move(aTarget))
+    , mSentUnixMs(aSentUnixMs)
+  {
+  }
+
+  void OnHead(int aStatus, const header_list& aHeaders) override;
+  void OnBody(std::string_view aPart) override;
+  void OnEnd() override;
+  void OnFailure(exchange_failure aFailure) override;
+  void Release();
+
+  [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
+  [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
+  [[nodiscard]] std::int64_t SentUnixMs() const noexcept
+  {
+    return mSentUnixMs;
+  }
+  http_response response;
+  std::shared_ptr<http_exchange> exchange;
+  target_verdict verdict = target_verdict::Failed;
+
+private:
+  std::shared_ptr<forwarded_call> mCall;
+  std::string mTarget;
+  std::int64_t mSentUnixMs;
+  bool mStreaming = false;
+  bool mReleased = false;
+};
+
+void
+forwarded_call::attempt::Release()
+{
+  if (mReleased) {
+    return;
+  }
+  mReleased = true;
+  if (auto* known = mCall->mParts.targets.Find(mTarget)) {
+    --known->outstanding;
+  }
+}
+
+void
+forwarded_call::attempt::OnHead(int aStatus, const header_list& aHeaders)
+{
+  response.status = aStatus;
+  response.headers = aHeaders;
+  verdict = mCall->mParts.protocol.Judge(aStatus, aHeaders);
+  if (verdict != target_verdict::Genuine) {
+    return;
+  }
+  if (mCall->mCall.route.kind == route_kind::Stream && !mCall->mEnded) {
+    // The first target that begins a stream keeps it.
+    const auto call = mCall;
+    call->StopAttempts(this);
+    header_list headers = aHeaders;
+    for (const char* name :
+         { "Connection", "Keep-Alive", "Transfer-Encoding" }) {
+      headers.Remove(name);
+    }
+    mStreaming = true;
+    call->mResponder->Begin(aStatus, headers);
+  }
+}
+
+void
+forwarded_call::attempt::OnBody(std::string_view aPart)
+{
+  if (!mStreaming) {
+    response.body += aPart;
+    return;
+  }
+  const auto call = mCall;
+  call->mResponder->Write(aPart);
+  if (call->mResponder->Pending() > kMaxBehind) {
+    Log(log_level::Warning,
+        "stream_reader_too_slow",
+        { { "request", call->mCall.id } });
+    call->mResponder->Abort();
+    call->OnCallerGone();
+  }
+}
+
+void
+forwarded_call::attempt::OnEnd()
+{
+  Release();
+  const auto call = mCall;
+  if (call->mEnded) {
+    return;
+  }
+  switch (verdict) {
+    case target_verdict::NotRun:
+    case target_verdict::WrongTarget:
+      call->OnNotRun(*this, verdict);
+      break;
+    case target_verdict::Genuine:
+    case target_verdict::Impossible:
+      call->OnAttemptDone(*this);
+      break;
+    case target_verdict::Failed:
+      call->OnAttemptFailed(*this, true);
+      break;
+  }
+}
+
+void
+forwarded_call::attempt::OnFailure(exchange_failure aFailure)
+{
+  Release();
+  const auto call = mCall;
+  if (call->mEnded) {
+    return;
+  }
+  Log(log_level::Info,
+      "attempt_failed",
+      { { "request", call->mCall.id },
+        { "target", mTarget },
+        { "reason", std::string(FailureName(aFailure)) } });
+  if (mStreaming) {
+    call->mEnded = true;
+    call->StopAttempts(this);
+    call->mResponder->Abort();
+    call->Write("stream_broken", mTarget);
+    return;
+  }
+  call->OnAttemptFailed(*this, aFailure != exchange_failure::NotSent);
+}
+
+void
+forwarded_call::Start()
+{
+  mResponder->OnGone(
+    [weak = weak_from_this()] {
+      if (const auto call = weak.lock()) {
+        call->OnCallerGone();
+      }
+    });
+  const duration left = GiveUpAt() - mStarted;
+  if (left <= kLeastTime) {
+    Refuse("no_time_left");
+    return;
+  }
+  mTimeUp = mParts.loop.After(
+    left, [self = shared_from_this()] { self->OnTimeUp(); });
+  Offer();
+}
+
+void
+forwarded_call::Offer()
+{
+  mNext.reset();
+  if (mEnded) {
+    return;
+  }
+  const time_point now = mParts.loop.Now();
+  const std::string chosen = mParts.targets.Choose(
+    mCall.service, mParts.zone, mTried, Hash64(mCall.id), now);
+  auto* known = mParts.targets.Find(chosen);
+  if (!known) {
+    if (mRunning.empty()) {
+      if (mMayHaveRun) {
+        Fail(false, "no_target");
+      } else {
+        Refuse("no_target");
+      }
+    }
+    return;
+  }
+  if (!mUsed.contains(chosen) &&
+      static_cast<int>(mUsed.size()) >= mCall.route.maxAttempts) {
+    // Only targets that were used already may be used again.
+    if (mRunning.empty()) {
+      Fail(false, "attempts_used_up");
+    }
+    return;
+  }
+  const auto left = std::chrono::duration_cast<milliseconds>(
+    mCall.deadline - now);
+  if (left <= kLeastTime) {
+    return;
+  }
+  mTried.push_back(chosen);
+  mUsed.insert(chosen);
+  ++known->outstanding;
+  http_request request = mCall.request;
+  mParts.protocol.Prepare(request, known->entry, left);
+  exchange_options options;
+  options.connect = kConnectTimeout;
+  options.silence = std::max(left, milliseconds(1'000));
+  options.echoHeader = mParts.protocol.EchoHeader();
+  auto sink = std::make_shared<attempt>(
+    shared_from_this(), chosen, mParts.loop.UnixMilliseconds());
+  mRunning.push_back(sink);
+  sink->exchange = mParts.client.Send(
+    known->entry.address, std::move(request), options, sink);
+  if (MayRepeat() &&
+      static_cast<int>(mUsed.size()) < mCall.route.maxAttempts) {
+    mHedge = mParts.loop.After(
+      kHedgeAfter, [self = shared_from_this()] { self->Hedge(); });
+  }
+}
+
+void
+forwarded_call::Hedge()
+{
+  if (!mEnded && mRunning.size() == 1) {
+    mParts.targets.NoteFailure(mRunning.front()->Target(), mParts.loop.Now());
+    Offer();
+  }
+}
+
+void
+forwarded_call::StopAttempts(const attempt* aExcept)
+{
+  std::vector<std::shared_ptr<attempt>> kept;
+  for (const auto& running : std::exchange(mRunning, {})) {
+    if (running.get() == aExcept) {
+      kept.push_back(running);
+      continue;
+    }
+    running->Release();
+    if (running->exchange) {
+      running->exchange->Cancel();
+    }
+  }
+  mRunning = std::move(kept);
+}
+
+void
+forwarded_call::OnAttemptDone(attempt& aAttempt)
+{
+  mParts.targets.NoteSuccess(aAttempt.Target());
+  if (!mCounted) {
+    mCounted = true;
+    mParts.runs.CountRun(mCall.tenant, aAttempt.SentUnixMs());
+  }
+  const std::string target = aAttempt.Target();
+  if (aAttempt.Streaming()) {
+    mEnded = true;
+    StopAttempts(nullptr);
+    mResponder->End();
+    Write("answered", target);
+    return;
+  }
+  http_response response = std::move(aAttempt.response);
+  for (const char* name : { "Connection", "Keep-Alive", "Transfer-Encoding" }) {
+    response.headers.Remove(name);
+  }
+  Conclude(std::move(response), "answered");
+}
+
+void
+forwarded_call::OnNotRun(attempt& aAttempt, target_verdict aVerdict)
+{
+  const time_point now = mParts.loop.Now();
+  std::erase_if(mRunning, [&](const auto& aEntry) {
+    return aEntry.get() == &aAttempt;
+  });
+  if (!mMayHaveRun || mRunning.empty()) {
+    mUsed.erase(aAttempt.Target());
+  }
+  if (aVerdict == target_verdict::WrongTarget) {
+    mParts.targets.NoteFailure(aAttempt.Target(), now);
+  } else {
+    mParts.targets.NoteFull(aAttempt.Target(), now);
+  }
+  // Another target at once; after a full round, when there may be room.
+  std::size_t known = 0;
+  for (const auto& [id, target] : mParts.targets.All()) {
+    known += target.entry.service == mCall.service &&
+             !target.entry.draining && !target.goneSince;
+  }
+  if (mTried.size() < known) {
+    Offer();
+    return;
+  }
+  mTried.clear();
+  mNext = mParts.loop.After(kRoomPause,
+                            [self = shared_from_this()] { self->Offer(); });
+}
+
+void
+forwarded_call::OnAttemptFailed(attempt& aAttempt, bool aMayHaveRun)
+{
+  const std::string target = aAttempt.Target();
+  mParts.targets.NoteFailure(target, mParts.loop.Now());
+  std::erase_if(mRunning, [&](const auto& aEntry) {
+    return aEntry.get() == &aAttempt;
+  });
+  if (aMayHaveRun) {
+    mMayHaveRun = true;
+    if (!mCounted && aAttempt.response.status != 0) {
+      mCounted = true;
+      mParts.runs.CountRun(mCall.tenant, aAttempt.SentUnixMs());
+    }
+  } else {
+    mUsed.erase(target);
+  }
+  if (aMayHaveRun && !MayRepeat()) {
+    if (aAttempt.response.status != 0) {
+      // The target's own failure is the caller's answer.
+      http_response response = std::move(aAttempt.response);
+      for (const char* name :
+           { "Connection", "Keep-Alive", "Transfer-Encoding" }) {
+        response.headers.Remove(name);
+      }
+      Conclude(std::move(response), "target_failed");
+    } else {
+      Fail(false, "may_have_run");
+    }
+    return;
+  }
+  Offer();
+}
+
+void
+forwarded_call::OnTimeUp()
+{
+  if (mEnded) {
+    return;
+  }
+  for (const auto& running : mRunning) {
+    if (running->Streaming()) {
+      if (mParts.loop.Now() < mCall.deadline - kAnswerMargin) {
+        // The operator's timeout is for the beginning of a stream.
+        mTimeUp = mParts.loop.After(
+          mCall.deadline - mParts.loop.Now(),
+          [self = shared_from_this()] { self->OnTimeUp(); });
+        return;
+      }
+      mEnded = true;
+      StopAttempts(nullptr);
+      mResponder->Abort();
+      Write("stream_timeout", {});
+      return;
+    }
+  }
+  if (mMayHaveRun || !mRunning.empty()) {
+    Fail(true, "timeout");
+  } else {
+    Refuse("timeout_before_any_target");
+  }
+}
+
+void
+forwarded_call::OnCallerGone()
+{
+  if (mEnded) {
+    return;
+  }
+  mEnded = true;
+  StopAttempts(nullptr);
+  Write("caller_gone", {});
+}
+
+void
+forwarded_call::Conclude(http_response aResponse, const char* aOutcome)
+{
+  mEnded = true;
+  const std::string target = mTried.empty() ? std::string() : mTried.back();
+  StopAttempts(nullptr);
+  mResponder->Send(std::move(aResponse));
+  Write(aOutcome, target);
+}
+
+void
+forwarded_call::Refuse(const char* aReason)
+{
+  Conclude(mParts.callers.Refusal(mCall.id, kRetryAfter), aReason);
+}
+
+void
+forwarded_call::Fail(bool aTimedOut, const char* aReason)
+{
+  Conclude(mParts.callers.Failure(mCall.id, aTimedOut), aReason);
+}
+
+void
+forwarded_call::Write(const char* aOutcome, const std::string& aTarget)
+{
+  mTimeUp.reset();
+  mNext.reset();
+  mHedge.reset();
+  Log(log_level::Info,
+      "request_ended",
+      { { "request", mCall.id },
+        { "route", mCall.route.name },
+        { "tenant", mCall.tenant },
+        { "outcome", aOutcome },
+        { "target", aTarget },
+        { "attempts", std::to_string(mTried.size()) },
+        { "ms",
+          std::to_string(
+            ToMilliseconds(mParts.loop.Now() - mStarted)) } });
+}
+
+} // namespace
+
+void
+call_forwarder::Forward(plain_call aCall, std::shared_ptr<responder> aResponder)
+{
+  std::make_shared<forwarded_call>(
+    mParts, std::move(aCall), std::move(aResponder), mActive)
+    ->Start();
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/duty_desk.cpp
@@ -0,0 +1,147 @@
+#include "arbutusferry/node/duty_desk.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time after a window's end before its figures are fixed: nodes save their
+/// counts every half second, and clocks differ a little.
+constexpr milliseconds kSettle{ 3'500 };
+/// Windows are reported late rather than never, up to this many.
+constexpr std::int64_t kLateWindows = 4;
+/// Pause before an order of targets is repeated that failed or found none.
+constexpr milliseconds kOrderPause{ 2'000 };
+/// Time beyond the boot time after which missing targets are ordered again.
+constexpr milliseconds kMissingAfter{ 6'000 };
+
+} // namespace
+
+usage_desk::usage_desk(parts aParts, std::map<std::int64_t, std::string> aFixed)
+  : mParts(std::move(aParts))
+{
+  for (const auto& [window, text] : aFixed) {
+    if (auto counts = DecodeCounts(text)) {
+      mReports[window] = { std::move(*counts), true };
+    }
+  }
+}
+
+void
+usage_desk::Tick()
+{
+  if (!mParts.mayAct()) {
+    return;
+  }
+  const std::int64_t length = mParts.window.count();
+  const std::int64_t last =
+    (mParts.loop.UnixMilliseconds() - kSettle.count()) / length - 1;
+  const std::int64_t first = last - mParts.due.count() / length - kLateWindows;
+  for (std::int64_t window = first; window <= last; ++window) {
+    report& entry = mReports[window];
+    if (entry.done || entry.busy) {
+      continue;
+    }
+    entry.busy = true;
+    if (entry.fixed) {
+      Send(window);
+      continue;
+    }
+    entry.counts = mSum.Total(window);
+    mParts.fix(window,
+               entry.counts,
+               [this, window, alive = std::weak_ptr<bool>(mAlive)] {
+                 if (!alive.expired()) {
+                   mReports[window].fixed = true;
+                   Send(window);
+                 }
+               });
+  }
+  mReports.erase(mReports.begin(), mReports.lower_bound(first));
+  mSum.ExpireBefore(first);
+}
+
+void
+usage_desk::Send(std::int64_t aWindow)
+{
+  mParts.client.ReportUsage(
+    aWindow,
+    mReports[aWindow].counts,
+    mParts.fence,
+    [this, aWindow, alive = std::weak_ptr<bool>(mAlive)](duty_status aStatus) {
+      if (alive.expired()) {
+        return;
+      }
+      report& entry = mReports[aWindow];
+      entry.busy = false;
+      entry.done = aStatus == duty_status::Done;
+      std::int64_t total = 0;
+      for (const auto& [tenant, count] : entry.counts) {
+        total += count;
+      }
+      Log(log_level::Info,
+          "usage_reported",
+          { { "window", std::to_string(aWindow) },
+            { "requests", std::to_string(total) },
+            { "fence", std::to_string(mParts.fence) },
+            { "outcome", entry.done ? "done" : "not_done" } });
+      if (aStatus == duty_status::Conflict) {
+        entry.done = true;
+        mParts.superseded();
+      }
+    });
+}
+
+std::vector<scale_plan::order>
+scale_plan::Due(const environment_view& aEnvironment,
+                const target_view& aTargets,
+                const std::vector<std::string>& aZones,
+                time_point aNow)
+{
+  std::vector<order> due;
+  for (const service_entry& service : aEnvironment.Services()) {
+    if (!service.scaling) {
+      continue;
+    }
+    for (const std::string& zone : aZones) {
+      const auto present = std::count_if(
+        aTargets.All().begin(),
+        aTargets.All().end(),
+        [&](const auto& aEntry) {
+          const target_view::known_target& known = aEntry.second;
+          return known.entry.service == service.name &&
+                 known.entry.zone == zone && !known.entry.draining &&
+                 !known.goneSince && !known.entry.reclaimable;
+        });
+      state& entry = mStates[{ service.name, zone }];
+      const int wanted = service.scaling->maximum;
+      if (entry.busy || aNow < entry.notBefore ||
+          (entry.ordered == wanted && present >= wanted)) {
+        continue;
+      }
+      entry.busy = true;
+      entry.notBefore = aNow + service.scaling->boot + kMissingAfter;
+      due.push_back({ service.name, zone, wanted });
+    }
+  }
+  return due;
+}
+
+void
+scale_plan::Note(const order& aOrder, duty_status aStatus, time_point aNow)
+{
+  state& entry = mStates[{ aOrder.service, aOrder.zone }];
+  entry.busy = false;
+  if (aStatus == duty_status::Done) {
+    entry.ordered = aOrder.count;
+  } else {
+    entry.notBefore = aNow + kOrderPause;
+  }
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/environment_view.cpp
@@ -0,0 +1,112 @@
+#include "arbutusferry/node/environment_view.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+/// Host names compare without case and without a port.
+std::string
+HostKey(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](char aChar) {
+    return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar | 0x20)
+                                        : aChar;
+  });
+  return key;
+}
+
+template<typename List>
+auto*
+FindByName(List& aList, std::string_view aName)
+{
+  const auto found = std::find_if(
+    aList.begin(), aList.end(), [&](const auto& aEntry) {
+      return aEntry.name == aName;
+    });
+  return found == aList.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+environment_view::environment_view(std::uint64_t aVersion,
+                                   std::vector<route_entry> aRoutes,
+                                   std::vector<service_entry> aServices,
+                                   std::vector<tenant_entry> aTenants,
+                                   caller_limits aLimits,
+                                   bool aHasTenants)
+  : mVersion(aVersion)
+  , mRoutes(std::move(aRoutes))
+  , mServices(std::move(aServices))
+  , mTenants(std::move(aTenants))
+  , mLimits(aLimits)
+  , mHasTenants(aHasTenants)
+{
+  for (std::size_t index = 0; index < mRoutes.size(); ++index) {
+    mByHost[HostKey(mRoutes[index].host)].push_back(index);
+  }
+  for (auto& [host, list] : mByHost) {
+    std::stable_sort(
+      list.begin(), list.end(), [this](std::size_t aLeft, std::size_t aRight) {
+        return mRoutes[aLeft].pathPrefix.size() >
+               mRoutes[aRight].pathPrefix.size();
+      });
+  }
+  for (std::size_t index = 0; index < mTenants.size(); ++index) {
+    for (const std::string& key : mTenants[index].keys) {
+      mByKey.emplace(key, index);
+    }
+  }
+}
+
+const route_entry*
+environment_view::FindRoute(std::string_view aHost,
+                            std::string_view aPath) const
+{
+  const auto found = mByHost.find(HostKey(aHost));
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aPath.substr(0, aPath.find('?'));
+  for (const std::size_t index : found->second) {
+    if (path.starts_with(mRoutes[index].pathPrefix)) {
+      return &mRoutes[index];
+    }
+  }
+  return nullptr;
+}
+
+bool
+environment_view::HasBatchRoute(std::string_view aHost) const
+{
+  const auto found = mByHost.find(HostKey(aHost));
+  return found != mByHost.end() &&
+         std::any_of(found->second.begin(),
+                     found->second.end(),
+                     [this](std::size_t aIndex) {
+                       return mRoutes[aIndex].kind == route_kind::Batch;
+                     });
+}
+
+const route_entry*
+environment_view::RouteByName(std::string_view aName) const
+{
+  return FindByName(mRoutes, aName);
+}
+
+const tenant_entry*
+environment_view::TenantOfKey(std::string_view aKey) const
+{
+  const auto found = mByKey.find(std::string(aKey));
+  return found == mByKey.end() ? nullptr : &mTenants[found->second];
+}
+
+const service_entry*
+environment_view::Service(std::string_view aName) const
+{
+  return FindByName(mServices, aName);
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/ferry_node.cpp
@@ -0,0 +1,436 @@
+#include "arbutusferry/node/ferry_node.hpp"
+
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How often the leadership is looked at.
+constexpr milliseconds kRoleTick{ 100 };
+/// How often counts are saved, duties looked at and old targets forgotten.
+constexpr milliseconds kSlowTick{ 500 };
+/// Largest delay of a claim: nodes with little of a core wait longest.
+constexpr double kRankMilliseconds = 300.0;
+/// Margin of a lease for differences between clocks.
+constexpr milliseconds kLeaseMargin{ 500 };
+
+const log_partition kRolePartition{ "af.leader", 0, true };
+const log_partition kUsagePartition{ "af.usage", 0, true };
+/// The only key of the leadership topic.
+constexpr const char* kRoleKey = "leader";
+
+role_claim::timing
+RoleTiming(const node_settings& aSettings)
+{
+  role_claim::timing timing;
+  if (!aSettings.fencesChecked) {
+    timing.silence = aSettings.lease + kLeaseMargin;
+    timing.mayActFor = aSettings.lease - kLeaseMargin;
+  }
+  timing.stayAway = aSettings.lease + milliseconds(1'000);
+  const double slow = 1.0 - std::clamp(aSettings.cpuShare, 0.0, 1.0);
+  const double spread =
+    static_cast<double>(Hash64(aSettings.vm) % 1000) / 1000.0;
+  timing.rank = milliseconds(static_cast<std::int64_t>(
+    kRankMilliseconds * (slow + spread)));
+  return timing;
+}
+
+} // namespace
+
+/// Reads the leadership topic.
+class ferry_node::role_observer final : public record_observer
+{
+public:
+  explicit role_observer(ferry_node& aNode)
+    : mNode(aNode)
+  {
+  }
+  void OnRecord(const std::string&,
+                const std::string* aValue,
+                std::uint64_t aOffset) override
+  {
+    if (!aValue) {
+      return;
+    }
+    if (const auto record = DecodeRole(*aValue)) {
+      const auto& before = mNode.mClaim.Holder();
+      if (record->released || !before || before->fence != record->fence) {
+        Log(log_level::Info,
+            record->released ? "leader_released" : "leader_seen",
+            { { "holder", record->holder },
+              { "zone", record->zone },
+              { "fence", std::to_string(record->fence) },
+              { "offset", std::to_string(aOffset) } });
+      }
+      mNode.mClaim.Observe(aOffset, *record, mNode.mParts.loop.Now());
+    } else {
+      Log(log_level::Error,
+          "leader_record_unreadable",
+          { { "offset", std::to_string(aOffset) } });
+    }
+    mSeen = true;
+  }
+  void OnCaughtUp() override
+  {
+    if (!mSeen) {
+      // Nobody has ever led: no need to wait for silence.
+      mSeen = true;
+      role_record vacant;
+      vacant.released = true;
+      mNode.mClaim.Observe(0, vacant, mNode.mParts.loop.Now());
+    }
+    mNode.StepRole();
+  }
+
+private:
+  ferry_node& mNode;
+  bool mSeen = false;
+};
+
+/// Reads the counts that nodes save, while this node leads.
+class ferry_node::usage_observer final : public record_observer
+{
+public:
+  explicit usage_observer(ferry_node& aNode)
+    : mNode(aNode)
+  {
+  }
+  void OnRecord(const std::string& aKey,
+                const std::string* aValue,
+                std::uint64_t aOffset) override
+  {
+    if (!aValue || !mNode.mUsage) {
+      return;
+    }
+    if (const auto windows = DecodeUsage(*aValue)) {
+      mNode.mUsage->Add(aKey, *windows);
+    } else {
+      Log(log_level::Error,
+          "usage_record_unreadable",
+          { { "process", aKey }, { "offset", std::to_string(aOffset) } });
+    }
+  }
+  void OnCaughtUp() override {}
+
+private:
+  ferry_node& mNode;
+};
+
+ferry_node::ferry_node(parts aParts, node_settings aSettings)
+  : mParts(aParts)
+  , mSettings(std::move(aSettings))
+  , mInstance(mSettings.vm + "/" + RandomHex(6))
+  , mForwarder({ mParts.loop,
+                 mParts.client,
+                 mTargets,
+                 mParts.protocol,
+                 mParts.callers,
+                 *this,
+                 mSettings.zone })
+  , mMeter(mSettings.usageWindow.count())
+  , mRoleObserver(std::make_unique<role_observer>(*this))
+  , mRoleFollower(std::make_unique<keyed_follower>(mParts.loop,
+                                                   mParts.log,
+                                                   kRolePartition,
+                                                   keyed_follower::timing{},
+                                                   *mRoleObserver))
+  , mClaim({ mInstance,
+             mSettings.vm,
+             mSettings.peerAddress,
+             mSettings.zone,
+             0,
+             false },
+           RoleTiming(mSettings),
+           mParts.loop.Now())
+{
+}
+
+ferry_node::~ferry_node() = default;
+
+void
+ferry_node::Start()
+{
+  mRoleFollower->Start();
+  mRoleTicker = std::make_unique<periodic>(
+    mParts.loop, kRoleTick, [this] { StepRole(); });
+  mSlowTicker = std::make_unique<periodic>(mParts.loop, kSlowTick, [this] {
+    SaveUsage();
+    mTargets.Expire(mParts.loop.Now());
+    TickDuties();
+  });
+}
+
+void
+ferry_node::SetEnvironment(environment_view aEnvironment)
+{
+  if (aEnvironment.Version() <= mEnvironment.Version()) {
+    return;
+  }
+  Log(log_level::Info,
+      "environment_in_force",
+      { { "version", std::to_string(aEnvironment.Version()) },
+        { "before", std::to_string(mEnvironment.Version()) } });
+  mEnvironment = std::move(aEnvironment);
+}
+
+void
+ferry_node::NameVersion(const std::string& aModel, std::int64_t aVersion)
+{
+  std::int64_t& known = mNamedVersions[aModel];
+  if (aVersion <= known) {
+    return;
+  }
+  known = aVersion;
+  if (mLeader) {
+    mLeader->NameVersion(aModel, aVersion);
+  }
+}
+
+void
+ferry_node::UpdateTarget(const target_entry& aTarget)
+{
+  const auto* before = mTargets.Find(aTarget.id);
+  if (!before || before->entry.draining != aTarget.draining) {
+    Log(log_level::Info,
+        "target_changed",
+        { { "target", aTarget.id },
+          { "service", aTarget.service },
+          { "zone", aTarget.zone },
+          { "state", aTarget.draining ? "draining" : "ready" } });
+  }
+  mTargets.Update(aTarget, mParts.loop.Now());
+  if (mLeader) {
+    mLeader->OnTargetsChanged();
+  }
+}
+
+void
+ferry_node::RemoveTarget(const std::string& aId)
+{
+  Log(log_level::Info, "target_gone", { { "target", aId } });
+  mTargets.Remove(aId, mParts.loop.Now());
+}
+
+batch_leader*
+ferry_node::Leader() noexcept
+{
+  return mLeader && mLeader->Ready() && mClaim.Leads() ? mLeader.get()
+                                                       : nullptr;
+}
+
+bool
+ferry_node::Certain() const
+{
+  return mClaim.Certain(mParts.loop.Now());
+}
+
+std::optional<socket_address>
+ferry_node::LeaderAddress() const
+{
+  const auto& holder = mClaim.Holder();
+  if (!holder || holder->holder == mInstance) {
+    return std::nullopt;
+  }
+  return holder->address;
+}
+
+void
+ferry_node::CountRun(const std::string& aTenant, std::int64_t aUnixMilliseconds)
+{
+  if (!aTenant.empty()) {
+    mMeter.Count(aTenant, aUnixMilliseconds);
+  }
+}
+
+void
+ferry_node::SaveUsage()
+{
+  if (mSavingUsage || !mMeter.Changed()) {
+    return;
+  }
+  mSavingUsage = true;
+  append_request request;
+  request.where = kUsagePartition;
+  request.records.push_back({ mInstance, EncodeUsage(mMeter.Take()) });
+  mParts.log.Append(std::move(request), [this](const append_result& aResult) {
+    mSavingUsage = false;
+    if (aResult.status != append_status::Done) {
+      // Counts only grow, so saving them again later is safe.
+      mMeter.Restore();
+    }
+  });
+}
+
+void
+ferry_node::WriteRole(role_record aRecord)
+{
+  mWritingRole = true;
+  append_request request;
+  request.where = kRolePartition;
+  request.expectedEnd = mRoleFollower->Next();
+  request.records.push_back({ kRoleKey, EncodeRole(aRecord) });
+  const time_point sentAt = mParts.loop.Now();
+  mClaim.Sent(sentAt);
+  mParts.log.Append(
+    std::move(request),
+    [this, aRecord = std::move(aRecord), sentAt](const append_result& aResult) {
+      mWritingRole = false;
+      if (aResult.status == append_status::Done && !aRecord.released) {
+        mClaim.Confirmed(sentAt);
+      }
+      if (aResult.status != append_status::Done && aRecord.released &&
+          mClaim.Holder() && mClaim.Holder()->holder == mInstance) {
+        mRelease = mParts.loop.After(
+          kRoleTick, [this, aRecord] { WriteRole(aRecord); });
+      }
+      // What was written, by this or another process, is read from the topic.
+      FollowLeadership();
+    });
+}
+
+void
+ferry_node::StepRole()
+{
+  FollowLeadership();
+  if (mResigned || mWritingRole || !mRoleFollower->Listed() ||
+      !mClaim.ShouldWrite(mParts.loop.Now())) {
+    return;
+  }
+  WriteRole(mClaim.NextRecord(mRoleFollower->Next()));
+}
+
+void
+ferry_node::FollowLeadership()
+{
+  if (!mClaim.Leads() && mLeader) {
+    Depose("superseded");
+    return;
+  }
+  if (!mClaim.Leads() || mLeader || mDeposing || mResigned) {
+    return;
+  }
+  Log(log_level::Info,
+      "leadership_began",
+      { { "fence", std::to_string(mClaim.Fence()) } });
+  // The leader may notice from within its own callbacks that its term is
+  // over; it is destroyed from the event loop.
+  const auto superseded = [this] {
+    mClaim.Superseded(mParts.loop.Now());
+    mDeposing = mParts.loop.After(duration::zero(), [this] {
+      mDeposing.reset();
+      Depose("fenced");
+    });
+  };
+  const auto mayAct = [this] { return mClaim.MayAct(mParts.loop.Now()); };
+  mLeader = std::make_unique<batch_leader>(
+    batch_leader::parts{ mParts.loop,
+                         mParts.client,
+                         mParts.log,
+                         mTargets,
+                         mParts.protocol,
+                         *this,
+                         mInstance,
+                         mSettings.batchReadable,
+                         superseded,
+                         mayAct },
+    mClaim.Fence());
+  for (const auto& [model, version] : mNamedVersions) {
+    mLeader->NameVersion(model, version);
+  }
+  mLeader->Start([this, superseded, mayAct](
+                   std::map<std::int64_t, std::string> aFixed) {
+    usage_desk::parts desk{ mParts.loop,
+                            mParts.duties,
+                            mClaim.Fence(),
+                            mSettings.usageWindow,
+                            mSettings.usageDue,
+                            {},
+                            mayAct,
+                            superseded };
+    desk.fix = [this](std::int64_t aWindow,
+                      const tenant_counts& aCounts,
+                      std::function<void()> aDone) {
+      mLeader->AppendRecords({ { UsageKey(aWindow), EncodeCounts(aCounts) } },
+                             std::move(aDone));
+    };
+    mUsage = std::make_unique<usage_desk>(std::move(desk), std::move(aFixed));
+    mUsageObserver = std::make_unique<usage_observer>(*this);
+    mUsageFollower = std::make_unique<keyed_follower>(
+      mParts.loop,
+      mParts.log,
+      kUsagePartition,
+      keyed_follower::timing{ milliseconds(1'000), kSlowTick },
+      *mUsageObserver);
+    mUsageFollower->Start();
+    mScale = {};
+  });
+}
+
+void
+ferry_node::Depose(const char* aReason)
+{
+  if (!mLeader) {
+    return;
+  }
+  Log(log_level::Warning,
+      "leadership_ended",
+      { { "reason", aReason }, { "fence", std::to_string(mClaim.Fence()) } });
+  mUsageFollower.reset();
+  mUsageObserver.reset();
+  mUsage.reset();
+  const auto leader = std::move(mLeader);
+}
+
+void
+ferry_node::Resign()
+{
+  if (mResigned) {
+    return;
+  }
+  mResigned = true;
+  if (mClaim.Leads()) {
+    role_record record = mClaim.NextRecord(mRoleFollower->Next());
+    record.released = true;
+    mClaim.Superseded(mParts.loop.Now());
+    Depose("resigned");
+    WriteRole(std::move(record));
+  }
+}
+
+void
+ferry_node::TickDuties()
+{
+  if (!Leader() || !mUsage || !mClaim.MayAct(mParts.loop.Now())) {
+    return;
+  }
+  if (mUsageFollower->Listed()) {
+    mUsage->Tick();
+  }
+  for (const scale_plan::order& order : mScale.Due(
+         mEnvironment, mTargets, mSettings.zones, mParts.loop.Now())) {
+    mParts.duties.OrderTargets(
+      order.service,
+      order.zone,
+      order.count,
+      mClaim.Fence(),
+      [this, order](duty_status aStatus) {
+        Log(log_level::Info,
+            "targets_ordered",
+            { { "service", order.service },
+              { "zone", order.zone },
+              { "count", std::to_string(order.count) },
+              { "outcome",
+                aStatus == duty_status::Done ? "done" : "not_done" } });
+        mScale.Note(order, aStatus, mParts.loop.Now());
+      });
+  }
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/item_run.cpp
@@ -0,0 +1,163 @@
+#include "arbutusferry/node/item_run.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+namespace arbutusferry::node {
+
+namespace {
+
+/// Longest wait for a connection to a sampler.
+constexpr std::chrono::milliseconds kConnectTimeout{ 400 };
+/// A run without a byte for so long has failed; slower ones are moved before.
+constexpr std::chrono::milliseconds kSilence{ 5'000 };
+
+} // namespace
+
+std::string_view
+RunEndName(run_end aEnd) noexcept
+{
+  switch (aEnd) {
+    case run_end::Complete:
+      return "complete";
+    case run_end::Full:
+      return "full";
+    case run_end::Misplaced:
+      return "misplaced";
+    case run_end::Broken:
+      return "broken";
+    case run_end::Failed:
+      return "failed";
+    case run_end::Impossible:
+      break;
+  }
+  return "impossible";
+}
+
+item_run::item_run(run_owner& aOwner,
+                   event_loop& aLoop,
+                   const target_protocol& aProtocol,
+                   std::string aBatch,
+                   std::size_t aIndex,
+                   std::string aSampler,
+                   item_call aCall)
+  : mOwner(&aOwner)
+  , mLoop(aLoop)
+  , mProtocol(aProtocol)
+  , mBatch(std::move(aBatch))
+  , mIndex(aIndex)
+  , mSampler(std::move(aSampler))
+  , mCall(std::move(aCall))
+  , mNextEvent(mCall.resumeAfter + 1)
+{
+  mPace.started = mPace.lastEvent = aLoop.Now();
+}
+
+void
+item_run::Start(http_client& aClient, const target_entry& aTarget)
+{
+  exchange_options options;
+  options.connect = kConnectTimeout;
+  options.silence = kSilence;
+  options.echoHeader = mProtocol.EchoHeader();
+  mExchange = aClient.Send(aTarget.address,
+                           mProtocol.MakeItemRequest(mCall, aTarget),
+                           options,
+                           shared_from_this());
+}
+
+void
+item_run::Cancel()
+{
+  mOwner = nullptr;
+  if (const auto exchange = std::exchange(mExchange, nullptr)) {
+    exchange->Cancel();
+  }
+}
+
+void
+item_run::Conclude(run_end aEnd)
+{
+  const auto self = shared_from_this();
+  run_owner* owner = mOwner;
+  Cancel();
+  if (owner) {
+    owner->OnRunEnded(*this, aEnd);
+  }
+}
+
+void
+item_run::OnHead(int aStatus, const header_list& aHeaders)
+{
+  mVerdict = mProtocol.Judge(aStatus, aHeaders);
+  if (mVerdict == target_verdict::Genuine && aStatus / 100 != 2) {
+    mVerdict = target_verdict::Failed;
+  }
+  mVersion = mProtocol.WeightVersion(aHeaders).value_or(mCall.expectedVersion);
+}
+
+void
+item_run::OnBody(std::string_view aPart)
+{
+  if (mVerdict != target_verdict::Genuine) {
+    return;
+  }
+  const auto self = shared_from_this();
+  for (event_stream::event& event : mStream.Feed(aPart)) {
+    if (!mOwner) {
+      return;
+    }
+    for (const std::string& line : event.otherLines) {
+      if (const auto version = mProtocol.WeightVersionOfLine(line)) {
+        mVersion = *version;
+      }
+    }
+    if (event.id < mNextEvent) {
+      continue; // A repeat of an event that is there already.
+    }
+    if (event.id > mNextEvent) {
+      Log(log_level::Warning,
+          "event_missing",
+          { { "item", mCall.id },
+            { "target", mSampler },
+            { "expected", std::to_string(mNextEvent) },
+            { "event", std::to_string(event.id) } });
+      Conclude(run_end::Broken);
+      return;
+    }
+    ++mNextEvent;
+    ++mNewEvents;
+    mOwner->OnRunEvent(*this, std::move(event.data), mVersion);
+    mPace.lastEvent = mLoop.Now();
+    mPace.begun = true;
+  }
+}
+
+void
+item_run::OnEnd()
+{
+  switch (mVerdict) {
+    case target_verdict::Genuine:
+      Conclude(mStream.AtBoundary() ? run_end::Complete : run_end::Broken);
+      break;
+    case target_verdict::NotRun:
+      Conclude(run_end::Full);
+      break;
+    case target_verdict::WrongTarget:
+      Conclude(run_end::Misplaced);
+      break;
+    case target_verdict::Failed:
+      Conclude(run_end::Failed);
+      break;
+    case target_verdict::Impossible:
+      Conclude(run_end::Impossible);
+      break;
+  }
+}
+
+void
+item_run::OnFailure(exchange_failure)
+{
+  Conclude(run_end::Broken);
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/role_claim.cpp
@@ -0,0 +1,129 @@
+#include "arbutusferry/node/role_claim.hpp"
+
+#include "arbutusferry/json.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+std::string
+EncodeRole(const role_record& aRecord)
+{
+  Json::Value value(Json::objectValue);
+  value["holder"] = aRecord.holder;
+  value["vm"] = aRecord.vm;
+  value["address"] = FormatAddress(aRecord.address);
+  value["zone"] = aRecord.zone;
+  value["fence"] = Json::UInt64(aRecord.fence);
+  value["released"] = aRecord.released;
+  return WriteJson(value);
+}
+
+std::optional<role_record>
+DecodeRole(const std::string& aText)
+{
+  const auto parsed = Capture([&] { return ParseJson(aText, "role record"); });
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  if (!value || !value->isObject() || !(*value)["holder"].isString() ||
+      !(*value)["vm"].isString() || !(*value)["address"].isString() ||
+      !(*value)["zone"].isString() || !(*value)["fence"].isUInt64() ||
+      !(*value)["released"].isBool()) {
+    return std::nullopt;
+  }
+  const auto address = ParseAddress((*value)["address"].asString());
+  if (!address) {
+    return std::nullopt;
+  }
+  return role_record{ (*value)["holder"].asString(),
+                      (*value)["vm"].asString(),
+                      *address,
+                      (*value)["zone"].asString(),
+                      (*value)["fence"].asUInt64(),
+                      (*value)["released"].asBool() };
+}
+
+role_claim::role_claim(role_record aSelf, timing aTiming, time_point aNow)
+  : mSelf(std::move(aSelf))
+  , mTiming(aTiming)
+  , mLastHeard(aNow)
+  , mLastSent(aNow - std::chrono::hours(1))
+  , mConfirmed(aNow - std::chrono::hours(1))
+  , mAwayUntil(aNow)
+{
+}
+
+void
+role_claim::Observe(std::uint64_t aOffset,
+                    const role_record& aRecord,
+                    time_point aNow)
+{
+  mHighestFence = std::max({ mHighestFence, aRecord.fence, aOffset });
+  const bool own = aRecord.holder == mSelf.holder;
+  if (aRecord.released) {
+    mHolder.reset();
+    mLeads = false;
+    // Nobody is left to wait for.
+    mLastHeard = aNow - mTiming.silence;
+    return;
+  }
+  const bool sameTerm = mHolder && mHolder->fence == aRecord.fence;
+  mHolder = aRecord;
+  mLastHeard = aNow;
+  if (own && aNow >= mAwayUntil) {
+    mLeads = true;
+    mFence = aRecord.fence;
+    if (!sameTerm) {
+      mConfirmed = std::max(mConfirmed, mLastSent);
+    }
+  } else if (mLeads) {
+    Superseded(aNow);
+  }
+}
+
+bool
+role_claim::ShouldWrite(time_point aNow) const
+{
+  if (mLeads) {
+    return aNow - mLastSent >= mTiming.renew;
+  }
+  return aNow >= mAwayUntil && aNow - mLastSent >= mTiming.renew &&
+         aNow - mLastHeard >= mTiming.silence + mTiming.rank;
+}
+
+role_record
+role_claim::NextRecord(std::uint64_t aEnd) const
+{
+  role_record record = mSelf;
+  record.fence = mLeads ? mFence : std::max(mHighestFence, aEnd) + 1;
+  return record;
+}
+
+void
+role_claim::Confirmed(time_point aSentAt)
+{
+  mConfirmed = std::max(mConfirmed, aSentAt);
+}
+
+void
+role_claim::Superseded(time_point aNow)
+{
+  if (mLeads) {
+    mLeads = false;
+    mAwayUntil = aNow + mTiming.stayAway;
+  }
+}
+
+bool
+role_claim::MayAct(time_point aNow) const
+{
+  return mLeads &&
+         (!mTiming.mayActFor || aNow - mConfirmed < *mTiming.mayActFor);
+}
+
+bool
+role_claim::Certain(time_point aNow) const
+{
+  return mLeads && aNow - mConfirmed < mTiming.silence;
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/sampler_pool.cpp
@@ -0,0 +1,441 @@
+#include "arbutusferry/node/sampler_pool.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Share of the newest interval in a sampler's mean time between events.
+constexpr double kPaceShare = 0.2;
+/// A pace that was not measured for so long is forgotten, so that a sampler
+/// that was slow is tried again.
+constexpr milliseconds kPaceKept{ 3'000 };
+/// First pause after a broken run; doubles with each further one.
+constexpr milliseconds kFirstPause{ 200 };
+constexpr milliseconds kLongestPause{ 3'000 };
+/// Pause after a sampler refused a run for want of room.
+constexpr milliseconds kFullPause{ 40 };
+/// Longest wait for the answer to an order or report.
+constexpr milliseconds kOrderTimeout{ 800 };
+/// Time after an accepted order until its sampler is first asked how far it
+/// is: a load takes 0.9 s on the sheets.
+constexpr milliseconds kLoadTime{ 900 };
+/// Interval of further questions.
+constexpr milliseconds kReportInterval{ 250 };
+/// An order that does not hold after so long is sent again.
+constexpr milliseconds kOrderLost{ 5'000 };
+/// Pause before another order after one that was refused or unanswered.
+constexpr milliseconds kOrderPause{ 500 };
+
+} // namespace
+
+void
+sampler_pool::Refresh(const std::set<std::string>& aServices)
+{
+  for (const auto& [id, known] : mParts.targets.All()) {
+    if (!aServices.contains(known.entry.service)) {
+      continue;
+    }
+    auto [at, added] = mSamplers.try_emplace(id);
+    sampler& entry = at->second;
+    if (!added && entry.entry.bornUnixMs != known.entry.bornUnixMs) {
+      // Another process under the same id holds nothing of before.
+      const int running = entry.running;
+      auto groups = std::move(entry.groups);
+      entry = {};
+      entry.running = running;
+      entry.groups = std::move(groups);
+      added = true;
+    }
+    const bool changed = added || entry.entry.ordersAccepted !=
+                                    known.entry.ordersAccepted;
+    entry.entry = known.entry;
+    if (added) {
+      entry.versions = known.entry.modelVersions;
+      entry.ordersAccepted = known.entry.ordersAccepted;
+    } else if (changed) {
+      entry.ordersAccepted =
+        std::max(entry.ordersAccepted, known.entry.ordersAccepted);
+    }
+    for (const auto& [model, version] : known.entry.modelVersions) {
+      std::int64_t& believed = entry.versions[model];
+      believed = std::max(believed, version);
+    }
+  }
+  std::erase_if(mSamplers, [&](const auto& aEntry) {
+    return !mParts.targets.Find(aEntry.first) && aEntry.second.running == 0;
+  });
+}
+
+bool
+sampler_pool::Usable(const sampler& aSampler, time_point aNow) const
+{
+  const auto* known = mParts.targets.Find(aSampler.entry.id);
+  return known && !known->goneSince && !known->entry.draining &&
+         aSampler.avoidUntil <= aNow;
+}
+
+sampler_state
+sampler_pool::StateOf(const std::string& aId, const sampler& aSampler) const
+{
+  const time_point now = mParts.loop.Now();
+  sampler_state state;
+  state.id = aId;
+  state.slots = aSampler.entry.slots;
+  state.running = aSampler.running;
+  state.usable = Usable(aSampler, now);
+  state.versions = aSampler.versions;
+  state.loading = aSampler.order ? aSampler.order->order.model : "";
+  state.home = mPlan.Home(aId);
+  if (now - aSampler.paceSince < kPaceKept) {
+    state.eventMilliseconds = aSampler.eventMilliseconds;
+  }
+  state.groups = aSampler.groups;
+  return state;
+}
+
+std::vector<sampler_state>
+sampler_pool::States(const std::string& aService) const
+{
+  std::vector<sampler_state> states;
+  for (const auto& [id, entry] : mSamplers) {
+    if (entry.entry.service == aService) {
+      states.push_back(StateOf(id, entry));
+    }
+  }
+  return states;
+}
+
+sampler_state
+sampler_pool::State(const std::string& aId) const
+{
+  const auto found = mSamplers.find(aId);
+  if (found == mSamplers.end()) {
+    sampler_state gone;
+    gone.id = aId;
+    gone.usable = false;
+    return gone;
+  }
+  return StateOf(aId, found->second);
+}
+
+std::int64_t
+sampler_pool::VersionOf(const std::string& aId, const std::string& aModel) const
+{
+  const auto found = mSamplers.find(aId);
+  if (found == mSamplers.end()) {
+    return 0;
+  }
+  const auto version = found->second.versions.find(aModel);
+  return version == found->second.versions.end() ? 0 : version->second;
+}
+
+void
+sampler_pool::AddRun(std::shared_ptr<item_run> aRun)
+{
+  sampler& entry = mSamplers[aRun->Sampler()];
+  ++entry.running;
+  ++entry.groups[aRun->Call().group];
+  mRuns.insert(std::move(aRun));
+}
+
+void
+sampler_pool::Leave(const item_run& aRun)
+{
+  const auto found = mSamplers.find(aRun.Sampler());
+  if (found == mSamplers.end()) {
+    return;
+  }
+  --found->second.running;
+  const auto group = found->second.groups.find(aRun.Call().group);
+  if (group != found->second.groups.end() && --group->second == 0) {
+    found->second.groups.erase(group);
+  }
+}
+
+void
+sampler_pool::CancelRun(const std::shared_ptr<item_run>& aRun)
+{
+  if (mRuns.erase(aRun) > 0) {
+    Leave(*aRun);
+  }
+  aRun->Cancel();
+}
+
+void
+sampler_pool::CancelAll()
+{
+  for (const auto& run : std::exchange(mRuns, {})) {
+    run->Cancel();
+  }
+  mSamplers.clear();
+}
+
+void
+sampler_pool::EndRun(const item_run& aRun, run_end aEnd)
+{
+  const auto run = std::find_if(
+    mRuns.begin(), mRuns.end(), [&](const auto& aEntry) {
+      return aEntry.get() == &aRun;
+    });
+  if (run == mRuns.end()) {
+    return;
+  }
+  mRuns.erase(run);
+  const auto found = mSamplers.find(aRun.Sampler());
+  if (found == mSamplers.end()) {
+    return;
+  }
+  Leave(aRun);
+  sampler& entry = found->second;
+  const time_point now = mParts.loop.Now();
+  switch (aEnd) {
+    case run_end::Complete:
+    case run_end::Impossible:
+      entry.failures = 0;
+      break;
+    case run_end::Full:
+      entry.avoidUntil = std::max(entry.avoidUntil, now + kFullPause);
+      break;
+    case run_end::Misplaced:
+      entry.avoidUntil = std::max(entry.avoidUntil, now + kFullPause);
+      AskReport(aRun.Sampler());
+      break;
+    case run_end::Broken:
+    case run_end::Failed: {
+      if (aRun.NewEvents() > 0) {
+        entry.failures = 0; // It works; this one run broke.
+        break;
+      }
+      const duration pause = kFirstPause * (1 << std::min(entry.failures, 4));
+      entry.avoidUntil = now + std::min<duration>(pause, kLongestPause);
+      ++entry.failures;
+      break;
+    }
+  }
+}
+
+void
+sampler_pool::NoteEvent(const item_run& aRun)
+{
+  const auto found = mSamplers.find(aRun.Sampler());
+  if (found == mSamplers.end() || !aRun.Pace().begun) {
+    return;
+  }
+  sampler& entry = found->second;
+  const time_point now = mParts.loop.Now();
+  const double interval =
+    std::chrono::duration<double, std::milli>(now - aRun.Pace().lastEvent)
+      .count();
+  if (entry.order) {
+    return; // A load stops all runs for its time.
+  }
+  if (!entry.eventMilliseconds || now - entry.paceSince >= kPaceKept) {
+    entry.eventMilliseconds = interval;
+  } else {
+    *entry.eventMilliseconds += kPaceShare * (interval - *entry.eventMilliseconds);
+  }
+  entry.paceSince = now;
+}
+
+void
+sampler_pool::OrderWeights(const std::set<std::string>& aModels,
+                           const std::set<std::string>& aSingleVersion)
+{
+  const time_point now = mParts.loop.Now();
+  std::vector<version_plan::sampler> samplers;
+  for (auto& [id, entry] : mSamplers) {
+    if (entry.order && now - entry.order->sentAt >= kOrderLost) {
+      Log(log_level::Warning,
+          "weight_order_lost",
+          { { "target", id },
+            { "model", entry.order->order.model },
+            { "version", std::to_string(entry.order->order.version) } });
+      entry.order.reset();
+      AskReport(id);
+    }
+    if (entry.order && entry.order->accepted &&
+        now >= entry.order->nextReport) {
+      entry.order->nextReport = now + kReportInterval;
+      AskReport(id);
+    }
+    const auto* known = mParts.targets.Find(id);
+    samplers.push_back({ id,
+                         entry.versions,
+                         known && !known->goneSince && !known->entry.draining,
+                         entry.order.has_value(),
+                         entry.running,
+                         entry.orderNotBefore });
+  }
+  mPlan.Assign(samplers, aModels);
+  for (const version_plan::order& order : mPlan.Orders(samplers, now)) {
+    SendOrder(order, !aSingleVersion.contains(order.model));
+  }
+}
+
+void
+sampler_pool::SendOrder(const version_plan::order& aOrder, bool aKeepRuns)
+{
+  sampler& entry = mSamplers[aOrder.sampler];
+  entry.order.emplace();
+  entry.order->order = aOrder;
+  entry.order->sentAt = mParts.loop.Now();
+  weight_order order;
+  order.model = aOrder.model;
+  order.version = aOrder.version;
+  order.keepRuns = aKeepRuns;
+  order.holder = mParts.holder;
+  order.fence = mParts.fence;
+  order.expectedOrders = entry.ordersAccepted;
+  Log(log_level::Info,
+      "weight_order",
+      { { "target", aOrder.sampler },
+        { "model", aOrder.model },
+        { "version", std::to_string(aOrder.version) },
+        { "had", std::to_string(VersionOf(aOrder.sampler, aOrder.model)) },
+        { "fence", std::to_string(mParts.fence) },
+        { "expected_orders", std::to_string(entry.ordersAccepted) } });
+  exchange_options options;
+  options.connect = kOrderTimeout;
+  options.silence = kOrderTimeout;
+  mParts.client.Send(
+    entry.entry.address,
+    mParts.protocol.MakeOrder(order, entry.entry),
+    options,
+    std::make_shared<whole_response>(
+      [this, id = aOrder.sampler, alive = std::weak_ptr<bool>(mAlive)](
+        const http_response* aResponse, exchange_failure) {
+        if (!alive.expired()) {
+          OnOrderAnswer(id, aResponse);
+        }
+      }));
+}
+
+void
+sampler_pool::OnOrderAnswer(const std::string& aId,
+                            const http_response* aResponse)
+{
+  const auto found = mSamplers.find(aId);
+  if (found == mSamplers.end() || !found->second.order) {
+    return;
+  }
+  sampler& entry = found->second;
+  const time_point now = mParts.loop.Now();
+  if (!aResponse) {
+    // It may be carried out now or later: the report tells, and a repeat
+    // names the same count of orders.
+    AskReport(aId);
+    return;
+  }
+  const order_verdict verdict =
+    mParts.protocol.JudgeOrder(aResponse->status);
+  const version_plan::order order = entry.order->order;
+  if (verdict != order_verdict::Accepted) {
+    Log(log_level::Info,
+        "weight_order_answer",
+        { { "target", aId },
+          { "model", order.model },
+          { "version", std::to_string(order.version) },
+          { "status", std::to_string(aResponse->status) } });
+  }
+  switch (verdict) {
+    case order_verdict::Accepted:
+      ++entry.ordersAccepted;
+      entry.order->accepted = true;
+      entry.order->sentAt = now;
+      entry.order->nextReport = now + kLoadTime;
+      break;
+    case order_verdict::Holds:
+      entry.versions[order.model] =
+        std::max(entry.versions[order.model], order.version);
+      entry.order.reset();
+      mParts.changed();
+      break;
+    case order_verdict::Fenced:
+      entry.order.reset();
+      mParts.superseded();
+      break;
+    case order_verdict::Busy:
+    case order_verdict::Wrong:
+    case order_verdict::Refused:
+      entry.order.reset();
+      entry.orderNotBefore = now + kOrderPause;
+      AskReport(aId);
+      break;
+  }
+}
+
+void
+sampler_pool::AskReport(const std::string& aId)
+{
+  const auto found = mSamplers.find(aId);
+  if (found == mSamplers.end() || found->second.reporting) {
+    return;
+  }
+  found->second.reporting = true;
+  exchange_options options;
+  options.connect = kOrderTimeout;
+  options.silence = kOrderTimeout;
+  mParts.client.Send(
+    found->second.entry.address,
+    mParts.protocol.MakeReportRequest(),
+    options,
+    std::make_shared<whole_response>(
+      [this, aId, alive = std::weak_ptr<bool>(mAlive)](
+        const http_response* aResponse, exchange_failure) {
+        if (!alive.expired()) {
+          OnReport(aId, aResponse);
+        }
+      }));
+}
+
+void
+sampler_pool::OnReport(const std::string& aId, const http_response* aResponse)
+{
+  const auto found = mSamplers.find(aId);
+  if (found == mSamplers.end()) {
+    return;
+  }
+  sampler& entry = found->second;
+  entry.reporting = false;
+  const auto report =
+    aResponse ? mParts.protocol.ReadReport(*aResponse) : std::nullopt;
+  if (!report) {
+    if (entry.order && !entry.order->accepted) {
+      entry.order.reset();
+      entry.orderNotBefore = mParts.loop.Now() + kOrderPause;
+    }
+    return;
+  }
+  for (const auto& [model, version] : report->modelVersions) {
+    entry.versions[model] = version;
+  }
+  entry.ordersAccepted = std::max(entry.ordersAccepted, report->ordersAccepted);
+  if (entry.order) {
+    const version_plan::order& order = entry.order->order;
+    if (entry.versions[order.model] >= order.version) {
+      Log(log_level::Info,
+          "weights_loaded",
+          { { "target", aId },
+            { "model", order.model },
+            { "version", std::to_string(order.version) },
+            { "ms",
+              std::to_string(
+                ToMilliseconds(mParts.loop.Now() - entry.order->sentAt)) } });
+      entry.order.reset();
+    } else if (!report->busy && !entry.order->accepted) {
+      entry.order.reset();
+      entry.orderNotBefore = mParts.loop.Now() + kOrderPause;
+    } else if (report->busy) {
+      entry.order->accepted = true;
+    }
+  }
+  mParts.changed();
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/target_view.cpp
@@ -0,0 +1,127 @@
+#include "arbutusferry/node/target_view.hpp"
+
+#include "arbutusferry/hash.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long a dropped target stays a last resort: shorter than the time for
+/// which leaving targets go on serving on both deployments (`drain-ms`).
+constexpr milliseconds kLastResort{ 1'200 };
+/// First pause after a failure; doubles with each further one.
+constexpr milliseconds kFirstPause{ 250 };
+constexpr milliseconds kLongestPause{ 4'000 };
+/// Pause after a refusal for want of room.
+constexpr milliseconds kFullPause{ 30 };
+
+} // namespace
+
+void
+target_view::Update(const target_entry& aEntry, time_point aNow)
+{
+  known_target& known = mTargets[aEntry.id];
+  const bool restarted = known.entry.bornUnixMs != aEntry.bornUnixMs ||
+                         known.entry.address != aEntry.address;
+  if (restarted) {
+    known.failures = 0;
+    known.avoidUntil = {};
+  }
+  if (aEntry.draining && !known.entry.draining) {
+    known.drainingSince = aNow;
+  }
+  known.entry = aEntry;
+  known.goneSince.reset();
+}
+
+void
+target_view::Remove(const std::string& aId, time_point aNow)
+{
+  if (known_target* known = Find(aId); known && !known->goneSince) {
+    known->goneSince = aNow;
+  }
+}
+
+void
+target_view::Expire(time_point aNow)
+{
+  std::erase_if(mTargets, [&](const auto& aEntry) {
+    const known_target& known = aEntry.second;
+    return known.goneSince && aNow - *known.goneSince >= kLastResort &&
+           known.outstanding == 0;
+  });
+}
+
+target_view::known_target*
+target_view::Find(const std::string& aId)
+{
+  const auto found = mTargets.find(aId);
+  return found == mTargets.end() ? nullptr : &found->second;
+}
+
+std::string
+target_view::Choose(const std::string& aService,
+                    const std::string& aZone,
+                    const std::vector<std::string>& aTried,
+                    std::uint64_t aSalt,
+                    time_point aNow) const
+{
+  using rank = std::tuple<bool, bool, bool, bool, int, std::uint64_t>;
+  std::optional<rank> best;
+  std::string chosen;
+  for (const auto& [id, known] : mTargets) {
+    const target_entry& entry = known.entry;
+    if (entry.service != aService || entry.draining ||
+        (known.goneSince && aNow - *known.goneSince >= kLastResort)) {
+      continue;
+    }
+    const bool tried =
+      std::find(aTried.begin(), aTried.end(), id) != aTried.end();
+    const rank candidate{ known.goneSince.has_value(),
+                          tried,
+                          known.avoidUntil > aNow,
+                          entry.zone != aZone ||
+                            known.outstanding >= entry.slots,
+                          known.outstanding,
+                          Hash64(id, aSalt) };
+    if (!best || candidate < *best) {
+      best = candidate;
+      chosen = id;
+    }
+  }
+  return chosen;
+}
+
+void
+target_view::NoteSuccess(const std::string& aId)
+{
+  if (known_target* known = Find(aId)) {
+    known->failures = 0;
+    known->avoidUntil = {};
+  }
+}
+
+void
+target_view::NoteFailure(const std::string& aId, time_point aNow)
+{
+  if (known_target* known = Find(aId)) {
+    const duration pause = kFirstPause * (1 << std::min(known->failures, 4));
+    known->avoidUntil = aNow + std::min<duration>(pause, kLongestPause);
+    ++known->failures;
+  }
+}
+
+void
+target_view::NoteFull(const std::string& aId, time_point aNow)
+{
+  if (known_target* known = Find(aId)) {
+    known->avoidUntil = std::max(known->avoidUntil, aNow + kFullPause);
+  }
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/usage_windows.cpp
@@ -0,0 +1,145 @@
+#include "arbutusferry/node/usage_windows.hpp"
+
+#include "arbutusferry/json.hpp"
+#include "arbutusferry/node/http_message.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+/// Windows in a record: more than pass before a window is reported.
+constexpr std::size_t kKeptWindows = 8;
+
+Json::Value
+CountsValue(const tenant_counts& aCounts)
+{
+  Json::Value value(Json::objectValue);
+  for (const auto& [tenant, count] : aCounts) {
+    value[tenant] = Json::Int64(count);
+  }
+  return value;
+}
+
+std::optional<tenant_counts>
+ReadCounts(const Json::Value& aValue)
+{
+  if (!aValue.isObject()) {
+    return std::nullopt;
+  }
+  tenant_counts counts;
+  for (const std::string& tenant : aValue.getMemberNames()) {
+    if (!aValue[tenant].isInt64()) {
+      return std::nullopt;
+    }
+    counts[tenant] = aValue[tenant].asInt64();
+  }
+  return counts;
+}
+
+std::optional<Json::Value>
+Parse(const std::string& aText)
+{
+  const auto parsed = Capture([&] { return ParseJson(aText, "usage"); });
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  return value && value->isObject() ? std::optional(*value) : std::nullopt;
+}
+
+} // namespace
+
+std::string
+EncodeCounts(const tenant_counts& aCounts)
+{
+  return WriteJson(CountsValue(aCounts));
+}
+
+std::optional<tenant_counts>
+DecodeCounts(const std::string& aText)
+{
+  const auto value = Parse(aText);
+  return value ? ReadCounts(*value) : std::nullopt;
+}
+
+std::string
+EncodeUsage(const window_counts& aWindows)
+{
+  Json::Value value(Json::objectValue);
+  for (const auto& [window, counts] : aWindows) {
+    value[std::to_string(window)] = CountsValue(counts);
+  }
+  return WriteJson(value);
+}
+
+std::optional<window_counts>
+DecodeUsage(const std::string& aText)
+{
+  const auto value = Parse(aText);
+  if (!value) {
+    return std::nullopt;
+  }
+  window_counts windows;
+  for (const std::string& name : value->getMemberNames()) {
+    const auto window = ParseInteger(name);
+    auto counts = ReadCounts((*value)[name]);
+    if (!window || !counts) {
+      return std::nullopt;
+    }
+    windows[*window] = std::move(*counts);
+  }
+  return windows;
+}
+
+void
+usage_meter::Count(const std::string& aTenant, std::int64_t aUnixMilliseconds)
+{
+  ++mWindows[aUnixMilliseconds / mWindowMilliseconds][aTenant];
+  while (mWindows.size() > kKeptWindows) {
+    mWindows.erase(mWindows.begin());
+  }
+  mChanged = true;
+}
+
+const window_counts&
+usage_meter::Take()
+{
+  mChanged = false;
+  return mWindows;
+}
+
+void
+usage_sum::Add(const std::string& aProcess, const window_counts& aWindows)
+{
+  for (const auto& [window, counts] : aWindows) {
+    tenant_counts& known = mWindows[window][aProcess];
+    // Counts only grow, so an older record can't take anything back.
+    for (const auto& [tenant, count] : counts) {
+      std::int64_t& value = known[tenant];
+      value = std::max(value, count);
+    }
+  }
+}
+
+tenant_counts
+usage_sum::Total(std::int64_t aWindow) const
+{
+  tenant_counts total;
+  const auto found = mWindows.find(aWindow);
+  if (found == mWindows.end()) {
+    return total;
+  }
+  for (const auto& [process, counts] : found->second) {
+    for (const auto& [tenant, count] : counts) {
+      total[tenant] += count;
+    }
+  }
+  return total;
+}
+
+void
+usage_sum::ExpireBefore(std::int64_t aWindow)
+{
+  mWindows.erase(mWindows.begin(), mWindows.lower_bound(aWindow));
+}
+
+} // namespace arbutusferry::node
