--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -83,7 +83,8 @@
   {
     target_entry entry;
     std::map<std::string, std::int64_t> versions;
-    std::uint64_t ordersAccepted = 0;
+    /// Orders it has accepted; nothing until it was asked.
+    std::optional<std::uint64_t> ordersAccepted;
     std::optional<double> eventMilliseconds;
     int running = 0;
     std::map<std::string, int> groups;
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -22,7 +22,6 @@
   bool draining = false;
   bool reclaimable = false; ///< May be taken away at short notice.
   std::int64_t bornUnixMs = 0; ///< Start; tells two starts of one id apart.
-  std::uint64_t ordersAccepted = 0;
   std::map<std::string, std::int64_t> modelVersions;
 };
 
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -52,16 +52,7 @@
       entry.groups = std::move(groups);
       added = true;
     }
-    const bool changed = added || entry.entry.ordersAccepted !=
-                                    known.entry.ordersAccepted;
     entry.entry = known.entry;
-    if (added) {
-      entry.versions = known.entry.modelVersions;
-      entry.ordersAccepted = known.entry.ordersAccepted;
-    } else if (changed) {
-      entry.ordersAccepted =
-        std::max(entry.ordersAccepted, known.entry.ordersAccepted);
-    }
     for (const auto& [model, version] : known.entry.modelVersions) {
       std::int64_t& believed = entry.versions[model];
       believed = std::max(believed, version);
@@ -282,6 +273,10 @@
 sampler_pool::SendOrder(const version_plan::order& aOrder, bool aKeepRuns)
 {
   sampler& entry = mSamplers[aOrder.sampler];
+  if (!entry.ordersAccepted) {
+    AskReport(aOrder.sampler);
+    return;
+  }
   entry.order.emplace();
   entry.order->order = aOrder;
   entry.order->sentAt = mParts.loop.Now();
@@ -291,7 +286,7 @@
   order.keepRuns = aKeepRuns;
   order.holder = mParts.holder;
   order.fence = mParts.fence;
-  order.expectedOrders = entry.ordersAccepted;
+  order.expectedOrders = *entry.ordersAccepted;
   Log(log_level::Info,
       "weight_order",
       { { "target", aOrder.sampler },
@@ -299,7 +294,7 @@
         { "version", std::to_string(aOrder.version) },
         { "had", std::to_string(VersionOf(aOrder.sampler, aOrder.model)) },
         { "fence", std::to_string(mParts.fence) },
-        { "expected_orders", std::to_string(entry.ordersAccepted) } });
+        { "expected_orders", std::to_string(*entry.ordersAccepted) } });
   exchange_options options;
   options.connect = kOrderTimeout;
   options.silence = kOrderTimeout;
@@ -345,7 +340,7 @@
   }
   switch (verdict) {
     case order_verdict::Accepted:
-      ++entry.ordersAccepted;
+      ++*entry.ordersAccepted;
       entry.order->accepted = true;
       entry.order->sentAt = now;
       entry.order->nextReport = now + kLoadTime;
@@ -406,16 +401,16 @@
   const auto report =
     aResponse ? mParts.protocol.ReadReport(*aResponse) : std::nullopt;
   if (!report) {
+    entry.orderNotBefore = mParts.loop.Now() + kOrderPause;
     if (entry.order && !entry.order->accepted) {
       entry.order.reset();
-      entry.orderNotBefore = mParts.loop.Now() + kOrderPause;
     }
     return;
   }
   for (const auto& [model, version] : report->modelVersions) {
     entry.versions[model] = version;
   }
-  entry.ordersAccepted = std::max(entry.ordersAccepted, report->ordersAccepted);
+  entry.ordersAccepted = std::max(entry.ordersAccepted.value_or(0), report->ordersAccepted);
   if (entry.order) {
     const version_plan::order& order = entry.order->order;
     if (entry.versions[order.model] >= order.version) {
