--- a/include/arbutusferry/node/asio_net.hpp
+++ b/include/arbutusferry/node/asio_net.hpp
@@ -19,10 +19,7 @@
   [[nodiscard]] std::unique_ptr<timer> After(
     duration aDelay,
     std::function<void()> aFunction) override;
-  [[nodiscard]] boost::asio::io_context& Context() noexcept
-  {
-    return mContext;
-  }
+  [[nodiscard]] boost::asio::io_context& Context() noexcept { return mContext; }
 
 private:
   boost::asio::io_context mContext{ 1 };
--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -21,8 +21,8 @@
   std::string path;
   header_list headers;
   std::string body;
-  std::int64_t tokens = 0; ///< Prompt and largest output.
-  std::string group;       ///< Items of a group share their prompt.
+  std::int64_t tokens = 0;     ///< Prompt and largest output.
+  std::string group;           ///< Items of a group share their prompt.
   std::int64_t lengthHint = 0; ///< Estimated output tokens; 0 if unknown.
 };
 
@@ -80,8 +80,8 @@
 {
   item_phase phase = item_phase::Waiting;
   item_progress progress;
-  int failures = 0;   ///< Answers of the target that count as an attempt.
-  int impossible = 0; ///< Answers that it can never be done.
+  int failures = 0;     ///< Answers of the target that count as an attempt.
+  int impossible = 0;   ///< Answers that it can never be done.
   bool carried = false; ///< Came back from an earlier batch.
   time_point notBefore; ///< Pause after a failure.
 };
--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -16,7 +16,7 @@
 struct plain_call
 {
   std::string id;
-  std::string tenant; ///< Empty on routes open to all.
+  std::string tenant;  ///< Empty on routes open to all.
   std::string service; ///< Chosen among the route's services.
   route_entry route;
   http_request request; ///< Without the headers of the caller's connection.
--- a/include/arbutusferry/node/duty_desk.hpp
+++ b/include/arbutusferry/node/duty_desk.hpp
@@ -50,8 +50,8 @@
     /// Time after a window's end until which its report is due.
     std::chrono::milliseconds due{ 10'000 };
     /// Makes the figures of a window durable, then calls the function.
-    std::function<void(std::int64_t, const tenant_counts&,
-                       std::function<void()>)>
+    std::function<
+      void(std::int64_t, const tenant_counts&, std::function<void()>)>
       fix;
     std::function<bool()> mayAct;
     std::function<void()> superseded;
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -24,7 +24,8 @@
 } // namespace arbutusferry::node
 
 template<>
-inline constexpr arbutusferry::enum_name_table<arbutusferry::node::route_kind, 4>
+inline constexpr arbutusferry::enum_name_table<arbutusferry::node::route_kind,
+                                               4>
   arbutusferry::kEnumNames<arbutusferry::node::route_kind>{ {
     { arbutusferry::node::route_kind::Idempotent, "idempotent" },
     { arbutusferry::node::route_kind::NonIdempotent, "non_idempotent" },
@@ -50,9 +51,9 @@
   std::chrono::milliseconds latencyTarget{ 1'000 };
   int priority = 0; ///< 0 is served first.
   std::vector<weighted_service> services;
-  int maxAttempts = 1;       ///< Targets one request may be sent to.
-  bool open = false;         ///< Needs no key.
-  bool resumable = false;    ///< Streams may go on at another target.
+  int maxAttempts = 1;        ///< Targets one request may be sent to.
+  bool open = false;          ///< Needs no key.
+  bool resumable = false;     ///< Streams may go on at another target.
   bool singleVersion = false; ///< A sample has one weight version.
   std::chrono::milliseconds resultDue{ 0 };
   /// Time after submission from which an item may be given up.
@@ -117,10 +118,7 @@
   {
     return mServices;
   }
-  [[nodiscard]] const caller_limits& Limits() const noexcept
-  {
-    return mLimits;
-  }
+  [[nodiscard]] const caller_limits& Limits() const noexcept { return mLimits; }
   /// @return Whether requests need a key.
   [[nodiscard]] bool HasTenants() const noexcept { return mHasTenants; }
 
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -60,10 +60,7 @@
 
   [[nodiscard]] const std::string& Batch() const noexcept { return mBatch; }
   [[nodiscard]] std::size_t Index() const noexcept { return mIndex; }
-  [[nodiscard]] const std::string& Sampler() const noexcept
-  {
-    return mSampler;
-  }
+  [[nodiscard]] const std::string& Sampler() const noexcept { return mSampler; }
   [[nodiscard]] const item_call& Call() const noexcept { return mCall; }
   [[nodiscard]] const run_pace& Pace() const noexcept { return mPace; }
   [[nodiscard]] std::size_t NewEvents() const noexcept { return mNewEvents; }
--- a/include/arbutusferry/node/keyed_follower.hpp
+++ b/include/arbutusferry/node/keyed_follower.hpp
@@ -51,10 +51,7 @@
   /// @return Whether the newest records have been read once.
   [[nodiscard]] bool Listed() const noexcept { return mListed; }
   /// @return Time of the last successful call.
-  [[nodiscard]] time_point LastContact() const noexcept
-  {
-    return mLastContact;
-  }
+  [[nodiscard]] time_point LastContact() const noexcept { return mLastContact; }
   /// @return Whether calls fail at present.
   [[nodiscard]] bool Lost() const noexcept { return mLost; }
 
--- a/include/arbutusferry/node/role_claim.hpp
+++ b/include/arbutusferry/node/role_claim.hpp
@@ -84,9 +84,9 @@
   bool mLeads = false;
   std::uint64_t mFence = 0;
   std::uint64_t mHighestFence = 0;
-  time_point mLastHeard;  ///< Last record of the holder.
-  time_point mLastSent;   ///< Last own append.
-  time_point mConfirmed;  ///< Sending time of the last confirmed append.
+  time_point mLastHeard; ///< Last record of the holder.
+  time_point mLastSent;  ///< Last own append.
+  time_point mConfirmed; ///< Sending time of the last confirmed append.
   time_point mAwayUntil;
 };
 
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -49,8 +49,7 @@
   void EndRun(const item_run& aRun, run_end aEnd);
   /// Notes the time between two events of a run.
   void NoteEvent(const item_run& aRun);
-  [[nodiscard]] const std::set<std::shared_ptr<item_run>>& Runs()
-    const noexcept
+  [[nodiscard]] const std::set<std::shared_ptr<item_run>>& Runs() const noexcept
   {
     return mRuns;
   }
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -20,7 +20,7 @@
   std::string zone;
   int slots = 1;
   bool draining = false;
-  bool reclaimable = false; ///< May be taken away at short notice.
+  bool reclaimable = false;    ///< May be taken away at short notice.
   std::int64_t bornUnixMs = 0; ///< Start; tells two starts of one id apart.
   std::map<std::string, std::int64_t> modelVersions;
 };
--- a/include/arbutusferry/node/version_plan.hpp
+++ b/include/arbutusferry/node/version_plan.hpp
@@ -45,9 +45,8 @@
   [[nodiscard]] std::string Home(const std::string& aSampler) const;
 
   /// @return The orders to send now.
-  [[nodiscard]] std::vector<order> Orders(
-    const std::vector<sampler>& aSamplers,
-    time_point aNow) const;
+  [[nodiscard]] std::vector<order> Orders(const std::vector<sampler>& aSamplers,
+                                          time_point aNow) const;
 
 private:
   std::map<std::string, std::int64_t> mNamed;
--- a/src/net/asio_loop.cpp
+++ b/src/net/asio_loop.cpp
@@ -16,14 +16,14 @@
   {
     mTimer.expires_after(
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDelay));
-    mTimer.async_wait([function = std::move(aFunction),
-                       alive = std::weak_ptr<bool>(mAlive)](
-                        const boost::system::error_code& aError) {
-      // A timer that was destroyed after it expired must not fire either.
-      if (!aError && !alive.expired()) {
-        function();
-      }
-    });
+    mTimer.async_wait(
+      [function = std::move(aFunction), alive = std::weak_ptr<bool>(mAlive)](
+        const boost::system::error_code& aError) {
+        // A timer that was destroyed after it expired must not fire either.
+        if (!aError && !alive.expired()) {
+          function();
+        }
+      });
   }
 
 private:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -213,25 +213,24 @@
                [self] { self->Fail(exchange_failure::NotSent); });
     return;
   }
-  mTimer = mLoop.After(mOptions.connect,
-                       [this] { Fail(exchange_failure::NotSent); });
-  mSocket.async_connect({ address, aAddress.port },
-                        [self](const net_error& aError) {
-                          if (self->mClosed) {
-                            return;
-                          }
-                          if (aError) {
-                            self->Fail(exchange_failure::NotSent);
-                            return;
-                          }
-                          net_error ignored;
-                          self->mSocket.set_option(tcp::no_delay(true),
-                                                   ignored);
-                          self->mSocket.non_blocking(true, ignored);
-                          self->mConnected = true;
-                          self->Write();
-                          self->WaitReadable();
-                        });
+  mTimer =
+    mLoop.After(mOptions.connect, [this] { Fail(exchange_failure::NotSent); });
+  mSocket.async_connect(
+    { address, aAddress.port }, [self](const net_error& aError) {
+      if (self->mClosed) {
+        return;
+      }
+      if (aError) {
+        self->Fail(exchange_failure::NotSent);
+        return;
+      }
+      net_error ignored;
+      self->mSocket.set_option(tcp::no_delay(true), ignored);
+      self->mSocket.non_blocking(true, ignored);
+      self->mConnected = true;
+      self->Write();
+      self->WaitReadable();
+    });
 }
 
 void
@@ -276,18 +275,18 @@
 {
   mLastByte = mLoop.Now();
   WatchSilence();
-  asio::async_write(mSocket,
-                    asio::buffer(mOutput),
-                    [self = shared_from_this()](const net_error& aError,
-                                                std::size_t) {
-                      if (self->mClosed) {
-                        return;
-                      }
-                      self->mOutput.clear();
-                      self->mWritten = !aError;
-                      // A peer may answer and close before it has read all:
-                      // reading tells.
-                    });
+  asio::async_write(
+    mSocket,
+    asio::buffer(mOutput),
+    [self = shared_from_this()](const net_error& aError, std::size_t) {
+      if (self->mClosed) {
+        return;
+      }
+      self->mOutput.clear();
+      self->mWritten = !aError;
+      // A peer may answer and close before it has read all:
+      // reading tells.
+    });
 }
 
 void
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -41,15 +41,12 @@
     , mHandler(aHandler)
   {
     Accept();
-    mSweep = std::make_unique<periodic>(
-      aLoop, kSweepInterval, [this] { Sweep(); });
+    mSweep =
+      std::make_unique<periodic>(aLoop, kSweepInterval, [this] { Sweep(); });
   }
   ~asio_listener() override;
 
-  void SetLimits(const listener_limits& aLimits) override
-  {
-    mLimits = aLimits;
-  }
+  void SetLimits(const listener_limits& aLimits) override { mLimits = aLimits; }
   void Drain(duration aIdle) override
   {
     mDraining = true;
@@ -407,8 +404,7 @@
   if (mCloseAfter) {
     aHeaders.Add("Connection", "close");
   }
-  const auto reason =
-    http::obsolete_reason(static_cast<http::status>(aStatus));
+  const auto reason = http::obsolete_reason(static_cast<http::status>(aStatus));
   mOutput += "HTTP/1.1 " + std::to_string(aStatus) + " " +
              std::string(reason.data(), reason.size()) + "\r\n";
   AppendHeaders(mOutput, aHeaders);
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -76,8 +76,7 @@
   std::int64_t value = 0;
   const auto [end, error] =
     std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  if (error != std::errc() || end != aText.data() + aText.size() ||
-      value < 0) {
+  if (error != std::errc() || end != aText.data() + aText.size() || value < 0) {
     return std::nullopt;
   }
   return value;
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -19,8 +19,7 @@
 
 /// Reads one HTTP message from pieces of a byte stream.
 template<bool IsRequest>
-class message_parser final
-  : public boost::beast::http::basic_parser<IsRequest>
+class message_parser final : public boost::beast::http::basic_parser<IsRequest>
 {
   using error_code = boost::beast::error_code;
   using string_view = boost::beast::string_view;
@@ -69,9 +68,7 @@
     mEvents.OnParsedBody({ aBody.data(), aBody.size() });
     return aBody.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override
-  {
-  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t,
                                  string_view aBody,
                                  error_code&) override
--- a/src/node/batch_book.cpp
+++ b/src/node/batch_book.cpp
@@ -184,8 +184,7 @@
       mEvent.data += value(5);
       mHasData = true;
     } else if (line.starts_with("id:")) {
-      mEvent.id =
-        static_cast<std::size_t>(ParseInteger(value(3)).value_or(0));
+      mEvent.id = static_cast<std::size_t>(ParseInteger(value(3)).value_or(0));
     } else {
       mEvent.otherLines.emplace_back(line);
     }
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -23,9 +23,9 @@
 Numbered(std::size_t aNumber)
 {
   std::string digits = std::to_string(aNumber);
-  return std::string(
-           kNumberDigits - std::min<std::size_t>(kNumberDigits, digits.size()),
-           '0') +
+  return std::string(kNumberDigits -
+                       std::min<std::size_t>(kNumberDigits, digits.size()),
+                     '0') +
          digits;
 }
 
@@ -245,55 +245,54 @@
   append_request request;
   request.where = mWhere;
   request.producer = log_producer{ "leader", mEpoch, mSequence };
-  mLog.Append(std::move(request),
-              [this, alive = std::weak_ptr<bool>(mAlive)](
-                const append_result& aResult) {
-                if (alive.expired()) {
-                  return;
-                }
-                switch (aResult.status) {
-                  case append_status::Done:
-                  case append_status::WrongSequence: // The epoch is ours.
-                    ReadPage({});
-                    break;
-                  case append_status::Fenced:
-                    mFenced();
-                    break;
-                  default:
-                    mTimer = mLoop.After(kRetryPause, [this] { Fence(); });
-                    break;
-                }
-              });
+  mLog.Append(
+    std::move(request),
+    [this, alive = std::weak_ptr<bool>(mAlive)](const append_result& aResult) {
+      if (alive.expired()) {
+        return;
+      }
+      switch (aResult.status) {
+        case append_status::Done:
+        case append_status::WrongSequence: // The epoch is ours.
+          ReadPage({});
+          break;
+        case append_status::Fenced:
+          mFenced();
+          break;
+        default:
+          mTimer = mLoop.After(kRetryPause, [this] { Fence(); });
+          break;
+      }
+    });
 }
 
 void
 batch_journal::ReadPage(const std::string& aAfter)
 {
-  mLog.Newest(mWhere,
-              aAfter,
-              [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](
-                newest_result aResult) {
-                if (alive.expired()) {
-                  return;
-                }
-                if (!aResult.done) {
-                  mTimer = mLoop.After(kRetryPause,
-                                       [this, aAfter] { ReadPage(aAfter); });
-                  return;
-                }
-                std::string last;
-                for (const log_entry& entry : aResult.entries) {
-                  mReader.Add(entry);
-                  last = entry.record.key;
-                }
-                if (aResult.more && !last.empty()) {
-                  ReadPage(last);
-                  return;
-                }
-                mOpen = true;
-                mOpened(mReader.Finish());
-                SendNext();
-              });
+  mLog.Newest(
+    mWhere,
+    aAfter,
+    [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](newest_result aResult) {
+      if (alive.expired()) {
+        return;
+      }
+      if (!aResult.done) {
+        mTimer = mLoop.After(kRetryPause, [this, aAfter] { ReadPage(aAfter); });
+        return;
+      }
+      std::string last;
+      for (const log_entry& entry : aResult.entries) {
+        mReader.Add(entry);
+        last = entry.record.key;
+      }
+      if (aResult.more && !last.empty()) {
+        ReadPage(last);
+        return;
+      }
+      mOpen = true;
+      mOpened(mReader.Finish());
+      SendNext();
+    });
 }
 
 void
@@ -374,11 +373,11 @@
       return;
   }
   if (mStuckSince) {
-    Log(log_level::Info,
-        "journal_regained",
-        { { "epoch", std::to_string(mEpoch) },
-          { "ms",
-            std::to_string(ToMilliseconds(mLoop.Now() - *mStuckSince)) } });
+    Log(
+      log_level::Info,
+      "journal_regained",
+      { { "epoch", std::to_string(mEpoch) },
+        { "ms", std::to_string(ToMilliseconds(mLoop.Now() - *mStuckSince)) } });
     mStuckSince.reset();
   }
   ++mSequence;
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -65,8 +65,7 @@
   std::size_t results = 0;
   for (batch_request& request : aContents.batches) {
     const std::string id = request.id;
-    batch& added =
-      mBook.Add(std::move(request), aContents.ended.contains(id));
+    batch& added = mBook.Add(std::move(request), aContents.ended.contains(id));
     for (auto& [position, result] : aContents.results[id]) {
       // Positions are written in order, so a gap can't be.
       if (position != added.Results().size() ||
@@ -85,8 +84,7 @@
       { { "batches", std::to_string(mBook.All().size()) },
         { "results", std::to_string(results) } });
   mReady = true;
-  mTicker =
-    std::make_unique<periodic>(mParts.loop, kTick, [this] { Tick(); });
+  mTicker = std::make_unique<periodic>(mParts.loop, kTick, [this] { Tick(); });
   ScheduleSoon();
   mOnReady(std::move(aContents.usage));
 }
@@ -178,8 +176,8 @@
   std::vector<std::function<void()>> due;
   std::erase_if(mWaiters, [&](waiter& aEntry) {
     batch* found = mBook.Find(aEntry.batch);
-    if (found && !found->Closed() &&
-        found->Results().size() <= aEntry.after && now < aEntry.until) {
+    if (found && !found->Closed() && found->Results().size() <= aEntry.after &&
+        now < aEntry.until) {
       return false;
     }
     due.push_back(std::move(aEntry.done));
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -32,8 +32,7 @@
 constexpr std::size_t kMaxBehind = std::size_t{ 1 } << 20;
 
 /// One call on its way; kept alive by its exchanges and timers.
-class forwarded_call final
-  : public std::enable_shared_from_this<forwarded_call>
+class forwarded_call final : public std::enable_shared_from_this<forwarded_call>
 {
 public:
   forwarded_call(const call_forwarder::parts& aParts,
@@ -115,10 +114,7 @@
 
   [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
   [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
-  [[nodiscard]] std::int64_t SentUnixMs() const noexcept
-  {
-    return mSentUnixMs;
-  }
+  [[nodiscard]] std::int64_t SentUnixMs() const noexcept { return mSentUnixMs; }
   http_response response;
   std::shared_ptr<http_exchange> exchange;
   target_verdict verdict = target_verdict::Failed;
@@ -233,19 +229,18 @@
 void
 forwarded_call::Start()
 {
-  mResponder->OnGone(
-    [weak = weak_from_this()] {
-      if (const auto call = weak.lock()) {
-        call->OnCallerGone();
-      }
-    });
+  mResponder->OnGone([weak = weak_from_this()] {
+    if (const auto call = weak.lock()) {
+      call->OnCallerGone();
+    }
+  });
   const duration left = GiveUpAt() - mStarted;
   if (left <= kLeastTime) {
     Refuse("no_time_left");
     return;
   }
-  mTimeUp = mParts.loop.After(
-    left, [self = shared_from_this()] { self->OnTimeUp(); });
+  mTimeUp =
+    mParts.loop.After(left, [self = shared_from_this()] { self->OnTimeUp(); });
   Offer();
 }
 
@@ -278,8 +273,8 @@
     }
     return;
   }
-  const auto left = std::chrono::duration_cast<milliseconds>(
-    mCall.deadline - now);
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(mCall.deadline - now);
   if (left <= kLeastTime) {
     return;
   }
@@ -295,12 +290,11 @@
   auto sink = std::make_shared<attempt>(
     shared_from_this(), chosen, mParts.loop.UnixMilliseconds());
   mRunning.push_back(sink);
-  sink->exchange = mParts.client.Send(
-    known->entry.address, std::move(request), options, sink);
-  if (MayRepeat() &&
-      static_cast<int>(mUsed.size()) < mCall.route.maxAttempts) {
-    mHedge = mParts.loop.After(
-      kHedgeAfter, [self = shared_from_this()] { self->Hedge(); });
+  sink->exchange =
+    mParts.client.Send(known->entry.address, std::move(request), options, sink);
+  if (MayRepeat() && static_cast<int>(mUsed.size()) < mCall.route.maxAttempts) {
+    mHedge = mParts.loop.After(kHedgeAfter,
+                               [self = shared_from_this()] { self->Hedge(); });
   }
 }
 
@@ -357,9 +351,8 @@
 forwarded_call::OnNotRun(attempt& aAttempt, target_verdict aVerdict)
 {
   const time_point now = mParts.loop.Now();
-  std::erase_if(mRunning, [&](const auto& aEntry) {
-    return aEntry.get() == &aAttempt;
-  });
+  std::erase_if(mRunning,
+                [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
   if (!mMayHaveRun || mRunning.empty()) {
     mUsed.erase(aAttempt.Target());
   }
@@ -371,8 +364,8 @@
   // Another target at once; after a full round, when there may be room.
   std::size_t known = 0;
   for (const auto& [id, target] : mParts.targets.All()) {
-    known += target.entry.service == mCall.service &&
-             !target.entry.draining && !target.goneSince;
+    known += target.entry.service == mCall.service && !target.entry.draining &&
+             !target.goneSince;
   }
   if (mTried.size() < known) {
     Offer();
@@ -388,9 +381,8 @@
 {
   const std::string target = aAttempt.Target();
   mParts.targets.NoteFailure(target, mParts.loop.Now());
-  std::erase_if(mRunning, [&](const auto& aEntry) {
-    return aEntry.get() == &aAttempt;
-  });
+  std::erase_if(mRunning,
+                [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
   if (aMayHaveRun) {
     mMayHaveRun = true;
     if (!mCounted && aAttempt.response.status != 0) {
@@ -427,9 +419,9 @@
     if (running->Streaming()) {
       if (mParts.loop.Now() < mCall.deadline - kAnswerMargin) {
         // The operator's timeout is for the beginning of a stream.
-        mTimeUp = mParts.loop.After(
-          mCall.deadline - mParts.loop.Now(),
-          [self = shared_from_this()] { self->OnTimeUp(); });
+        mTimeUp =
+          mParts.loop.After(mCall.deadline - mParts.loop.Now(),
+                            [self = shared_from_this()] { self->OnTimeUp(); });
         return;
       }
       mEnded = true;
@@ -485,17 +477,16 @@
   mTimeUp.reset();
   mNext.reset();
   mHedge.reset();
-  Log(log_level::Info,
-      "request_ended",
-      { { "request", mCall.id },
-        { "route", mCall.route.name },
-        { "tenant", mCall.tenant },
-        { "outcome", aOutcome },
-        { "target", aTarget },
-        { "attempts", std::to_string(mTried.size()) },
-        { "ms",
-          std::to_string(
-            ToMilliseconds(mParts.loop.Now() - mStarted)) } });
+  Log(
+    log_level::Info,
+    "request_ended",
+    { { "request", mCall.id },
+      { "route", mCall.route.name },
+      { "tenant", mCall.tenant },
+      { "outcome", aOutcome },
+      { "target", aTarget },
+      { "attempts", std::to_string(mTried.size()) },
+      { "ms", std::to_string(ToMilliseconds(mParts.loop.Now() - mStarted)) } });
 }
 
 } // namespace
--- a/src/node/duty_desk.cpp
+++ b/src/node/duty_desk.cpp
@@ -110,9 +110,7 @@
     }
     for (const std::string& zone : aZones) {
       const auto present = std::count_if(
-        aTargets.All().begin(),
-        aTargets.All().end(),
-        [&](const auto& aEntry) {
+        aTargets.All().begin(), aTargets.All().end(), [&](const auto& aEntry) {
           const target_view::known_target& known = aEntry.second;
           return known.entry.service == service.name &&
                  known.entry.zone == zone && !known.entry.draining &&
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -22,8 +22,8 @@
 auto*
 FindByName(List& aList, std::string_view aName)
 {
-  const auto found = std::find_if(
-    aList.begin(), aList.end(), [&](const auto& aEntry) {
+  const auto found =
+    std::find_if(aList.begin(), aList.end(), [&](const auto& aEntry) {
       return aEntry.name == aName;
     });
   return found == aList.end() ? nullptr : &*found;
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -37,8 +37,8 @@
   const double slow = 1.0 - std::clamp(aSettings.cpuShare, 0.0, 1.0);
   const double spread =
     static_cast<double>(Hash64(aSettings.vm) % 1000) / 1000.0;
-  timing.rank = milliseconds(static_cast<std::int64_t>(
-    kRankMilliseconds * (slow + spread)));
+  timing.rank = milliseconds(
+    static_cast<std::int64_t>(kRankMilliseconds * (slow + spread)));
   return timing;
 }
 
@@ -158,8 +158,8 @@
 ferry_node::Start()
 {
   mRoleFollower->Start();
-  mRoleTicker = std::make_unique<periodic>(
-    mParts.loop, kRoleTick, [this] { StepRole(); });
+  mRoleTicker =
+    std::make_unique<periodic>(mParts.loop, kRoleTick, [this] { StepRole(); });
   mSlowTicker = std::make_unique<periodic>(mParts.loop, kSlowTick, [this] {
     SaveUsage();
     mTargets.Expire(mParts.loop.Now());
@@ -287,8 +287,8 @@
       }
       if (aResult.status != append_status::Done && aRecord.released &&
           mClaim.Holder() && mClaim.Holder()->holder == mInstance) {
-        mRelease = mParts.loop.After(
-          kRoleTick, [this, aRecord] { WriteRole(aRecord); });
+        mRelease =
+          mParts.loop.After(kRoleTick, [this, aRecord] { WriteRole(aRecord); });
       }
       // What was written, by this or another process, is read from the topic.
       FollowLeadership();
@@ -329,48 +329,48 @@
     });
   };
   const auto mayAct = [this] { return mClaim.MayAct(mParts.loop.Now()); };
-  mLeader = std::make_unique<batch_leader>(
-    batch_leader::parts{ mParts.loop,
-                         mParts.client,
-                         mParts.log,
-                         mTargets,
-                         mParts.protocol,
-                         *this,
-                         mInstance,
-                         mSettings.batchReadable,
-                         superseded,
-                         mayAct },
-    mClaim.Fence());
+  mLeader =
+    std::make_unique<batch_leader>(batch_leader::parts{ mParts.loop,
+                                                        mParts.client,
+                                                        mParts.log,
+                                                        mTargets,
+                                                        mParts.protocol,
+                                                        *this,
+                                                        mInstance,
+                                                        mSettings.batchReadable,
+                                                        superseded,
+                                                        mayAct },
+                                   mClaim.Fence());
   for (const auto& [model, version] : mNamedVersions) {
     mLeader->NameVersion(model, version);
   }
-  mLeader->Start([this, superseded, mayAct](
-                   std::map<std::int64_t, std::string> aFixed) {
-    usage_desk::parts desk{ mParts.loop,
-                            mParts.duties,
-                            mClaim.Fence(),
-                            mSettings.usageWindow,
-                            mSettings.usageDue,
-                            {},
-                            mayAct,
-                            superseded };
-    desk.fix = [this](std::int64_t aWindow,
-                      const tenant_counts& aCounts,
-                      std::function<void()> aDone) {
-      mLeader->AppendRecords({ { UsageKey(aWindow), EncodeCounts(aCounts) } },
-                             std::move(aDone));
-    };
-    mUsage = std::make_unique<usage_desk>(std::move(desk), std::move(aFixed));
-    mUsageObserver = std::make_unique<usage_observer>(*this);
-    mUsageFollower = std::make_unique<keyed_follower>(
-      mParts.loop,
-      mParts.log,
-      kUsagePartition,
-      keyed_follower::timing{ milliseconds(1'000), kSlowTick },
-      *mUsageObserver);
-    mUsageFollower->Start();
-    mScale = {};
-  });
+  mLeader->Start(
+    [this, superseded, mayAct](std::map<std::int64_t, std::string> aFixed) {
+      usage_desk::parts desk{ mParts.loop,
+                              mParts.duties,
+                              mClaim.Fence(),
+                              mSettings.usageWindow,
+                              mSettings.usageDue,
+                              {},
+                              mayAct,
+                              superseded };
+      desk.fix = [this](std::int64_t aWindow,
+                        const tenant_counts& aCounts,
+                        std::function<void()> aDone) {
+        mLeader->AppendRecords({ { UsageKey(aWindow), EncodeCounts(aCounts) } },
+                               std::move(aDone));
+      };
+      mUsage = std::make_unique<usage_desk>(std::move(desk), std::move(aFixed));
+      mUsageObserver = std::make_unique<usage_observer>(*this);
+      mUsageFollower = std::make_unique<keyed_follower>(
+        mParts.loop,
+        mParts.log,
+        kUsagePartition,
+        keyed_follower::timing{ milliseconds(1'000), kSlowTick },
+        *mUsageObserver);
+      mUsageFollower->Start();
+      mScale = {};
+    });
 }
 
 void
@@ -413,8 +413,8 @@
   if (mUsageFollower->Listed()) {
     mUsage->Tick();
   }
-  for (const scale_plan::order& order : mScale.Due(
-         mEnvironment, mTargets, mSettings.zones, mParts.loop.Now())) {
+  for (const scale_plan::order& order :
+       mScale.Due(mEnvironment, mTargets, mSettings.zones, mParts.loop.Now())) {
     mParts.duties.OrderTargets(
       order.service,
       order.zone,
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -85,9 +85,8 @@
                    (1.0 + kLoadWeight * sampler.running / sampler.slots);
     score -= sampler.home == aItem.model ? kHomeBonus : 0.0;
     score -= sampler.groups.contains(aItem.group) ? kPrefixBonus : 0.0;
-    score -= kVersionBonus *
-             static_cast<double>(std::min<std::int64_t>(
-               2, version->second - aItem.minimumVersion));
+    score -= kVersionBonus * static_cast<double>(std::min<std::int64_t>(
+                               2, version->second - aItem.minimumVersion));
     if (!best || score < bestScore) {
       best = index;
       bestScore = score;
@@ -116,8 +115,7 @@
     return true;
   }
   return aRun.begun && aSampler.eventMilliseconds &&
-         *aSampler.eventMilliseconds >
-           kSlowFactor * aTypicalEventMilliseconds;
+         *aSampler.eventMilliseconds > kSlowFactor * aTypicalEventMilliseconds;
 }
 
 } // namespace arbutusferry::node
--- a/src/node/keyed_follower.cpp
+++ b/src/node/keyed_follower.cpp
@@ -54,85 +54,89 @@
 void
 keyed_follower::List(const std::string& aAfter)
 {
-  mLog.Newest(mWhere,
-              aAfter,
-              [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](
-                newest_result aResult) {
-    if (alive.expired()) {
-      return;
-    }
-    SetLost(!aResult.done);
-    if (!aResult.done) {
-      Later(mTiming.retry, &keyed_follower::Relist);
-      return;
-    }
-    if (aAfter.empty()) {
-      mListEnd = aResult.end;
-    }
-    std::string last;
-    for (const log_entry& entry : aResult.entries) {
-      mSeen.insert(entry.record.key);
-      Apply(entry);
-      last = entry.record.key;
-    }
-    if (aResult.more && !last.empty()) {
-      List(last);
-      return;
-    }
-    if (mListEnd < mNext) {
-      // The store answered with a state older than what was read before.
-      Later(mTiming.retry, &keyed_follower::Relist);
-      return;
-    }
-    // Keys that are no longer there were dropped before the listing's end.
-    const auto offsets = mOffsets;
-    for (const auto& [key, offset] : offsets) {
-      if (!mSeen.contains(key) && offset < mListEnd) {
-        mOffsets.erase(key);
-        mObserver.OnRecord(key, nullptr, mListEnd);
+  mLog.Newest(
+    mWhere,
+    aAfter,
+    [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](newest_result aResult) {
+      if (alive.expired()) {
+        return;
       }
-    }
-    mNext = mListEnd;
-    mListed = true;
-    mObserver.OnCaughtUp();
-    Poll();
-  });
+      SetLost(!aResult.done);
+      if (!aResult.done) {
+        Later(mTiming.retry, &keyed_follower::Relist);
+        return;
+      }
+      if (aAfter.empty()) {
+        mListEnd = aResult.end;
+      }
+      std::string last;
+      for (const log_entry& entry : aResult.entries) {
+        mSeen.insert(entry.record.key);
+        Apply(entry);
+        last = entry.record.key;
+      }
+      if (aResult.more && !last.empty()) {
+        List(last);
+        return;
+      }
+      if (mListEnd < mNext) {
+        // The store answered with a state older than what was read before.
+        Later(mTiming.retry, &keyed_follower::Relist);
+        return;
+      }
+      // Keys that are no longer there were dropped before the listing's end.
+      const auto offsets = mOffsets;
+      for (const auto& [key, offset] : offsets) {
+        if (!mSeen.contains(key) && offset < mListEnd) {
+          mOffsets.erase(key);
+          mObserver.OnRecord(key, nullptr, mListEnd);
+        }
+      }
+      mNext = mListEnd;
+      mListed = true;
+      mObserver.OnCaughtUp();
+      Poll();
+    });
 }
 
 void
 keyed_follower::Poll()
 {
-  mLog.Read(mWhere, mNext, mTiming.poll.count(), [this, alive = std::weak_ptr<bool>(mAlive)](read_result aResult) {
-    if (alive.expired()) {
-      return;
-    }
-    SetLost(aResult.status == read_status::Failed);
-    if (aResult.status == read_status::Failed) {
-      Later(mTiming.retry, &keyed_follower::Poll);
-      return;
-    }
-    if (aResult.status == read_status::Truncated) {
-      Log(log_level::Warning,
-          "history_dropped",
-          { { "topic", mWhere.topic }, { "offset", std::to_string(mNext) } });
-      Relist();
-      return;
-    }
-    for (const log_entry& entry : aResult.entries) {
-      if (entry.offset >= mNext) {
-        Apply(entry);
-        mNext = entry.offset + 1;
+  mLog.Read(
+    mWhere,
+    mNext,
+    mTiming.poll.count(),
+    [this, alive = std::weak_ptr<bool>(mAlive)](read_result aResult) {
+      if (alive.expired()) {
+        return;
       }
-    }
-    if (mNext >= aResult.end) {
-      mObserver.OnCaughtUp();
-    }
-    if (!aResult.entries.empty() && mTiming.gather.count() > 0) {
-      Later(mTiming.gather, &keyed_follower::Poll);
-    } else {
-      Poll();
-    }
-  });
+      SetLost(aResult.status == read_status::Failed);
+      if (aResult.status == read_status::Failed) {
+        Later(mTiming.retry, &keyed_follower::Poll);
+        return;
+      }
+      if (aResult.status == read_status::Truncated) {
+        Log(log_level::Warning,
+            "history_dropped",
+            { { "topic", mWhere.topic }, { "offset", std::to_string(mNext) } });
+        Relist();
+        return;
+      }
+      for (const log_entry& entry : aResult.entries) {
+        if (entry.offset >= mNext) {
+          Apply(entry);
+          mNext = entry.offset + 1;
+        }
+      }
+      if (mNext >= aResult.end) {
+        mObserver.OnCaughtUp();
+      }
+      if (!aResult.entries.empty() && mTiming.gather.count() > 0) {
+        Later(mTiming.gather, &keyed_follower::Poll);
+      } else {
+        Poll();
+      }
+    });
 }
 
 void
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -170,8 +170,8 @@
 void
 sampler_pool::EndRun(const item_run& aRun, run_end aEnd)
 {
-  const auto run = std::find_if(
-    mRuns.begin(), mRuns.end(), [&](const auto& aEntry) {
+  const auto run =
+    std::find_if(mRuns.begin(), mRuns.end(), [&](const auto& aEntry) {
       return aEntry.get() == &aRun;
     });
   if (run == mRuns.end()) {
@@ -229,7 +229,8 @@
   if (!entry.eventMilliseconds || now - entry.paceSince >= kPaceKept) {
     entry.eventMilliseconds = interval;
   } else {
-    *entry.eventMilliseconds += kPaceShare * (interval - *entry.eventMilliseconds);
+    *entry.eventMilliseconds +=
+      kPaceShare * (interval - *entry.eventMilliseconds);
   }
   entry.paceSince = now;
 }
@@ -327,8 +328,7 @@
     AskReport(aId);
     return;
   }
-  const order_verdict verdict =
-    mParts.protocol.JudgeOrder(aResponse->status);
+  const order_verdict verdict = mParts.protocol.JudgeOrder(aResponse->status);
   const version_plan::order order = entry.order->order;
   if (verdict != order_verdict::Accepted) {
     Log(log_level::Info,
@@ -376,17 +376,16 @@
   exchange_options options;
   options.connect = kOrderTimeout;
   options.silence = kOrderTimeout;
-  mParts.client.Send(
-    found->second.entry.address,
-    mParts.protocol.MakeReportRequest(),
-    options,
-    std::make_shared<whole_response>(
-      [this, aId, alive = std::weak_ptr<bool>(mAlive)](
-        const http_response* aResponse, exchange_failure) {
-        if (!alive.expired()) {
-          OnReport(aId, aResponse);
-        }
-      }));
+  mParts.client.Send(found->second.entry.address,
+                     mParts.protocol.MakeReportRequest(),
+                     options,
+                     std::make_shared<whole_response>(
+                       [this, aId, alive = std::weak_ptr<bool>(mAlive)](
+                         const http_response* aResponse, exchange_failure) {
+                         if (!alive.expired()) {
+                           OnReport(aId, aResponse);
+                         }
+                       }));
 }
 
 void
@@ -410,7 +409,8 @@
   for (const auto& [model, version] : report->modelVersions) {
     entry.versions[model] = version;
   }
-  entry.ordersAccepted = std::max(entry.ordersAccepted.value_or(0), report->ordersAccepted);
+  entry.ordersAccepted =
+    std::max(entry.ordersAccepted.value_or(0), report->ordersAccepted);
   if (entry.order) {
     const version_plan::order& order = entry.order->order;
     if (entry.versions[order.model] >= order.version) {
--- a/src/node/version_plan.cpp
+++ b/src/node/version_plan.cpp
@@ -74,8 +74,7 @@
     return std::min_element(members.begin(),
                             members.end(),
                             [](const auto& aLeft, const auto& aRight) {
-                              return aLeft.second.size() <
-                                     aRight.second.size();
+                              return aLeft.second.size() < aRight.second.size();
                             });
   };
   // A new sampler goes to a small model, among these to the one whose weights
@@ -97,12 +96,12 @@
   }
   while (!members.empty()) {
     const auto small = smallest();
-    const auto large = std::max_element(
-      members.begin(),
-      members.end(),
-      [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.size() < aRight.second.size();
-      });
+    const auto large =
+      std::max_element(members.begin(),
+                       members.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.second.size() < aRight.second.size();
+                       });
     if (large->second.size() < small->second.size() + 2) {
       break;
     }
@@ -138,16 +137,18 @@
       due.push_back(&entry);
     }
   }
-  std::sort(due.begin(), due.end(), [this](const sampler* aLeft,
-                                           const sampler* aRight) {
-    const auto key = [this](const sampler* aEntry) {
-      const std::string model = Home(aEntry->id);
-      return std::make_tuple(aEntry->versions.at(model) - Named(model),
-                             aEntry->running,
-                             std::cref(aEntry->id));
-    };
-    return key(aLeft) < key(aRight);
-  });
+  std::sort(due.begin(),
+            due.end(),
+            [this](const sampler* aLeft, const sampler* aRight) {
+              const auto key = [this](const sampler* aEntry) {
+                const std::string model = Home(aEntry->id);
+                return std::make_tuple(aEntry->versions.at(model) -
+                                         Named(model),
+                                       aEntry->running,
+                                       std::cref(aEntry->id));
+              };
+              return key(aLeft) < key(aRight);
+            });
   const std::size_t most =
     std::max(kLeastLoads, aSamplers.size() / kSamplersPerLoad);
   std::vector<order> orders;
