Save progress of items, wait for silence only while the store is reachable

Cause: after an outage of the store every node took the holder's silence for its end and deposed it, and each change of leader began all items anew.

--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -83,7 +83,8 @@
   int failures = 0;     ///< Answers of the target that count as an attempt.
   int impossible = 0;   ///< Answers that it can never be done.
   bool carried = false; ///< Came back from an earlier batch.
-  time_point notBefore; ///< Pause after a failure.
+  std::size_t savedEvents = 0; ///< Events of the last save of its progress.
+  time_point notBefore;        ///< Pause after a failure.
 };
 
 /// One batch with its results.
@@ -152,6 +153,8 @@
     return mBatches;
   }
   void Erase(const std::string& aId);
+  /// Keeps progress for the time when its item comes again.
+  void Keep(const std::string& aItem, item_progress aProgress, time_point aNow);
   /// Drops kept progress that is older than the limit.
   void ExpireProgress(time_point aNow);
 
--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -20,6 +20,11 @@
 [[nodiscard]] std::optional<batch_result>
 DecodeResult(const std::string& aText);
 
+[[nodiscard]] std::string
+EncodeProgress(const item_progress& aProgress);
+[[nodiscard]] std::optional<item_progress>
+DecodeProgress(const std::string& aText);
+
 /// Keys of the journal.
 [[nodiscard]] std::string
 BatchKey(const std::string& aBatch, std::size_t aPart);
@@ -28,6 +33,8 @@
 [[nodiscard]] std::string
 EndKey(const std::string& aBatch);
 [[nodiscard]] std::string
+ProgressKey(const std::string& aBatch, std::size_t aItem);
+[[nodiscard]] std::string
 UsageKey(std::int64_t aWindow);
 
 /// What a journal holds, as read at the beginning of a term.
@@ -36,6 +43,8 @@
   std::vector<batch_request> batches;
   std::map<std::string, std::map<std::size_t, batch_result>> results;
   std::set<std::string> ended;
+  /// By batch and index of the item.
+  std::map<std::string, std::map<std::size_t, item_progress>> progress;
   std::map<std::int64_t, std::string> usage; ///< By window.
 };
 
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -81,6 +81,8 @@
   {
     mJournal.Append(std::move(aRecords), std::move(aDone));
   }
+  /// Stops the runs and saves what they have generated, for the next leader.
+  void HandOver(std::function<void()> aDone);
   void NameVersion(const std::string& aModel, std::int64_t aVersion);
   /// Notes changed targets.
   void OnTargetsChanged() { ScheduleSoon(); }
@@ -100,6 +102,8 @@
   void Tick();
   void Place();
   void MoveSlowRuns();
+  /// Saves the progress of items that have at least so many new events.
+  void SaveProgress(std::size_t aLeastEvents, std::function<void()> aDone);
   void GiveUpItems();
   void ExpireBatches();
   void WakeWaiters();
@@ -119,6 +123,9 @@
   sampler_pool mPool;
   std::function<void(std::map<std::int64_t, std::string>)> mOnReady;
   bool mReady = false;
+  bool mHandedOver = false;
+  bool mSavingProgress = false;
+  time_point mProgressSaved;
   std::vector<waiter> mWaiters;
   std::map<std::string, std::vector<std::function<void()>>> mAccepting;
   std::unique_ptr<timer> mSoon;
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -69,8 +69,15 @@
   [[nodiscard]] batch_leader* Leader() noexcept;
   /// @return Whether absence from the leader's state proves absence.
   [[nodiscard]] bool Certain() const;
-  /// @return The leader's address as last read, if it is another node.
-  [[nodiscard]] std::optional<socket_address> LeaderAddress() const;
+  /// @return The leader as last read, if it is another process.
+  [[nodiscard]] std::optional<role_record> OtherLeader() const;
+  /// Notes that a leader's process is known to have ended.
+  void LeaderEnded(const std::string& aHolder);
+  /// @return Name of this process: node and incarnation.
+  [[nodiscard]] const std::string& Instance() const noexcept
+  {
+    return mInstance;
+  }
   /// @return Whether routes and targets are known.
   [[nodiscard]] bool Serving() const noexcept
   {
@@ -88,6 +95,7 @@
   void WriteRole(role_record aRecord);
   void FollowLeadership();
   void Depose(const char* aReason);
+  void Release();
   void TickDuties();
 
   parts mParts;
--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -13,6 +13,7 @@
 /// Why an exchange ended without a complete response.
 enum class exchange_failure
 {
+  Refused,  ///< Nothing listens at the address: its process is gone.
   NotSent,  ///< No connection: the peer has received nothing.
   Broken,   ///< The connection ended or broke; the peer may have acted.
   Protocol, ///< The peer sent bytes that are no response.
@@ -24,6 +25,8 @@
 FailureName(exchange_failure aFailure) noexcept
 {
   switch (aFailure) {
+    case exchange_failure::Refused:
+      return "refused";
     case exchange_failure::NotSent:
       return "not_sent";
     case exchange_failure::Broken:
@@ -36,6 +39,14 @@
   return "timeout";
 }
 
+/// @return Whether the peer has received nothing of the request.
+[[nodiscard]] constexpr bool
+NothingSent(exchange_failure aFailure) noexcept
+{
+  return aFailure == exchange_failure::Refused ||
+         aFailure == exchange_failure::NotSent;
+}
+
 /// Receives one response as it arrives. Nothing follows `OnEnd` or
 /// `OnFailure`.
 class response_sink
--- a/include/arbutusferry/node/keyed_follower.hpp
+++ b/include/arbutusferry/node/keyed_follower.hpp
@@ -19,6 +19,8 @@
                         std::uint64_t aOffset) = 0;
   /// All records up to the end that the store named have been passed on.
   virtual void OnCaughtUp() = 0;
+  /// The partition can be read again after calls had failed.
+  virtual void OnRegained() {}
 };
 
 /// Follows one keyed partition: reads the newest records once, then everything
--- a/include/arbutusferry/node/role_claim.hpp
+++ b/include/arbutusferry/node/role_claim.hpp
@@ -35,9 +35,11 @@
   struct timing
   {
     /// Interval of renewals.
-    std::chrono::milliseconds renew{ 500 };
-    /// Silence of the holder after which others claim the role.
-    std::chrono::milliseconds silence{ 2'000 };
+    std::chrono::milliseconds renew{ 250 };
+    /// Shortest silence of the holder after which others claim the role.
+    std::chrono::milliseconds silence{ 900 };
+    /// Longest one, where renewals come slowly.
+    std::chrono::milliseconds longestSilence{ 3'000 };
     /// Age of the last renewal up to which the holder may act; without a
     /// value, targets and platform check fences themselves.
     std::optional<std::chrono::milliseconds> mayActFor;
@@ -53,6 +55,15 @@
   void Observe(std::uint64_t aOffset,
                const role_record& aRecord,
                time_point aNow);
+  /// Notes that the topic can be read again after a failure: the holder's
+  /// silence counts from here, since it could not renew either.
+  void Regained(time_point aNow);
+  /// Notes that the process of a holder is known to have ended.
+  /// @param aHolder Its name; others are left alone.
+  void HolderEnded(const std::string& aHolder, time_point aNow);
+  /// @return The silence after which the present holder is replaced: several
+  /// of the longest interval that was seen between its renewals.
+  [[nodiscard]] duration Silence() const;
   /// @return Whether to append a claim or renewal now.
   [[nodiscard]] bool ShouldWrite(time_point aNow) const;
   /// @return The record to append on condition that the topic ends at `aEnd`.
@@ -84,6 +95,8 @@
   bool mLeads = false;
   std::uint64_t mFence = 0;
   std::uint64_t mHighestFence = 0;
+  /// Longest interval between renewals, which fades with each shorter one.
+  duration mInterval{};
   time_point mLastHeard; ///< Last record of the holder.
   time_point mLastSent;  ///< Last own append.
   time_point mConfirmed; ///< Sending time of the last confirmed append.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -221,7 +221,9 @@
         return;
       }
       if (aError) {
-        self->Fail(exchange_failure::NotSent);
+        self->Fail(aError == asio::error::connection_refused
+                     ? exchange_failure::Refused
+                     : exchange_failure::NotSent);
         return;
       }
       net_error ignored;
--- a/src/node/batch_book.cpp
+++ b/src/node/batch_book.cpp
@@ -130,13 +130,20 @@
   for (std::size_t index = 0; index < aBatch.Items().size(); ++index) {
     open_item& item = aBatch.Items()[index];
     if (item.phase != item_phase::Listed) {
-      mKept[aBatch.Request().items[index].id] = { std::move(item.progress),
-                                                  aNow };
+      Keep(aBatch.Request().items[index].id, std::move(item.progress), aNow);
     }
   }
   aBatch.End();
 }
 
+void
+batch_book::Keep(const std::string& aItem,
+                 item_progress aProgress,
+                 time_point aNow)
+{
+  mKept[aItem] = { std::move(aProgress), aNow };
+}
+
 void
 batch_book::Erase(const std::string& aId)
 {
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -116,18 +116,22 @@
   Json::Value value(Json::objectValue);
   value["item"] = Json::UInt64(aResult.item);
   value["errored"] = aResult.state == result_state::Errored;
-  value["text"] = aResult.text;
   Json::Value& versions = value["versions"] = Json::Value(Json::arrayValue);
   for (const std::int64_t version : aResult.versions) {
     versions.append(Json::Int64(version));
   }
-  return WriteJson(value);
+  // The text follows as it is: most of the journal is text.
+  return WriteJson(value) + '\n' + aResult.text;
 }
 
 std::optional<batch_result>
 DecodeResult(const std::string& aText)
 {
-  const auto value = ParseObject(aText, "result");
+  const auto end = aText.find('\n');
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto value = ParseObject(aText.substr(0, end), "result");
   if (!value) {
     return std::nullopt;
   }
@@ -135,13 +139,43 @@
   result.item = (*value)["item"].asUInt64();
   result.state = (*value)["errored"].asBool() ? result_state::Errored
                                               : result_state::Completed;
-  result.text = (*value)["text"].asString();
+  result.text = aText.substr(end + 1);
   for (const Json::Value& version : (*value)["versions"]) {
     result.versions.push_back(version.asInt64());
   }
   return result;
 }
 
+std::string
+EncodeProgress(const item_progress& aProgress)
+{
+  Json::Value value(Json::objectValue);
+  Json::Value& events = value["events"] = Json::Value(Json::arrayValue);
+  Json::Value& versions = value["versions"] = Json::Value(Json::arrayValue);
+  for (std::size_t index = 0; index < aProgress.events.size(); ++index) {
+    events.append(aProgress.events[index]);
+    versions.append(Json::Int64(aProgress.versions[index]));
+  }
+  return WriteJson(value);
+}
+
+std::optional<item_progress>
+DecodeProgress(const std::string& aText)
+{
+  const auto value = ParseObject(aText, "progress");
+  if (!value || (*value)["events"].size() != (*value)["versions"].size()) {
+    return std::nullopt;
+  }
+  item_progress progress;
+  for (const Json::Value& event : (*value)["events"]) {
+    progress.events.push_back(event.asString());
+  }
+  for (const Json::Value& version : (*value)["versions"]) {
+    progress.versions.push_back(version.asInt64());
+  }
+  return progress;
+}
+
 std::string
 BatchKey(const std::string& aBatch, std::size_t aPart)
 {
@@ -154,6 +188,12 @@
   return "r/" + Numbered(aPosition) + "/" + aBatch;
 }
 
+std::string
+ProgressKey(const std::string& aBatch, std::size_t aItem)
+{
+  return "p/" + Numbered(aItem) + "/" + aBatch;
+}
+
 std::string
 EndKey(const std::string& aBatch)
 {
@@ -189,6 +229,10 @@
     const auto index = static_cast<std::size_t>(*number);
     if (key.starts_with("b/")) {
       mParts[id][index] = value;
+    } else if (key.starts_with("p/")) {
+      if (auto progress = DecodeProgress(value)) {
+        mContents.progress[id][index] = std::move(*progress);
+      }
     } else if (auto result = DecodeResult(value)) {
       mContents.results[id][index] = std::move(*result);
     }
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -20,6 +20,11 @@
 /// Runs that are moved to another sampler in one tick.
 constexpr std::size_t kMovesPerTick = 8;
 
+/// Interval at which progress is saved, and how many events of an item make a
+/// save worth its bytes: what a new leader would have to generate again.
+constexpr milliseconds kSaveInterval{ 300 };
+constexpr std::size_t kSaveEvents = 8;
+
 const log_partition kBatchPartition{ "af.batches", 0, true };
 
 } // namespace
@@ -78,6 +83,21 @@
       added.List(std::move(result));
       ++results;
     }
+    for (auto& [index, progress] : aContents.progress[id]) {
+      if (index >= added.Items().size() ||
+          added.Items()[index].phase == item_phase::Listed) {
+        continue;
+      }
+      open_item& item = added.Items()[index];
+      if (added.Ended()) {
+        mBook.Keep(added.Request().items[index].id,
+                   std::move(progress),
+                   mParts.loop.Now());
+      } else if (progress.events.size() > item.progress.events.size()) {
+        item.savedEvents = progress.events.size();
+        item.progress = std::move(progress);
+      }
+    }
   }
   Log(log_level::Info,
       "journal_read",
@@ -212,10 +232,19 @@
         { "ms",
           std::to_string(mParts.loop.UnixMilliseconds() -
                          aBatch.Request().submittedUnixMs) } });
+  std::vector<log_record> records{ { EndKey(id), "1" } };
+  for (std::size_t index = 0; index < aBatch.Items().size(); ++index) {
+    const open_item& item = aBatch.Items()[index];
+    if (item.phase != item_phase::Listed &&
+        item.progress.events.size() > item.savedEvents) {
+      records.push_back(
+        { ProgressKey(id, index), EncodeProgress(item.progress) });
+    }
+  }
   mBook.End(aBatch, mParts.loop.Now());
   WakeWaiters();
   ScheduleSoon();
-  mJournal.Append({ { EndKey(id), "1" } }, std::move(aDone));
+  mJournal.Append(std::move(records), std::move(aDone));
 }
 
 void
@@ -271,6 +300,9 @@
 void
 batch_leader::Place()
 {
+  if (mHandedOver) {
+    return;
+  }
   const environment_view& environment = mParts.environment.Environment();
   std::set<std::string> services;
   for (const service_entry& service : environment.Services()) {
@@ -431,8 +463,12 @@
   }
   const std::string id = aBatch.Request().id;
   const std::size_t position = aBatch.assignedPositions++;
-  std::string encoded = EncodeResult(result);
-  mJournal.Append({ { ResultKey(id, position), std::move(encoded) } },
+  std::vector<log_record> records{ { ResultKey(id, position),
+                                     EncodeResult(result) } };
+  if (item.savedEvents > 0) {
+    records.push_back({ ProgressKey(id, aIndex), {} });
+  }
+  mJournal.Append(std::move(records),
                   [this, id, saved = std::move(result)]() mutable {
                     if (batch* owner = mBook.Find(id)) {
                       owner->List(std::move(saved));
@@ -484,6 +520,48 @@
   }
 }
 
+void
+batch_leader::SaveProgress(std::size_t aLeastEvents,
+                           std::function<void()> aDone)
+{
+  std::vector<log_record> records;
+  for (const auto& [id, entry] : mBook.All()) {
+    if (entry->Closed()) {
+      continue;
+    }
+    for (std::size_t index = 0; index < entry->Items().size(); ++index) {
+      open_item& item = entry->Items()[index];
+      const bool open =
+        item.phase == item_phase::Running || item.phase == item_phase::Waiting;
+      if (open &&
+          item.progress.events.size() >= item.savedEvents + aLeastEvents) {
+        item.savedEvents = item.progress.events.size();
+        records.push_back(
+          { ProgressKey(id, index), EncodeProgress(item.progress) });
+      }
+    }
+  }
+  if (records.empty()) {
+    aDone();
+    return;
+  }
+  mJournal.Append(std::move(records), std::move(aDone));
+}
+
+void
+batch_leader::HandOver(std::function<void()> aDone)
+{
+  mHandedOver = true;
+  const auto runs = mPool.Runs();
+  for (const auto& run : runs) {
+    if (batch* owner = mBook.Find(run->Batch())) {
+      owner->Items()[run->Index()].phase = item_phase::Waiting;
+    }
+    mPool.CancelRun(run);
+  }
+  SaveProgress(1, std::move(aDone));
+}
+
 void
 batch_leader::GiveUpItems()
 {
@@ -527,6 +605,11 @@
     for (std::size_t at = 0; at < entry->Results().size(); ++at) {
       dropped.push_back({ ResultKey(id, at), {} });
     }
+    for (std::size_t index = 0; index < entry->Items().size(); ++index) {
+      if (entry->Items()[index].phase != item_phase::Listed) {
+        dropped.push_back({ ProgressKey(id, index), {} });
+      }
+    }
   }
   for (const std::string& id : gone) {
     mBook.Erase(id);
@@ -541,8 +624,17 @@
 batch_leader::Tick()
 {
   WakeWaiters();
+  if (mHandedOver) {
+    return;
+  }
   MoveSlowRuns();
   Place();
+  const time_point now = mParts.loop.Now();
+  if (!mSavingProgress && now - mProgressSaved >= kSaveInterval) {
+    mProgressSaved = now;
+    mSavingProgress = true;
+    SaveProgress(kSaveEvents, [this] { mSavingProgress = false; });
+  }
   std::set<std::string> models;
   std::set<std::string> single;
   const environment_view& environment = mParts.environment.Environment();
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -223,7 +223,7 @@
     call->Write("stream_broken", mTarget);
     return;
   }
-  call->OnAttemptFailed(*this, aFailure != exchange_failure::NotSent);
+  call->OnAttemptFailed(*this, !NothingSent(aFailure));
 }
 
 void
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -16,12 +16,14 @@
 /// How often counts are saved, duties looked at and old targets forgotten.
 constexpr milliseconds kSlowTick{ 500 };
 /// Largest delay of a claim: nodes with little of a core wait longest.
-constexpr double kRankMilliseconds = 300.0;
+constexpr double kRankMilliseconds = 120.0;
 /// Margin of a lease for differences between clocks.
 constexpr milliseconds kLeaseMargin{ 500 };
 
 const log_partition kRolePartition{ "af.leader", 0, true };
 const log_partition kUsagePartition{ "af.usage", 0, true };
+/// Longest wait of a stopping leader for its last save.
+constexpr milliseconds kHandOver{ 500 };
 /// The only key of the leadership topic.
 constexpr const char* kRoleKey = "leader";
 
@@ -31,6 +33,7 @@
   role_claim::timing timing;
   if (!aSettings.fencesChecked) {
     timing.silence = aSettings.lease + kLeaseMargin;
+    timing.longestSilence = timing.silence;
     timing.mayActFor = aSettings.lease - kLeaseMargin;
   }
   timing.stayAway = aSettings.lease + milliseconds(1'000);
@@ -88,6 +91,7 @@
     }
     mNode.StepRole();
   }
+  void OnRegained() override { mNode.mClaim.Regained(mNode.mParts.loop.Now()); }
 
 private:
   ferry_node& mNode;
@@ -231,14 +235,19 @@
   return mClaim.Certain(mParts.loop.Now());
 }
 
-std::optional<socket_address>
-ferry_node::LeaderAddress() const
+std::optional<role_record>
+ferry_node::OtherLeader() const
 {
   const auto& holder = mClaim.Holder();
-  if (!holder || holder->holder == mInstance) {
-    return std::nullopt;
+  return holder && holder->holder != mInstance ? holder : std::nullopt;
+}
+
+void
+ferry_node::LeaderEnded(const std::string& aHolder)
+{
+  if (mSettings.fencesChecked) {
+    mClaim.HolderEnded(aHolder, mParts.loop.Now());
   }
-  return holder->address;
 }
 
 void
@@ -300,6 +309,7 @@
 {
   FollowLeadership();
   if (mResigned || mWritingRole || !mRoleFollower->Listed() ||
+      (mRoleFollower->Lost() && !mClaim.Leads()) ||
       !mClaim.ShouldWrite(mParts.loop.Now())) {
     return;
   }
@@ -395,13 +405,30 @@
     return;
   }
   mResigned = true;
-  if (mClaim.Leads()) {
-    role_record record = mClaim.NextRecord(mRoleFollower->Next());
-    record.released = true;
-    mClaim.Superseded(mParts.loop.Now());
-    Depose("resigned");
-    WriteRole(std::move(record));
+  if (batch_leader* leader = Leader()) {
+    // What was generated so far is handed on through the journal.
+    leader->HandOver([this] { Release(); });
+    mRelease = mParts.loop.After(kHandOver, [this] { Release(); });
+  } else if (mClaim.Leads()) {
+    Release();
+  }
+}
+
+void
+ferry_node::Release()
+{
+  mRelease.reset();
+  if (!mClaim.Leads()) {
+    return;
   }
+  role_record record = mClaim.NextRecord(mRoleFollower->Next());
+  record.released = true;
+  mClaim.Superseded(mParts.loop.Now());
+  mDeposing = mParts.loop.After(duration::zero(), [this] {
+    mDeposing.reset();
+    Depose("resigned");
+  });
+  WriteRole(std::move(record));
 }
 
 void
--- a/src/node/keyed_follower.cpp
+++ b/src/node/keyed_follower.cpp
@@ -48,6 +48,9 @@
     Log(aLost ? log_level::Warning : log_level::Info,
         aLost ? "store_lost" : "store_regained",
         { { "topic", mWhere.topic }, { "offset", std::to_string(mNext) } });
+    if (!aLost) {
+      mObserver.OnRegained();
+    }
   }
 }
 
--- a/src/node/role_claim.cpp
+++ b/src/node/role_claim.cpp
@@ -6,6 +6,13 @@
 
 namespace arbutusferry::node {
 
+namespace {
+
+/// Intervals between renewals that the holder may be silent.
+constexpr int kIntervals = 3;
+
+} // namespace
+
 std::string
 EncodeRole(const role_record& aRecord)
 {
@@ -63,10 +70,16 @@
     mHolder.reset();
     mLeads = false;
     // Nobody is left to wait for.
-    mLastHeard = aNow - mTiming.silence;
+    mLastHeard = aNow - mTiming.longestSilence;
     return;
   }
   const bool sameTerm = mHolder && mHolder->fence == aRecord.fence;
+  if (sameTerm) {
+    const duration interval = aNow - mLastHeard;
+    mInterval = std::max(interval, mInterval * 3 / 4);
+  } else {
+    mInterval = {};
+  }
   mHolder = aRecord;
   mLastHeard = aNow;
   if (own && aNow >= mAwayUntil) {
@@ -80,6 +93,29 @@
   }
 }
 
+void
+role_claim::Regained(time_point aNow)
+{
+  if (mHolder) {
+    mLastHeard = aNow;
+  }
+}
+
+void
+role_claim::HolderEnded(const std::string& aHolder, time_point aNow)
+{
+  if (mHolder && mHolder->holder == aHolder && !mLeads) {
+    mLastHeard = aNow - mTiming.longestSilence;
+  }
+}
+
+duration
+role_claim::Silence() const
+{
+  return std::clamp<duration>(
+    kIntervals * mInterval, mTiming.silence, mTiming.longestSilence);
+}
+
 bool
 role_claim::ShouldWrite(time_point aNow) const
 {
@@ -87,7 +123,7 @@
     return aNow - mLastSent >= mTiming.renew;
   }
   return aNow >= mAwayUntil && aNow - mLastSent >= mTiming.renew &&
-         aNow - mLastHeard >= mTiming.silence + mTiming.rank;
+         aNow - mLastHeard >= Silence() + mTiming.rank;
 }
 
 role_record
