Learn of leadership from the own append; read at once after a lost claim

Cause: a read that waits at the store may miss an append that is in progress when it arrives, and returns a second later. A new leader did not know that it led, did not renew, and was replaced after 1 s, up to three times in a row.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/metrics.hpp"
 #include "arbutusferry/node/batch_book.hpp"
 #include "arbutusferry/node/batch_journal.hpp"
 #include "arbutusferry/node/environment_view.hpp"
@@ -42,6 +43,7 @@
     target_view& targets;
     const target_protocol& protocol;
     const environment_source& environment;
+    metrics_registry& metrics;
     std::string holder;
     /// How long an ended batch can be read after its submission.
     std::chrono::milliseconds readableFor{ 120'000 };
--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/metrics.hpp"
 #include "arbutusferry/node/environment_view.hpp"
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
@@ -61,6 +62,7 @@
     const target_protocol& protocol;
     const caller_protocol& callers;
     run_counter& runs;
+    metrics_registry& metrics;
     std::string zone;
   };
 
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -73,6 +73,8 @@
   [[nodiscard]] std::optional<role_record> OtherLeader() const;
   /// Notes that a leader's process is known to have ended.
   void LeaderEnded(const std::string& aHolder);
+  /// @return The metrics of this process.
+  [[nodiscard]] metrics_registry& Metrics() noexcept { return mMetrics; }
   /// @return Name of this process: node and incarnation.
   [[nodiscard]] const std::string& Instance() const noexcept
   {
@@ -101,6 +103,7 @@
   parts mParts;
   node_settings mSettings;
   std::string mInstance; ///< Node and incarnation.
+  metrics_registry mMetrics;
   environment_view mEnvironment;
   target_view mTargets;
   std::map<std::string, std::int64_t> mNamedVersions;
--- a/include/arbutusferry/node/keyed_follower.hpp
+++ b/include/arbutusferry/node/keyed_follower.hpp
@@ -48,6 +48,8 @@
 
   /// Starts to follow.
   void Start();
+  /// Reads at once what is there, beside the read that waits.
+  void ReadNow();
   /// @return The offset up to which everything was read.
   [[nodiscard]] std::uint64_t Next() const noexcept { return mNext; }
   /// @return Whether the newest records have been read once.
@@ -62,6 +64,7 @@
   void Poll();
   void Later(duration aDelay, void (keyed_follower::*aStep)());
   void Relist();
+  void Take(const read_result& aResult);
   void Apply(const log_entry& aEntry);
   void SetLost(bool aLost);
 
--- a/include/arbutusferry/node/role_claim.hpp
+++ b/include/arbutusferry/node/role_claim.hpp
@@ -51,7 +51,7 @@
 
   role_claim(role_record aSelf, timing aTiming, time_point aNow);
 
-  /// Takes a record of the topic into account.
+  /// Takes a record of the topic into account; repeats change nothing.
   void Observe(std::uint64_t aOffset,
                const role_record& aRecord,
                time_point aNow);
@@ -64,6 +64,11 @@
   /// @return The silence after which the present holder is replaced: several
   /// of the longest interval that was seen between its renewals.
   [[nodiscard]] duration Silence() const;
+  /// @return How long the holder has been silent.
+  [[nodiscard]] duration Silent(time_point aNow) const
+  {
+    return aNow - mLastHeard;
+  }
   /// @return Whether to append a claim or renewal now.
   [[nodiscard]] bool ShouldWrite(time_point aNow) const;
   /// @return The record to append on condition that the topic ends at `aEnd`.
@@ -95,6 +100,7 @@
   bool mLeads = false;
   std::uint64_t mFence = 0;
   std::uint64_t mHighestFence = 0;
+  std::optional<std::uint64_t> mLastOffset; ///< Of the last record observed.
   /// Longest interval between renewals, which fades with each shorter one.
   duration mInterval{};
   time_point mLastHeard; ///< Last record of the holder.
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -222,7 +222,13 @@
       mPool.CancelRun(run);
     }
   }
-  std::size_t unlisted = aBatch.Items().size() - aBatch.Results().size();
+  const std::size_t unlisted = aBatch.Items().size() - aBatch.Results().size();
+  mParts.metrics.Observe("ferry_step_seconds",
+                         { { "model", aBatch.Request().model },
+                           { "tenant", aBatch.Request().tenant } },
+                         static_cast<double>(mParts.loop.UnixMilliseconds() -
+                                             aBatch.Request().submittedUnixMs) /
+                           1000.0);
   Log(log_level::Info,
       "batch_ended",
       { { "batch", id },
@@ -403,6 +409,8 @@
 {
   mPool.EndRun(aRun, aEnd);
   ScheduleSoon();
+  mParts.metrics.Count("ferry_item_runs_total",
+                       { { "outcome", std::string(RunEndName(aEnd)) } });
   batch* owner = mBook.Find(aRun.Batch());
   if (!owner || owner->Ended()) {
     return;
@@ -654,6 +662,10 @@
   }
   GiveUpItems();
   ExpireBatches();
+  mParts.metrics.SetGauge(
+    "ferry_runs", {}, static_cast<double>(mPool.Runs().size()));
+  mParts.metrics.SetGauge(
+    "ferry_journal_waiting", {}, static_cast<double>(mJournal.Waiting()));
 }
 
 } // namespace arbutusferry::node
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -477,16 +477,21 @@
   mTimeUp.reset();
   mNext.reset();
   mHedge.reset();
-  Log(
-    log_level::Info,
-    "request_ended",
-    { { "request", mCall.id },
-      { "route", mCall.route.name },
-      { "tenant", mCall.tenant },
-      { "outcome", aOutcome },
-      { "target", aTarget },
-      { "attempts", std::to_string(mTried.size()) },
-      { "ms", std::to_string(ToMilliseconds(mParts.loop.Now() - mStarted)) } });
+  const duration taken = mParts.loop.Now() - mStarted;
+  mParts.metrics.Count("ferry_requests_total",
+                       { { "tenant", mCall.tenant }, { "outcome", aOutcome } });
+  mParts.metrics.Observe("ferry_request_seconds",
+                         { { "tenant", mCall.tenant } },
+                         std::chrono::duration<double>(taken).count());
+  Log(log_level::Info,
+      "request_ended",
+      { { "request", mCall.id },
+        { "route", mCall.route.name },
+        { "tenant", mCall.tenant },
+        { "outcome", aOutcome },
+        { "target", aTarget },
+        { "attempts", std::to_string(mTried.size()) },
+        { "ms", std::to_string(ToMilliseconds(taken)) } });
 }
 
 } // namespace
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -22,6 +22,9 @@
 
 const log_partition kRolePartition{ "af.leader", 0, true };
 const log_partition kUsagePartition{ "af.usage", 0, true };
+/// Longest wait of a read of the leadership topic: shorter than the silence
+/// after which a holder is replaced, since a wait may miss a record.
+constexpr milliseconds kRolePoll{ 300 };
 /// Longest wait of a stopping leader for its last save.
 constexpr milliseconds kHandOver{ 500 };
 /// The only key of the leadership topic.
@@ -137,14 +140,16 @@
                  mParts.protocol,
                  mParts.callers,
                  *this,
+                 mMetrics,
                  mSettings.zone })
   , mMeter(mSettings.usageWindow.count())
   , mRoleObserver(std::make_unique<role_observer>(*this))
-  , mRoleFollower(std::make_unique<keyed_follower>(mParts.loop,
-                                                   mParts.log,
-                                                   kRolePartition,
-                                                   keyed_follower::timing{},
-                                                   *mRoleObserver))
+  , mRoleFollower(
+      std::make_unique<keyed_follower>(mParts.loop,
+                                       mParts.log,
+                                       kRolePartition,
+                                       keyed_follower::timing{ kRolePoll },
+                                       *mRoleObserver))
   , mClaim({ mInstance,
              mSettings.vm,
              mSettings.peerAddress,
@@ -167,6 +172,12 @@
   mSlowTicker = std::make_unique<periodic>(mParts.loop, kSlowTick, [this] {
     SaveUsage();
     mTargets.Expire(mParts.loop.Now());
+    mMetrics.SetGauge("ferry_leads", {}, Leader() ? 1.0 : 0.0);
+    mMetrics.SetGauge(
+      "ferry_targets", {}, static_cast<double>(mTargets.All().size()));
+    mMetrics.SetGauge("ferry_environment_version",
+                      {},
+                      static_cast<double>(mEnvironment.Version()));
     TickDuties();
   });
 }
@@ -286,13 +297,38 @@
   request.expectedEnd = mRoleFollower->Next();
   request.records.push_back({ kRoleKey, EncodeRole(aRecord) });
   const time_point sentAt = mParts.loop.Now();
+  if (!mClaim.Leads() || aRecord.released) {
+    Log(
+      log_level::Info,
+      aRecord.released ? "leader_release" : "leader_claim",
+      { { "fence", std::to_string(aRecord.fence) },
+        { "at", std::to_string(*request.expectedEnd) },
+        { "silent_ms", std::to_string(ToMilliseconds(mClaim.Silent(sentAt))) },
+        { "holder",
+          mClaim.Holder() ? mClaim.Holder()->holder : std::string() } });
+  }
   mClaim.Sent(sentAt);
   mParts.log.Append(
     std::move(request),
     [this, aRecord = std::move(aRecord), sentAt](const append_result& aResult) {
       mWritingRole = false;
-      if (aResult.status == append_status::Done && !aRecord.released) {
-        mClaim.Confirmed(sentAt);
+      if (aResult.status != append_status::Done) {
+        Log(log_level::Info,
+            "leader_record_not_written",
+            { { "status", std::to_string(static_cast<int>(aResult.status)) },
+              { "end", std::to_string(aResult.end) },
+              { "fence", std::to_string(aRecord.fence) } });
+      }
+      const time_point now = mParts.loop.Now();
+      if (aResult.status == append_status::Done) {
+        // A read that waits may miss an append that was in progress when it
+        // arrived, so the own record is not left to the topic.
+        mClaim.Observe(aResult.offset, aRecord, now);
+        if (!aRecord.released) {
+          mClaim.Confirmed(sentAt);
+        }
+      } else if (aResult.status == append_status::WrongEnd) {
+        mRoleFollower->ReadNow();
       }
       if (aResult.status != append_status::Done && aRecord.released &&
           mClaim.Holder() && mClaim.Holder()->holder == mInstance) {
@@ -346,6 +382,7 @@
                                                         mTargets,
                                                         mParts.protocol,
                                                         *this,
+                                                        mMetrics,
                                                         mInstance,
                                                         mSettings.batchReadable,
                                                         superseded,
--- a/src/node/keyed_follower.cpp
+++ b/src/node/keyed_follower.cpp
@@ -127,15 +127,7 @@
         Relist();
         return;
       }
-      for (const log_entry& entry : aResult.entries) {
-        if (entry.offset >= mNext) {
-          Apply(entry);
-          mNext = entry.offset + 1;
-        }
-      }
-      if (mNext >= aResult.end) {
-        mObserver.OnCaughtUp();
-      }
+      Take(aResult);
       if (!aResult.entries.empty() && mTiming.gather.count() > 0) {
         Later(mTiming.gather, &keyed_follower::Poll);
       } else {
@@ -144,6 +136,37 @@
     });
 }
 
+void
+keyed_follower::Take(const read_result& aResult)
+{
+  for (const log_entry& entry : aResult.entries) {
+    if (entry.offset >= mNext) {
+      Apply(entry);
+      mNext = entry.offset + 1;
+    }
+  }
+  if (mNext >= aResult.end) {
+    mObserver.OnCaughtUp();
+  }
+}
+
+void
+keyed_follower::ReadNow()
+{
+  if (!mListed) {
+    return;
+  }
+  mLog.Read(
+    mWhere,
+    mNext,
+    0,
+    [this, alive = std::weak_ptr<bool>(mAlive)](const read_result& aResult) {
+      if (!alive.expired() && aResult.status == read_status::Done) {
+        Take(aResult);
+      }
+    });
+}
+
 void
 keyed_follower::Apply(const log_entry& aEntry)
 {
--- a/src/node/role_claim.cpp
+++ b/src/node/role_claim.cpp
@@ -64,6 +64,10 @@
                     const role_record& aRecord,
                     time_point aNow)
 {
+  if (mLastOffset && aOffset <= *mLastOffset) {
+    return;
+  }
+  mLastOffset = aOffset;
   mHighestFence = std::max({ mHighestFence, aRecord.fence, aOffset });
   const bool own = aRecord.holder == mSelf.holder;
   if (aRecord.released) {
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -168,6 +168,8 @@
   bool loseAnswers = false;
   /// Appends are unanswered and carried out after this time.
   duration late{};
+  /// Reads that wait see what was appended only at the end of their wait.
+  bool deafWaits = false;
   duration latency = std::chrono::milliseconds(4);
   std::size_t appends = 0;
 
@@ -210,6 +212,12 @@
         aDone(result);
         return;
       }
+      if (deafWaits && aWaitMilliseconds > 0) {
+        mLoop.Post(
+          std::chrono::milliseconds(aWaitMilliseconds),
+          [this, aWhere, aFrom, aDone] { Read(aWhere, aFrom, 0, aDone); });
+        return;
+      }
       if (aFrom >= source.records.size() && aWaitMilliseconds > 0) {
         Read(aWhere, aFrom, aWaitMilliseconds - ToMilliseconds(latency), aDone);
         return;
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -158,6 +158,7 @@
                            targets,
                            protocol,
                            *this,
+                           metrics,
                            "vm",
                            milliseconds(120'000),
                            [this] { ++superseded; },
@@ -196,6 +197,7 @@
   target_view targets;
   platform::target_wire protocol;
   environment_view environment;
+  metrics_registry metrics;
   int superseded = 0;
 };
 
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -61,9 +61,10 @@
   platform::target_wire protocol;
   platform::caller_wire callers;
   run_counts runs;
+  metrics_registry metrics;
   int calls = 0;
   call_forwarder forwarder{
-    { loop, client, targets, protocol, callers, runs, "home" }
+    { loop, client, targets, protocol, callers, runs, metrics, "home" }
   };
 };
 
--- a/tests/unit/keyed_follower_test.cpp
+++ b/tests/unit/keyed_follower_test.cpp
@@ -91,6 +91,26 @@
         std::map<std::string, std::string>{ { "a", "2" }, { "c", "1" } });
 }
 
+// Guards against a second of delay where a read that waits misses an append
+// that was in progress when it arrived.
+TEST_CASE("a read at once finds what the waiting read has missed")
+{
+  followed test;
+  test.Put("a", "1");
+  test.follower.Start();
+  test.loop.Advance(milliseconds(50));
+  test.log.deafWaits = true;
+  test.loop.Advance(milliseconds(1'000));
+  test.Put("a", "2");
+  test.loop.Advance(milliseconds(100));
+  REQUIRE(test.seen.values["a"] == "1");
+  test.follower.ReadNow();
+  test.loop.Advance(milliseconds(10));
+  CHECK(test.seen.values["a"] == "2");
+  test.loop.Advance(milliseconds(2'000));
+  CHECK(test.seen.history == std::vector<std::string>{ "a=1", "a=2" });
+}
+
 // Guards against a configuration or target list that goes back to an older
 // state when the store answers with one.
 TEST_CASE("records never go back")
--- a/tests/unit/role_claim_test.cpp
+++ b/tests/unit/role_claim_test.cpp
@@ -81,6 +81,16 @@
   CHECK(claim.ShouldWrite(last + milliseconds(1'900)));
 }
 
+// Guards against a holder's own record, known from its append, that is counted
+// a second time when it is read.
+TEST_CASE("a record that is observed twice changes nothing")
+{
+  role_claim claim = Claim("b");
+  claim.Observe(4, Record("a", 5), kStart);
+  claim.Observe(4, Record("a", 5), kStart + milliseconds(800));
+  CHECK(claim.ShouldWrite(kStart + milliseconds(950)));
+}
+
 TEST_CASE("a released role, or one whose process ended, is claimed at once")
 {
   role_claim claim = Claim("b");
