Keep texts of results apart, so that a takeover doesn't read them

Texts have keys of their own that sort last and are read when asked for; ended batches keep only the names of their items; texts of ended batches leave memory after 5 s; weak VMs claim the leadership later. Ruled out: the claim (0.9 s as before) and the store (4 ms an answer).

--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -52,6 +52,8 @@
 {
   std::size_t item = 0; ///< Index into the batch's items.
   result_state state = result_state::Completed;
+  /// False while the text is only in the journal.
+  bool loaded = true;
   std::string text;
   std::vector<std::int64_t> versions;
 };
@@ -125,6 +127,13 @@
   {
     return mCompleteGroups;
   }
+  /// Sets the text of a result that was read from the journal.
+  void SetText(std::size_t aPosition, std::string aText);
+  /// Frees the texts of all results; the journal has them.
+  void ForgetTexts();
+  /// Records that hold the request in the journal.
+  std::size_t journalParts = 1;
+  time_point endedAt;
   /// Positions handed to the journal, listed or on their way.
   std::size_t assignedPositions = 0;
 
--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -11,10 +11,12 @@
 namespace arbutusferry::node {
 
 /// Bytes of a journal value and back.
+/// @param aWithItems Whether the items' requests are kept, or only their names.
 [[nodiscard]] std::string
-EncodeBatch(const batch_request& aBatch);
+EncodeBatch(const batch_request& aBatch, bool aWithItems = true);
 [[nodiscard]] std::optional<batch_request>
 DecodeBatch(const std::string& aText);
+/// A result without its text, which has a record of its own.
 [[nodiscard]] std::string
 EncodeResult(const batch_result& aResult);
 [[nodiscard]] std::optional<batch_result>
@@ -25,12 +27,15 @@
 [[nodiscard]] std::optional<item_progress>
 DecodeProgress(const std::string& aText);
 
-/// Keys of the journal.
+/// Keys of the journal. Texts sort last, so that a new leader need not read
+/// them.
 [[nodiscard]] std::string
 BatchKey(const std::string& aBatch, std::size_t aPart);
 [[nodiscard]] std::string
 ResultKey(const std::string& aBatch, std::size_t aPosition);
 [[nodiscard]] std::string
+TextKey(const std::string& aBatch, std::size_t aPosition);
+[[nodiscard]] std::string
 EndKey(const std::string& aBatch);
 [[nodiscard]] std::string
 ProgressKey(const std::string& aBatch, std::size_t aItem);
@@ -41,6 +46,7 @@
 struct journal_contents
 {
   std::vector<batch_request> batches;
+  std::map<std::string, std::size_t> parts; ///< Records of each batch.
   std::map<std::string, std::map<std::size_t, batch_result>> results;
   std::set<std::string> ended;
   /// By batch and index of the item.
@@ -77,6 +83,12 @@
   /// Fences earlier writers, then reads the journal.
   /// @param aDone Receives the contents.
   void Open(std::function<void(journal_contents)> aDone);
+  /// Reads texts of results.
+  /// @param aFrom First position; one page is read.
+  /// @param aDone Receives texts by position; empty if the store can't be read.
+  void ReadTexts(const std::string& aBatch,
+                 std::size_t aFrom,
+                 std::function<void(std::map<std::size_t, std::string>)> aDone);
   /// Appends records, all or nothing.
   /// @param aDone Called when they are durable.
   void Append(std::vector<log_record> aRecords, std::function<void()> aDone);
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -75,6 +75,11 @@
                     std::size_t aAfter,
                     std::chrono::milliseconds aWait,
                     std::function<void()> aDone);
+  /// Calls a function when the texts of results from a position on have been
+  /// read from the journal, or can't be read.
+  void LoadTexts(const std::string& aId,
+                 std::size_t aFrom,
+                 std::function<void()> aDone);
   /// Ends a batch.
   /// @param aDone Called when the end is durable.
   void End(batch& aBatch, std::function<void()> aDone);
@@ -133,6 +138,8 @@
   std::map<std::string, std::vector<std::function<void()>>> mAccepting;
   std::unique_ptr<timer> mSoon;
   std::unique_ptr<periodic> mTicker;
+  /// Answers that arrive after the term are dropped.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
 } // namespace arbutusferry::node
--- a/src/node/batch_book.cpp
+++ b/src/node/batch_book.cpp
@@ -86,6 +86,24 @@
   }
 }
 
+void
+batch::SetText(std::size_t aPosition, std::string aText)
+{
+  batch_result& result = mResults.at(aPosition);
+  result.text = std::move(aText);
+  result.loaded = true;
+}
+
+void
+batch::ForgetTexts()
+{
+  for (batch_result& result : mResults) {
+    result.text.clear();
+    result.text.shrink_to_fit();
+    result.loaded = result.state == result_state::Errored;
+  }
+}
+
 std::size_t
 batch::Unlisted(const std::string& aGroup) const
 {
@@ -134,6 +152,7 @@
     }
   }
   aBatch.End();
+  aBatch.endedAt = aNow;
 }
 
 void
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -29,6 +29,15 @@
          digits;
 }
 
+/// Start of the keys of all texts.
+constexpr std::string_view kTexts = "t/";
+
+std::string
+TextPrefix(const std::string& aBatch)
+{
+  return std::string(kTexts) + aBatch + "/";
+}
+
 std::optional<Json::Value>
 ParseObject(const std::string& aText, const char* aWhat)
 {
@@ -44,7 +53,7 @@
 } // namespace
 
 std::string
-EncodeBatch(const batch_request& aBatch)
+EncodeBatch(const batch_request& aBatch, bool aWithItems)
 {
   Json::Value value(Json::objectValue);
   value["id"] = aBatch.id;
@@ -60,6 +69,11 @@
   for (const batch_item& item : aBatch.items) {
     Json::Value entry(Json::objectValue);
     entry["id"] = item.id;
+    entry["group"] = item.group;
+    if (!aWithItems) {
+      items.append(std::move(entry));
+      continue;
+    }
     entry["path"] = item.path;
     Json::Value& headers = entry["headers"] = Json::Value(Json::arrayValue);
     for (const auto& [name, text] : item.headers) {
@@ -68,7 +82,6 @@
     }
     entry["body"] = EncodeBase64Url(item.body);
     entry["tokens"] = Json::Int64(item.tokens);
-    entry["group"] = item.group;
     entry["hint"] = Json::Int64(item.lengthHint);
     items.append(std::move(entry));
   }
@@ -120,18 +133,13 @@
   for (const std::int64_t version : aResult.versions) {
     versions.append(Json::Int64(version));
   }
-  // The text follows as it is: most of the journal is text.
-  return WriteJson(value) + '\n' + aResult.text;
+  return WriteJson(value);
 }
 
 std::optional<batch_result>
 DecodeResult(const std::string& aText)
 {
-  const auto end = aText.find('\n');
-  if (end == std::string::npos) {
-    return std::nullopt;
-  }
-  const auto value = ParseObject(aText.substr(0, end), "result");
+  const auto value = ParseObject(aText, "result");
   if (!value) {
     return std::nullopt;
   }
@@ -139,7 +147,8 @@
   result.item = (*value)["item"].asUInt64();
   result.state = (*value)["errored"].asBool() ? result_state::Errored
                                               : result_state::Completed;
-  result.text = aText.substr(end + 1);
+  // An errored result has no text.
+  result.loaded = result.state == result_state::Errored;
   for (const Json::Value& version : (*value)["versions"]) {
     result.versions.push_back(version.asInt64());
   }
@@ -185,7 +194,13 @@
 std::string
 ResultKey(const std::string& aBatch, std::size_t aPosition)
 {
-  return "r/" + Numbered(aPosition) + "/" + aBatch;
+  return "i/" + Numbered(aPosition) + "/" + aBatch;
+}
+
+std::string
+TextKey(const std::string& aBatch, std::size_t aPosition)
+{
+  return TextPrefix(aBatch) + Numbered(aPosition);
 }
 
 std::string
@@ -203,7 +218,7 @@
 std::string
 UsageKey(std::int64_t aWindow)
 {
-  return "u/" + std::to_string(aWindow);
+  return "c/" + std::to_string(aWindow);
 }
 
 void
@@ -216,7 +231,7 @@
   const std::string rest = key.substr(2);
   if (key.starts_with("e/")) {
     mContents.ended.insert(rest);
-  } else if (key.starts_with("u/")) {
+  } else if (key.starts_with("c/")) {
     if (const auto window = ParseInteger(rest)) {
       mContents.usage[*window] = value;
     }
@@ -256,6 +271,7 @@
       continue; // Its writer stopped before the last part: never accepted.
     }
     if (auto decoded = DecodeBatch(text.substr(colon + 1))) {
+      mContents.parts[id] = parts.size();
       mContents.batches.push_back(std::move(*decoded));
     }
   }
@@ -313,30 +329,57 @@
 void
 batch_journal::ReadPage(const std::string& aAfter)
 {
+  mLog.Newest(
+    mWhere,
+    aAfter,
+    [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](
+      const newest_result& aResult) {
+      if (alive.expired()) {
+        return;
+      }
+      if (!aResult.done) {
+        mTimer = mLoop.After(kRetryPause, [this, aAfter] { ReadPage(aAfter); });
+        return;
+      }
+      std::string last;
+      for (const log_entry& entry : aResult.entries) {
+        last = entry.record.key;
+        if (last.starts_with(kTexts)) {
+          break;
+        }
+        mReader.Add(entry);
+      }
+      if (aResult.more && !last.empty() && !last.starts_with(kTexts)) {
+        ReadPage(last);
+        return;
+      }
+      mOpen = true;
+      mOpened(mReader.Finish());
+      SendNext();
+    });
+}
+
+void
+batch_journal::ReadTexts(
+  const std::string& aBatch,
+  std::size_t aFrom,
+  std::function<void(std::map<std::size_t, std::string>)> aDone)
+{
+  const std::string prefix = TextPrefix(aBatch);
   mLog.Newest(mWhere,
-              aAfter,
-              [this, aAfter, alive = std::weak_ptr<bool>(mAlive)](
-                const newest_result& aResult) {
-                if (alive.expired()) {
-                  return;
-                }
-                if (!aResult.done) {
-                  mTimer = mLoop.After(kRetryPause,
-                                       [this, aAfter] { ReadPage(aAfter); });
-                  return;
-                }
-                std::string last;
-                for (const log_entry& entry : aResult.entries) {
-                  mReader.Add(entry);
-                  last = entry.record.key;
-                }
-                if (aResult.more && !last.empty()) {
-                  ReadPage(last);
-                  return;
+              aFrom == 0 ? prefix : TextKey(aBatch, aFrom - 1),
+              [prefix, done = std::move(aDone)](const newest_result& aResult) {
+                std::map<std::size_t, std::string> texts;
+                for (const auto& [offset, record] : aResult.entries) {
+                  if (!record.key.starts_with(prefix)) {
+                    break;
+                  }
+                  if (const auto position =
+                        ParseInteger(record.key.substr(prefix.size()))) {
+                    texts[static_cast<std::size_t>(*position)] = record.value;
+                  }
                 }
-                mOpen = true;
-                mOpened(mReader.Finish());
-                SendNext();
+                done(std::move(texts));
               });
 }
 
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds kSaveInterval{ 300 };
 constexpr std::size_t kSaveEvents = 8;
 
+/// Texts of an ended batch stay in memory for so long after its end.
+constexpr milliseconds kTextsKept{ 5'000 };
+
 const log_partition kBatchPartition{ "af.batches", 0, true };
 
 } // namespace
@@ -71,6 +74,8 @@
   for (batch_request& request : aContents.batches) {
     const std::string id = request.id;
     batch& added = mBook.Add(std::move(request), aContents.ended.contains(id));
+    added.journalParts = aContents.parts[id];
+    added.endedAt = mParts.loop.Now();
     for (auto& [position, result] : aContents.results[id]) {
       // Positions are written in order, so a gap can't be.
       if (position != added.Results().size() ||
@@ -145,7 +150,7 @@
                                        text.substr(part * room, room) } };
     std::function<void()> done;
     if (part + 1 == count) {
-      done = [this, shared, id] {
+      done = [this, shared, id, count] {
         Log(log_level::Info,
             "batch_accepted",
             { { "batch", id },
@@ -154,7 +159,7 @@
               { "step", std::to_string(shared->step) },
               { "minimum_version", std::to_string(shared->minimumVersion) },
               { "items", std::to_string(shared->items.size()) } });
-        mBook.Add(std::move(*shared));
+        mBook.Add(std::move(*shared)).journalParts = count;
         ScheduleSoon();
         const auto waiting = mAccepting.extract(id);
         for (const auto& callback : waiting.mapped()) {
@@ -189,6 +194,33 @@
     { aId, aAfter, mParts.loop.Now() + aWait, std::move(aDone) });
 }
 
+void
+batch_leader::LoadTexts(const std::string& aId,
+                        std::size_t aFrom,
+                        std::function<void()> aDone)
+{
+  batch* found = mBook.Find(aId);
+  if (!found || aFrom >= found->Results().size() ||
+      found->Results()[aFrom].loaded) {
+    aDone();
+    return;
+  }
+  mJournal.ReadTexts(
+    aId,
+    aFrom,
+    [this, aId, done = std::move(aDone), alive = std::weak_ptr<bool>(mAlive)](
+      std::map<std::size_t, std::string> aTexts) {
+      batch* owner = alive.expired() ? nullptr : mBook.Find(aId);
+      for (auto& [position, text] : aTexts) {
+        if (owner && position < owner->Results().size() &&
+            !owner->Results()[position].loaded) {
+          owner->SetText(position, std::move(text));
+        }
+      }
+      done();
+    });
+}
+
 void
 batch_leader::WakeWaiters()
 {
@@ -238,7 +270,15 @@
         { "ms",
           std::to_string(mParts.loop.UnixMilliseconds() -
                          aBatch.Request().submittedUnixMs) } });
-  std::vector<log_record> records{ { EndKey(id), "1" } };
+  // Only the names of an ended batch's items are needed from now on.
+  std::vector<log_record> records{
+    { EndKey(id), "1" },
+    { BatchKey(id, 0), "1:" + EncodeBatch(aBatch.Request(), false) }
+  };
+  for (std::size_t part = 1; part < aBatch.journalParts; ++part) {
+    records.push_back({ BatchKey(id, part), {} });
+  }
+  aBatch.journalParts = 1;
   for (std::size_t index = 0; index < aBatch.Items().size(); ++index) {
     const open_item& item = aBatch.Items()[index];
     if (item.phase != item_phase::Listed &&
@@ -473,6 +513,9 @@
   const std::size_t position = aBatch.assignedPositions++;
   std::vector<log_record> records{ { ResultKey(id, position),
                                      EncodeResult(result) } };
+  if (!result.text.empty()) {
+    records.push_back({ TextKey(id, position), result.text });
+  }
   if (item.savedEvents > 0) {
     records.push_back({ ProgressKey(id, aIndex), {} });
   }
@@ -602,16 +645,23 @@
   std::vector<std::string> gone;
   for (const auto& [id, entry] : mBook.All()) {
     const batch_request& request = entry->Request();
+    if (entry->Ended() && entry->endedAt + kTextsKept < mParts.loop.Now() &&
+        !entry->Results().empty() && entry->Results().front().loaded) {
+      entry->ForgetTexts();
+    }
     // Twice the time that callers may rely on, since clocks differ.
     if (!entry->Closed() ||
         now - request.submittedUnixMs < 2 * mParts.readableFor.count()) {
       continue;
     }
     gone.push_back(id);
-    dropped.push_back({ BatchKey(id, 0), {} });
+    for (std::size_t part = 0; part < entry->journalParts; ++part) {
+      dropped.push_back({ BatchKey(id, part), {} });
+    }
     dropped.push_back({ EndKey(id), {} });
     for (std::size_t at = 0; at < entry->Results().size(); ++at) {
       dropped.push_back({ ResultKey(id, at), {} });
+      dropped.push_back({ TextKey(id, at), {} });
     }
     for (std::size_t index = 0; index < entry->Items().size(); ++index) {
       if (entry->Items()[index].phase != item_phase::Listed) {
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -15,8 +15,12 @@
 constexpr milliseconds kRoleTick{ 100 };
 /// How often counts are saved, duties looked at and old targets forgotten.
 constexpr milliseconds kSlowTick{ 500 };
-/// Largest delay of a claim: nodes with little of a core wait longest.
-constexpr double kRankMilliseconds = 120.0;
+/// Share of a core from which a node claims the leadership without delay, and
+/// the longest delay of weaker ones, which would read the journal slowly.
+constexpr double kStrongShare = 0.5;
+constexpr double kWeakMilliseconds = 800.0;
+/// Spread of the claims of equal nodes.
+constexpr double kSpreadMilliseconds = 60.0;
 /// Margin of a lease for differences between clocks.
 constexpr milliseconds kLeaseMargin{ 500 };
 
@@ -40,11 +44,12 @@
     timing.mayActFor = aSettings.lease - kLeaseMargin;
   }
   timing.stayAway = aSettings.lease + milliseconds(1'000);
-  const double slow = 1.0 - std::clamp(aSettings.cpuShare, 0.0, 1.0);
+  const double slow =
+    1.0 - std::clamp(aSettings.cpuShare / kStrongShare, 0.0, 1.0);
   const double spread =
     static_cast<double>(Hash64(aSettings.vm) % 1000) / 1000.0;
-  timing.rank = milliseconds(
-    static_cast<std::int64_t>(kRankMilliseconds * (slow + spread)));
+  timing.rank = milliseconds(static_cast<std::int64_t>(
+    kWeakMilliseconds * slow + kSpreadMilliseconds * spread));
   return timing;
 }
 
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -307,7 +307,14 @@
   REQUIRE(found->Results().size() >= before.size());
   for (std::size_t at = 0; at < before.size(); ++at) {
     CHECK(found->Results()[at].item == before[at]);
+    CHECK_FALSE(found->Results()[at].loaded);
   }
+  bool loaded = false;
+  leader->LoadTexts("b", 0, [&] { loaded = true; });
+  test.loop.Advance(milliseconds(50));
+  CHECK(loaded);
+  CHECK(found->Results()[0].text.starts_with(
+    found->Request().items[before[0]].id + ".1\n"));
   test.loop.Advance(milliseconds(3'000));
   CHECK(found->Complete());
   CHECK_FALSE(test.samplers.resumedAfter.empty());
