--- a/standins/node-soak/lab.cpp
+++ b/standins/node-soak/lab.cpp
@@ -113,9 +113,8 @@
   if (aCall.at && *aCall.at != target.payloads.size()) {
     return { 412, "{\"end\":" + end + "}" };
   }
-  target.payloads.insert(target.payloads.end(),
-                         aCall.payloads.begin(),
-                         aCall.payloads.end());
+  target.payloads.insert(
+    target.payloads.end(), aCall.payloads.begin(), aCall.payloads.end());
   std::string answer = "{\"offset\":" + end +
                        ",\"end\":" + std::to_string(target.payloads.size()) +
                        "}";
@@ -164,15 +163,15 @@
   }
   const bool lose = Roll() < loseOf10;
   const bool late = Roll() < lateOf10;
-  mTimers.push_back(mLoop.After(
-    late ? kLate : kAppendTime, [this, call, lose, late, aResponder] {
-      const auto [status, body] = Append(call);
-      if (lose || late) {
-        aResponder->Abort();
-      } else {
-        aResponder->Send(Answer(status, body));
-      }
-    }));
+  mTimers.push_back(mLoop.After(late ? kLate : kAppendTime,
+                                [this, call, lose, late, aResponder] {
+                                  const auto [status, body] = Append(call);
+                                  if (lose || late) {
+                                    aResponder->Abort();
+                                  } else {
+                                    aResponder->Send(Answer(status, body));
+                                  }
+                                }));
   if (late) {
     // The caller hears nothing more on this connection.
     aResponder->Abort();
@@ -266,8 +265,7 @@
 {
   const std::uint64_t fence =
     Number(std::string(aRequest.headers.Get("Arbutusferry-Fence-Token")));
-  const std::string holder(
-    aRequest.headers.Get("Arbutusferry-Duty-Holder"));
+  const std::string holder(aRequest.headers.Get("Arbutusferry-Duty-Holder"));
   const std::string& known = mHolders.try_emplace(fence, holder).first->second;
   if (known != holder) {
     mFindings.push_back("two holders report under fence " +
@@ -285,8 +283,8 @@
       mReports.try_emplace(report["window"].asInt64(), counts);
     if (entry->second != counts) {
       mFindings.push_back("two reports of window " +
-                          std::to_string(entry->first) + ": " +
-                          entry->second + " and " + counts);
+                          std::to_string(entry->first) + ": " + entry->second +
+                          " and " + counts);
     }
   }
   aResponder->Send(Answer(200));
@@ -426,26 +424,26 @@
                      std::int64_t aVersion)
 {
   const std::uint64_t handle = mNextTimer++;
-  mTimers[handle] = mLoop.After(pace, [this, handle, aResponder, aItem, aNumber,
-                                       aVersion] {
-    const auto self = mTimers.extract(handle);
-    if (aResponder->Gone()) {
-      return;
-    }
-    const std::int64_t now = mVersions["m" + aItem.substr(1, 1)];
-    std::string event;
-    if (now != aVersion) {
-      event = "arbutusferry-weight-versions: " + std::to_string(now) + "\n";
-    }
-    event += "id: " + std::to_string(aNumber) + "\ndata: " + aItem + "." +
-             std::to_string(aNumber) + ".v" + std::to_string(now) + "\n\n";
-    aResponder->Write(event);
-    if (aNumber >= EventsOf(aItem)) {
-      aResponder->End();
-    } else {
-      Produce(aResponder, aItem, aNumber + 1, now);
-    }
-  });
+  mTimers[handle] =
+    mLoop.After(pace, [this, handle, aResponder, aItem, aNumber, aVersion] {
+      const auto self = mTimers.extract(handle);
+      if (aResponder->Gone()) {
+        return;
+      }
+      const std::int64_t now = mVersions["m" + aItem.substr(1, 1)];
+      std::string event;
+      if (now != aVersion) {
+        event = "arbutusferry-weight-versions: " + std::to_string(now) + "\n";
+      }
+      event += "id: " + std::to_string(aNumber) + "\ndata: " + aItem + "." +
+               std::to_string(aNumber) + ".v" + std::to_string(now) + "\n\n";
+      aResponder->Write(event);
+      if (aNumber >= EventsOf(aItem)) {
+        aResponder->End();
+      } else {
+        Produce(aResponder, aItem, aNumber + 1, now);
+      }
+    });
 }
 
 void
@@ -458,8 +456,8 @@
     return;
   }
   const int run = ++(*runs)[request];
-  const bool cut = Hash64(request, 3) % 20 < static_cast<unsigned>(failOf20) &&
-                   run == 1;
+  const bool cut =
+    Hash64(request, 3) % 20 < static_cast<unsigned>(failOf20) && run == 1;
   const std::uint64_t handle = mNextTimer++;
   mTimers[handle] =
     mLoop.After(kWork, [this, handle, request, cut, aResponder] {
