--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -86,9 +86,10 @@
   /// Reads texts of results.
   /// @param aFrom First position; one page is read.
   /// @param aDone Receives texts by position; empty if the store can't be read.
-  void ReadTexts(const std::string& aBatch,
-                 std::size_t aFrom,
-                 std::function<void(std::map<std::size_t, std::string>)> aDone);
+  void ReadTexts(
+    const std::string& aBatch,
+    std::size_t aFrom,
+    std::function<void(std::map<std::size_t, std::string>&)> aDone);
   /// Appends records, all or nothing.
   /// @param aDone Called when they are durable.
   void Append(std::vector<log_record> aRecords, std::function<void()> aDone);
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -363,7 +363,7 @@
 batch_journal::ReadTexts(
   const std::string& aBatch,
   std::size_t aFrom,
-  std::function<void(std::map<std::size_t, std::string>)> aDone)
+  std::function<void(std::map<std::size_t, std::string>&)> aDone)
 {
   const std::string prefix = TextPrefix(aBatch);
   mLog.Newest(mWhere,
@@ -379,7 +379,7 @@
                     texts[static_cast<std::size_t>(*position)] = record.value;
                   }
                 }
-                done(std::move(texts));
+                done(texts);
               });
 }
 
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -209,7 +209,7 @@
     aId,
     aFrom,
     [this, aId, done = std::move(aDone), alive = std::weak_ptr<bool>(mAlive)](
-      std::map<std::size_t, std::string> aTexts) {
+      std::map<std::size_t, std::string>& aTexts) {
       batch* owner = alive.expired() ? nullptr : mBook.Find(aId);
       for (auto& [position, text] : aTexts) {
         if (owner && position < owner->Results().size() &&
--- a/tests/unit/batch_journal_test.cpp
+++ b/tests/unit/batch_journal_test.cpp
@@ -134,12 +134,12 @@
   journal = test.Open(6);
   CHECK(test.contents.results["b1"].size() == 30);
   std::map<std::size_t, std::string> texts;
-  journal->ReadTexts("b1", 4, [&](auto aTexts) { texts = aTexts; });
+  journal->ReadTexts("b1", 4, [&](auto& aTexts) { texts = aTexts; });
   test.loop.Advance(milliseconds(50));
   REQUIRE_FALSE(texts.empty());
   CHECK(texts.begin()->first == 4);
   CHECK(texts[5] == "text 5");
-  journal->ReadTexts("b1", 28, [&](auto aTexts) { texts = aTexts; });
+  journal->ReadTexts("b1", 28, [&](auto& aTexts) { texts = aTexts; });
   test.loop.Advance(milliseconds(50));
   CHECK(texts.size() == 2);
 }
