--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -51,6 +51,8 @@
     std::function<void()> superseded;
     /// Whether orders may be sent now.
     std::function<bool()> mayAct;
+    /// Whether runs may begin now: a later leader may have ended batches.
+    std::function<bool()> mayRun;
   };
 
   batch_leader(parts aParts, std::uint64_t aFence);
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -27,6 +27,8 @@
   std::chrono::milliseconds usageWindow{ 5'000 };
   std::chrono::milliseconds usageDue{ 10'000 };
   std::chrono::milliseconds batchReadable{ 120'000 };
+  /// Time after the end of a batch from which none of its items may begin.
+  std::chrono::milliseconds cancelWithin{ 3'000 };
 };
 
 /// One node: its view of the deployment, the forwarding of plain requests, and
--- a/include/arbutusferry/node/role_claim.hpp
+++ b/include/arbutusferry/node/role_claim.hpp
@@ -86,6 +86,12 @@
   /// @return Whether no other process can have claimed the role yet, so that
   /// absence from this process's state proves absence.
   [[nodiscard]] bool Certain(time_point aNow) const;
+  /// @return Whether this process leads and its last confirmed record is
+  /// younger than a limit.
+  [[nodiscard]] bool ConfirmedWithin(duration aLimit, time_point aNow) const
+  {
+    return mLeads && aNow - mConfirmed < aLimit;
+  }
   [[nodiscard]] std::uint64_t Fence() const noexcept { return mFence; }
   /// @return The holder as last read; nothing if released or never held.
   [[nodiscard]] const std::optional<role_record>& Holder() const noexcept
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -346,7 +346,7 @@
 void
 batch_leader::Place()
 {
-  if (mHandedOver) {
+  if (mHandedOver || !mParts.mayRun()) {
     return;
   }
   const environment_view& environment = mParts.environment.Environment();
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -380,6 +380,9 @@
     });
   };
   const auto mayAct = [this] { return mClaim.MayAct(mParts.loop.Now()); };
+  const auto mayRun = [this] {
+    return mClaim.ConfirmedWithin(mSettings.cancelWithin, mParts.loop.Now());
+  };
   mLeader =
     std::make_unique<batch_leader>(batch_leader::parts{ mParts.loop,
                                                         mParts.client,
@@ -391,7 +394,8 @@
                                                         mInstance,
                                                         mSettings.batchReadable,
                                                         superseded,
-                                                        mayAct },
+                                                        mayAct,
+                                                        mayRun },
                                    mClaim.Fence());
   for (const auto& [model, version] : mNamedVersions) {
     mLeader->NameVersion(model, version);
--- a/src/node/role_claim.cpp
+++ b/src/node/role_claim.cpp
@@ -163,7 +163,7 @@
 bool
 role_claim::Certain(time_point aNow) const
 {
-  return mLeads && aNow - mConfirmed < mTiming.silence;
+  return ConfirmedWithin(mTiming.silence, aNow);
 }
 
 } // namespace arbutusferry::node
--- a/standins/node-soak/main.cpp
+++ b/standins/node-soak/main.cpp
@@ -259,7 +259,7 @@
       << address(entry->metrics) << R"(,"store":")" << entry->store.Address()
       << R"(","duties":")" << duties
       << R"(","max_record_bytes":262144,"max_call_bytes":2097152,)"
-      << R"("lease_ms":3000,"fences_checked":true,"usage_window_s":1,)"
+      << R"("lease_ms":3000,"cancel_within_ms":3000,"fences_checked":true,"usage_window_s":1,)"
       << R"("usage_due_s":10,"batch_readable_s":120,"stop_within_s":4})";
     entry->Spawn();
     mNodes.push_back(std::move(entry));
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -162,7 +162,8 @@
                            "vm",
                            milliseconds(120'000),
                            [this] { ++superseded; },
-                           [] { return true; } },
+                           [] { return true; },
+                           [this] { return mayRun; } },
       aFence);
     leader->Start([](const auto&) {});
     loop.Advance(milliseconds(100));
@@ -199,6 +200,7 @@
   environment_view environment;
   metrics_registry metrics;
   int superseded = 0;
+  bool mayRun = true;
 };
 
 std::string
@@ -359,6 +361,24 @@
   CHECK_FALSE(test.samplers.resumedAfter.empty());
 }
 
+// Guards against items of an ended batch that a leader begins which the store
+// turns away, and which doesn't know yet that another one ended the batch.
+TEST_CASE("a leader that can't confirm its term begins no runs")
+{
+  leader_test test;
+  const auto leader = test.Lead(1);
+  leader->Submit(test.Request("b", 10), [] {});
+  test.loop.Advance(milliseconds(100));
+  test.mayRun = false;
+  const auto starts = test.samplers.starts.size();
+  CHECK(starts == 8);
+  test.loop.Advance(milliseconds(2'000));
+  CHECK(test.samplers.starts.size() == starts);
+  test.mayRun = true;
+  test.loop.Advance(milliseconds(1'000));
+  CHECK(leader->Find("b", "acme")->Complete());
+}
+
 // Load pattern: new weights are named while a step runs.
 TEST_CASE("new weights are ordered once for each sampler, and labels are true")
 {
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -52,7 +52,7 @@
   "listen_peers": "127.0.0.1:3", "listen_metrics": "127.0.0.1:4",
   "store": "127.0.0.1:5", "duties": "127.0.0.1:6",
   "max_record_bytes": 262144, "max_call_bytes": 2097152,
-  "lease_ms": 3000, "fences_checked": true, "usage_window_s": 5,
+  "lease_ms": 3000, "cancel_within_ms": 3000, "fences_checked": true, "usage_window_s": 5,
   "usage_due_s": 10, "batch_readable_s": 120, "stop_within_s": 8.5 })";
 
 std::string
