Keep appends within the store's limits, and let weak nodes claim last

It was a weak VM: a sign that the holder had ended let every node claim at once. Ruled out: texts kept in memory (they are dropped 5 s after a batch's end). Progress now goes in calls of a quarter of the limit, an append that the store can't take is reported and left, and weak nodes wait for their turn also after a holder's end.

--- a/include/arbutusferry/node/record_log.hpp
+++ b/include/arbutusferry/node/record_log.hpp
@@ -45,6 +45,7 @@
   Fenced,        ///< A higher epoch was seen.
   WrongSequence, ///< Another sequence number is expected.
   Refused,       ///< Nothing was appended and nothing will be.
+  Invalid,       ///< Refused, and would be again: not as the store wants it.
   Unknown,       ///< It may have been appended, or may be later.
 };
 
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -459,6 +459,17 @@
     case append_status::WrongEnd:
       Retry();
       return;
+    case append_status::Invalid:
+      // Repeating it would hold up all others for ever.
+      Log(log_level::Error,
+          "journal_call_invalid",
+          { { "epoch", std::to_string(mEpoch) },
+            { "sequence", std::to_string(mSequence) },
+            { "records", std::to_string(mCall.size()) },
+            { "first_key", mCall.empty() ? "" : mCall.front().key } });
+      mSending.clear();
+      SendNext();
+      return;
   }
   if (mStuckSince) {
     Log(
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -25,6 +25,11 @@
 constexpr milliseconds kSaveInterval{ 300 };
 constexpr std::size_t kSaveEvents = 8;
 
+/// Room of a record for its key and lengths, in bytes.
+constexpr std::size_t kRecordOverhead = 300;
+/// Progress goes in calls of this part of the largest one, so that results
+/// don't wait behind it for long.
+constexpr std::size_t kProgressCalls = 4;
 /// Texts of an ended batch stay in memory for so long after its end.
 constexpr milliseconds kTextsKept{ 5'000 };
 
@@ -140,8 +145,7 @@
   }
   mAccepting[id].push_back(std::move(aDone));
   const std::string encoded = EncodeBatch(aRequest);
-  // A record holds its key and lengths too.
-  const std::size_t room = mParts.log.MaxRecordBytes() - 300;
+  const std::size_t room = mParts.log.MaxRecordBytes() - kRecordOverhead;
   const std::size_t count = (encoded.size() + 16 + room - 1) / room;
   const std::string text = std::to_string(count) + ":" + encoded;
   auto shared = std::make_shared<batch_request>(std::move(aRequest));
@@ -281,10 +285,13 @@
   aBatch.journalParts = 1;
   for (std::size_t index = 0; index < aBatch.Items().size(); ++index) {
     const open_item& item = aBatch.Items()[index];
-    if (item.phase != item_phase::Listed &&
-        item.progress.events.size() > item.savedEvents) {
-      records.push_back(
-        { ProgressKey(id, index), EncodeProgress(item.progress) });
+    if (item.phase == item_phase::Listed ||
+        item.progress.events.size() <= item.savedEvents) {
+      continue;
+    }
+    std::string encoded = EncodeProgress(item.progress);
+    if (encoded.size() + kRecordOverhead <= mParts.log.MaxRecordBytes()) {
+      mJournal.Append({ { ProgressKey(id, index), std::move(encoded) } }, {});
     }
   }
   mBook.End(aBatch, mParts.loop.Now());
@@ -576,6 +583,7 @@
                            std::function<void()> aDone)
 {
   std::vector<log_record> records;
+  std::size_t bytes = 0;
   for (const auto& [id, entry] : mBook.All()) {
     if (entry->Closed()) {
       continue;
@@ -586,9 +594,18 @@
         item.phase == item_phase::Running || item.phase == item_phase::Waiting;
       if (open &&
           item.progress.events.size() >= item.savedEvents + aLeastEvents) {
+        std::string encoded = EncodeProgress(item.progress);
+        const std::size_t size = encoded.size() + kRecordOverhead;
+        if (size > mParts.log.MaxRecordBytes()) {
+          continue; // It can't be saved: a new leader runs it anew.
+        }
+        if (bytes + size > mParts.log.MaxCallBytes() / kProgressCalls) {
+          mJournal.Append(std::exchange(records, {}), {});
+          bytes = 0;
+        }
+        bytes += size;
         item.savedEvents = item.progress.events.size();
-        records.push_back(
-          { ProgressKey(id, index), EncodeProgress(item.progress) });
+        records.push_back({ ProgressKey(id, index), std::move(encoded) });
       }
     }
   }
--- a/src/node/role_claim.cpp
+++ b/src/node/role_claim.cpp
@@ -73,8 +73,8 @@
   if (aRecord.released) {
     mHolder.reset();
     mLeads = false;
-    // Nobody is left to wait for.
-    mLastHeard = aNow - mTiming.longestSilence;
+    // Nobody is left to wait for, but weak nodes let others go first.
+    mLastHeard = aNow - Silence();
     return;
   }
   const bool sameTerm = mHolder && mHolder->fence == aRecord.fence;
@@ -109,7 +109,7 @@
 role_claim::HolderEnded(const std::string& aHolder, time_point aNow)
 {
   if (mHolder && mHolder->holder == aHolder && !mLeads) {
-    mLastHeard = aNow - mTiming.longestSilence;
+    mLastHeard = std::min(mLastHeard, aNow - Silence());
   }
 }
 
--- a/standins/node-soak/main.cpp
+++ b/standins/node-soak/main.cpp
@@ -525,7 +525,10 @@
     const std::string line = text.substr(0, text.find('\n'));
     text.erase(0, line.size() + 1);
     const auto version = line.rfind(".v");
-    if (line.substr(0, version) != item + "." + std::to_string(++events)) {
+    std::string expected = item;
+    expected += '.';
+    expected += std::to_string(++events);
+    if (line.substr(0, version) != expected) {
       Found(item + ": event " + std::to_string(events) + " is " + line);
       return;
     }
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -172,6 +172,7 @@
   bool deafWaits = false;
   duration latency = std::chrono::milliseconds(4);
   std::size_t appends = 0;
+  std::size_t invalid = 0; ///< Appends over the limits of the store.
 
   void Append(append_request aRequest,
               std::function<void(const append_result&)> aDone) override
@@ -188,6 +189,20 @@
       mLoop.Post(latency, [aDone] { aDone(append_result{}); });
       return;
     }
+    std::size_t bytes = 0;
+    bool oversized = false;
+    for (const log_record& record : aRequest.records) {
+      const std::size_t size = record.key.size() + record.value.size() + 5;
+      oversized = oversized || size > MaxRecordBytes();
+      bytes += size;
+    }
+    if (oversized || bytes > MaxCallBytes()) {
+      ++invalid;
+      append_result refused;
+      refused.status = append_status::Invalid;
+      mLoop.Post(latency, [aDone, refused] { aDone(refused); });
+      return;
+    }
     append_result result = mStore.Append(aRequest);
     if (loseAnswers) {
       result = append_result{};
--- a/tests/unit/batch_journal_test.cpp
+++ b/tests/unit/batch_journal_test.cpp
@@ -117,6 +117,21 @@
   CHECK(test.contents.usage.contains(77));
 }
 
+// Guards against a journal that repeats for ever what the store won't take.
+TEST_CASE("an append that the store can't take doesn't hold up the others")
+{
+  journal_test test;
+  auto journal = test.Open(5);
+  int durable = 0;
+  journal->Append({ { EndKey("x"), std::string(5'000, 'x') } },
+                  [&] { durable += 100; });
+  test.loop.Advance(milliseconds(100));
+  journal->Append({ { EndKey("y"), "1" } }, [&] { ++durable; });
+  test.loop.Advance(milliseconds(500));
+  CHECK(durable == 1);
+  CHECK(test.log.invalid == 1);
+}
+
 // Guards against a takeover that takes as long as the day's texts are many.
 TEST_CASE("texts are read when they are asked for, not at the beginning")
 {
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -341,6 +341,24 @@
   CHECK(test.samplers.resumedAfter[0] >= 3);
 }
 
+// Guards against an append over the store's limits, which is refused for ever
+// and holds up all results behind it until memory runs out.
+TEST_CASE("progress of many items goes in several appends")
+{
+  leader_test test;
+  for (auto& [id, known] : test.targets.All()) {
+    known.entry.slots = 64;
+  }
+  test.samplers.events = 400;
+  const auto leader = test.Lead(1);
+  leader->Submit(test.Request("b", 100), [] {});
+  test.loop.Advance(milliseconds(5'000));
+  leader->End(*leader->Find("b", "acme"), [] {});
+  test.loop.Advance(milliseconds(100));
+  CHECK(test.log.invalid == 0);
+  CHECK(leader->Find("b", "acme")->Ended());
+}
+
 TEST_CASE("an ended batch runs nothing more, and its items can come again")
 {
   leader_test test;
--- a/tests/unit/duty_desk_test.cpp
+++ b/tests/unit/duty_desk_test.cpp
@@ -46,7 +46,7 @@
                              [this] { ++superseded; } };
     parts.fix = [this](std::int64_t aWindow,
                        const tenant_counts& aCounts,
-                       std::function<void()> aDone) {
+                       const std::function<void()>& aDone) {
       fixed[aWindow] = EncodeCounts(aCounts);
       aDone();
     };
--- a/tests/unit/item_scheduler_test.cpp
+++ b/tests/unit/item_scheduler_test.cpp
@@ -49,6 +49,7 @@
   std::vector<waiting_item> items{ young, plain, lengthy, carried };
   SortWaiting(items);
   std::vector<std::string> order;
+  order.reserve(items.size());
   for (const waiting_item& item : items) {
     order.push_back(item.group);
   }
--- a/tests/unit/role_claim_test.cpp
+++ b/tests/unit/role_claim_test.cpp
@@ -107,6 +107,20 @@
   CHECK_FALSE(second.Holder());
 }
 
+// Guards against the weakest node that leads after all processes were killed.
+TEST_CASE("a weak node lets others claim first, also from an ended holder")
+{
+  role_claim::timing weak;
+  weak.rank = milliseconds(500);
+  role_claim claim = Claim("b", weak);
+  claim.Observe(4, Record("a", 5), kStart);
+  claim.HolderEnded("a", kStart);
+  CHECK_FALSE(claim.ShouldWrite(kStart + milliseconds(400)));
+  // Further signs of the same end don't start the wait anew.
+  claim.HolderEnded("a", kStart + milliseconds(400));
+  CHECK(claim.ShouldWrite(kStart + milliseconds(500)));
+}
+
 // Guards against holders that act in the order A, B, A within the lease.
 TEST_CASE("a process that lost the role stays away")
 {
