--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -10,6 +10,9 @@
 
 namespace arbutusferry::node {
 
+/// Room of a record for its key and lengths, in bytes: a key has 255 at most.
+inline constexpr std::size_t kRecordOverhead = 300;
+
 /// Bytes of a journal value and back.
 /// @param aWithItems Whether the items' requests are kept, or only their names.
 [[nodiscard]] std::string
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -31,7 +31,8 @@
 };
 
 /// Owns all batches during one term of leadership: accepts them, runs their
-/// items, keeps their results and orders weights.
+/// items, keeps their results and orders weights. The term and the calls are in
+/// batch_leader.cpp, the runs in batch_runs.cpp.
 class batch_leader final : private run_owner
 {
 public:
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -52,6 +52,11 @@
   ~ferry_node() override;
 
   void Start();
+  /// Sets what is called with each environment that comes into force.
+  void OnEnvironment(std::function<void(const environment_view&)> aFunction)
+  {
+    mOnEnvironment = std::move(aFunction);
+  }
   /// Gives the leadership up and stops claiming it.
   void Resign();
 
@@ -107,6 +112,7 @@
   std::string mInstance; ///< Node and incarnation.
   metrics_registry mMetrics;
   environment_view mEnvironment;
+  std::function<void(const environment_view&)> mOnEnvironment;
   target_view mTargets;
   std::map<std::string, std::int64_t> mNamedVersions;
   call_forwarder mForwarder;
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds kRetryPause{ 100 };
 /// Digits of positions and parts, so that keys sort by number.
 constexpr int kNumberDigits = 6;
-/// Room of a record for its key and lengths.
-constexpr std::size_t kRecordOverhead = 300;
 
 std::string
 Numbered(std::size_t aNumber)
--- /dev/null
+++ b/src/node/batch_runs.cpp
@@ -0,0 +1,367 @@
+#include "arbutusferry/node/batch_leader.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Pause of an item after a target answered that it failed.
+constexpr milliseconds kFailedPause{ 100 };
+/// An item is given up after this many failures for each attempt that its
+/// route allows; three would be refused work.
+constexpr int kFailuresPerAttempt = 2;
+/// Runs that are moved to another sampler in one tick.
+constexpr std::size_t kMovesPerTick = 8;
+/// Progress goes in calls of this part of the largest one, so that results
+/// don't wait behind it for long.
+constexpr std::size_t kProgressCalls = 4;
+
+} // namespace
+
+std::vector<waiting_item>
+batch_leader::Waiting()
+{
+  const time_point now = mParts.loop.Now();
+  std::vector<waiting_item> waiting;
+  for (const auto& [id, entry] : mBook.All()) {
+    if (entry->Closed()) {
+      continue;
+    }
+    const batch_request& request = entry->Request();
+    std::map<std::string, std::int64_t> hints;
+    for (const batch_item& item : request.items) {
+      std::int64_t& hint = hints[item.group];
+      hint = std::max(hint, item.lengthHint);
+    }
+    for (std::size_t index = 0; index < entry->Items().size(); ++index) {
+      const open_item& item = entry->Items()[index];
+      if (item.phase != item_phase::Waiting || item.notBefore > now) {
+        continue;
+      }
+      waiting_item waits;
+      waits.batch = id;
+      waits.index = index;
+      waits.model = request.model;
+      waits.minimumVersion = request.minimumVersion;
+      waits.group = request.items[index].group;
+      waits.submittedUnixMs = request.submittedUnixMs;
+      waits.carried = item.carried;
+      waits.groupLeft = entry->Unlisted(waits.group);
+      waits.groupHint = hints[waits.group];
+      waiting.push_back(std::move(waits));
+    }
+  }
+  SortWaiting(waiting);
+  return waiting;
+}
+
+void
+batch_leader::Place()
+{
+  if (mHandedOver || !mParts.mayRun()) {
+    return;
+  }
+  const environment_view& environment = mParts.environment.Environment();
+  std::set<std::string> services;
+  for (const service_entry& service : environment.Services()) {
+    if (!service.models.empty()) {
+      services.insert(service.name);
+    }
+  }
+  mPool.Refresh(services);
+  std::map<std::string, std::vector<sampler_state>> states;
+  for (waiting_item& item : Waiting()) {
+    batch& owner = *mBook.Find(item.batch);
+    const batch_item& request = owner.Request().items[item.index];
+    const route_entry* route =
+      environment.FindRoute(owner.Request().host, request.path);
+    if (!route || route->services.empty()) {
+      // The operator has removed the route of the batch.
+      if (environment.Version() > 0) {
+        Finish(owner, item.index, result_state::Errored);
+      }
+      continue;
+    }
+    open_item& open = owner.Items()[item.index];
+    if (route->singleVersion && !open.progress.events.empty()) {
+      item.onlyVersion = open.progress.versions.back();
+    }
+    const std::string& service = route->services.front().service;
+    auto [at, added] = states.try_emplace(service);
+    if (added) {
+      at->second = mPool.States(service);
+    }
+    auto chosen = ChooseSampler(item, at->second);
+    if (!chosen && item.onlyVersion != 0) {
+      // No sampler has that version any more: start again under another.
+      item.onlyVersion = 0;
+      chosen = ChooseSampler(item, at->second);
+      if (chosen) {
+        open.progress = {};
+      }
+    }
+    if (chosen && StartRun(item, at->second[*chosen].id)) {
+      ++at->second[*chosen].running;
+      ++at->second[*chosen].groups[item.group];
+    }
+  }
+}
+
+bool
+batch_leader::StartRun(const waiting_item& aItem, const std::string& aSampler)
+{
+  const auto* target = mParts.targets.Find(aSampler);
+  batch& owner = *mBook.Find(aItem.batch);
+  const batch_item& request = owner.Request().items[aItem.index];
+  open_item& item = owner.Items()[aItem.index];
+  if (!target) {
+    return false;
+  }
+  item_call call;
+  call.id = request.id;
+  call.path = request.path;
+  call.host = owner.Request().host;
+  call.tenant = owner.Request().tenant;
+  call.headers = request.headers;
+  call.body = request.body;
+  call.group = request.group;
+  call.expectedVersion = mPool.VersionOf(aSampler, aItem.model);
+  call.resumeAfter = item.progress.events.size();
+  run_owner& self = *this;
+  auto run = std::make_shared<item_run>(self,
+                                        mParts.loop,
+                                        mParts.protocol,
+                                        aItem.batch,
+                                        aItem.index,
+                                        aSampler,
+                                        std::move(call));
+  item.phase = item_phase::Running;
+  mPool.AddRun(run);
+  run->Start(mParts.client, target->entry);
+  return true;
+}
+
+void
+batch_leader::OnRunEvent(const item_run& aRun,
+                         std::string aData,
+                         std::int64_t aVersion)
+{
+  batch* owner = mBook.Find(aRun.Batch());
+  if (!owner || owner->Ended()) {
+    return;
+  }
+  item_progress& progress = owner->Items()[aRun.Index()].progress;
+  progress.events.push_back(std::move(aData));
+  progress.versions.push_back(aVersion);
+  mPool.NoteEvent(aRun);
+}
+
+void
+batch_leader::OnRunEnded(const item_run& aRun, run_end aEnd)
+{
+  mPool.EndRun(aRun, aEnd);
+  ScheduleSoon();
+  mParts.metrics.Count("ferry_item_runs_total",
+                       { { "outcome", std::string(RunEndName(aEnd)) } });
+  batch* owner = mBook.Find(aRun.Batch());
+  if (!owner || owner->Ended()) {
+    return;
+  }
+  open_item& item = owner->Items()[aRun.Index()];
+  item.phase = item_phase::Waiting;
+  if (aEnd != run_end::Complete) {
+    Log(log_level::Info,
+        "item_run_ended",
+        { { "item", aRun.Call().id },
+          { "batch", aRun.Batch() },
+          { "target", aRun.Sampler() },
+          { "outcome", std::string(RunEndName(aEnd)) },
+          { "events", std::to_string(item.progress.events.size()) } });
+  }
+  switch (aEnd) {
+    case run_end::Complete:
+      if (!item.progress.FitsVersion(owner->Request().minimumVersion)) {
+        Log(log_level::Warning,
+            "item_too_old",
+            { { "item", aRun.Call().id }, { "target", aRun.Sampler() } });
+        item.progress = {};
+        break;
+      }
+      Finish(*owner, aRun.Index(), result_state::Completed);
+      break;
+    case run_end::Impossible:
+      Finish(*owner, aRun.Index(), result_state::Errored);
+      break;
+    case run_end::Failed: {
+      item.notBefore = mParts.loop.Now() + kFailedPause;
+      const route_entry* route = mParts.environment.Environment().FindRoute(
+        owner->Request().host, owner->Request().items[aRun.Index()].path);
+      if (++item.failures >=
+          kFailuresPerAttempt * (route ? route->maxAttempts : 1)) {
+        Finish(*owner, aRun.Index(), result_state::Errored);
+      }
+      break;
+    }
+    case run_end::Full:
+    case run_end::Misplaced:
+    case run_end::Broken:
+      break;
+  }
+}
+
+void
+batch_leader::Finish(batch& aBatch, std::size_t aIndex, result_state aState)
+{
+  open_item& item = aBatch.Items()[aIndex];
+  item.phase = item_phase::Saving;
+  batch_result result;
+  result.item = aIndex;
+  result.state = aState;
+  if (aState == result_state::Completed) {
+    result.text = item.progress.Text();
+    result.versions = item.progress.DistinctVersions();
+  }
+  const std::string id = aBatch.Request().id;
+  const std::size_t position = aBatch.assignedPositions++;
+  std::vector<log_record> records{ { ResultKey(id, position),
+                                     EncodeResult(result) } };
+  if (!result.text.empty()) {
+    records.push_back({ TextKey(id, position), result.text });
+  }
+  if (item.savedEvents > 0) {
+    records.push_back({ ProgressKey(id, aIndex), {} });
+  }
+  mJournal.Append(std::move(records),
+                  [this, id, saved = std::move(result)]() mutable {
+                    if (batch* owner = mBook.Find(id)) {
+                      owner->List(std::move(saved));
+                      WakeWaiters();
+                    }
+                  });
+}
+
+void
+batch_leader::MoveSlowRuns()
+{
+  const time_point now = mParts.loop.Now();
+  std::map<std::string, sampler_state> states;
+  std::vector<sampler_state> all;
+  for (const auto& run : mPool.Runs()) {
+    auto [at, added] = states.try_emplace(run->Sampler());
+    if (added) {
+      at->second = mPool.State(run->Sampler());
+      all.push_back(at->second);
+    }
+  }
+  const double typical = TypicalEventMilliseconds(all).value_or(1.0);
+  std::vector<std::shared_ptr<item_run>> moved;
+  for (const auto& run : mPool.Runs()) {
+    if (moved.size() < kMovesPerTick &&
+        ShouldMove(run->Pace(), states[run->Sampler()], typical, now)) {
+      moved.push_back(run);
+    }
+  }
+  for (const auto& run : moved) {
+    Log(log_level::Info,
+        "item_moved",
+        { { "item", run->Call().id },
+          { "target", run->Sampler() },
+          { "events", std::to_string(run->NewEvents()) },
+          { "silent_ms",
+            std::to_string(ToMilliseconds(now - run->Pace().lastEvent)) } });
+    const bool silent = run->Pace().lastEvent + milliseconds(300) < now;
+    if (batch* owner = mBook.Find(run->Batch())) {
+      owner->Items()[run->Index()].phase = item_phase::Waiting;
+    }
+    if (silent) {
+      // Judged like a broken run, so that its sampler rests.
+      mPool.EndRun(*run, run_end::Broken);
+      run->Cancel();
+    } else {
+      mPool.CancelRun(run);
+    }
+  }
+}
+
+void
+batch_leader::SaveProgress(std::size_t aLeastEvents,
+                           std::function<void()> aDone)
+{
+  std::vector<log_record> records;
+  std::size_t bytes = 0;
+  for (const auto& [id, entry] : mBook.All()) {
+    if (entry->Closed()) {
+      continue;
+    }
+    for (std::size_t index = 0; index < entry->Items().size(); ++index) {
+      open_item& item = entry->Items()[index];
+      const bool open =
+        item.phase == item_phase::Running || item.phase == item_phase::Waiting;
+      if (open &&
+          item.progress.events.size() >= item.savedEvents + aLeastEvents) {
+        std::string encoded = EncodeProgress(item.progress);
+        const std::size_t size = encoded.size() + kRecordOverhead;
+        if (size > mParts.log.MaxRecordBytes()) {
+          continue; // It can't be saved: a new leader runs it anew.
+        }
+        if (bytes + size > mParts.log.MaxCallBytes() / kProgressCalls) {
+          mJournal.Append(std::exchange(records, {}), {});
+          bytes = 0;
+        }
+        bytes += size;
+        item.savedEvents = item.progress.events.size();
+        records.push_back({ ProgressKey(id, index), std::move(encoded) });
+      }
+    }
+  }
+  if (records.empty()) {
+    aDone();
+    return;
+  }
+  mJournal.Append(std::move(records), std::move(aDone));
+}
+
+void
+batch_leader::HandOver(std::function<void()> aDone)
+{
+  mHandedOver = true;
+  const auto runs = mPool.Runs();
+  for (const auto& run : runs) {
+    if (batch* owner = mBook.Find(run->Batch())) {
+      owner->Items()[run->Index()].phase = item_phase::Waiting;
+    }
+    mPool.CancelRun(run);
+  }
+  SaveProgress(1, std::move(aDone));
+}
+
+void
+batch_leader::GiveUpItems()
+{
+  const environment_view& environment = mParts.environment.Environment();
+  const std::int64_t now = mParts.loop.UnixMilliseconds();
+  for (const auto& [id, entry] : mBook.All()) {
+    if (entry->Closed()) {
+      continue;
+    }
+    for (std::size_t index = 0; index < entry->Items().size(); ++index) {
+      if (entry->Items()[index].phase != item_phase::Waiting) {
+        continue;
+      }
+      const route_entry* route = environment.FindRoute(
+        entry->Request().host, entry->Request().items[index].path);
+      if (route && route->itemRetention.count() > 0 &&
+          now - entry->Request().submittedUnixMs >=
+            route->itemRetention.count() + 1'000) {
+        Finish(*entry, index, result_state::Errored);
+      }
+    }
+  }
+}
+
+} // namespace arbutusferry::node
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -198,6 +198,9 @@
       { { "version", std::to_string(aEnvironment.Version()) },
         { "before", std::to_string(mEnvironment.Version()) } });
   mEnvironment = std::move(aEnvironment);
+  if (mOnEnvironment) {
+    mOnEnvironment(mEnvironment);
+  }
 }
 
 void
