--- a/standins/node-soak/main.cpp
+++ b/standins/node-soak/main.cpp
@@ -529,7 +529,9 @@
     expected += '.';
     expected += std::to_string(++events);
     if (line.substr(0, version) != expected) {
-      Found(item + ": event " + std::to_string(events) + " is " + line);
+      expected += " is ";
+      expected += line;
+      Found(std::move(expected));
       return;
     }
     made.insert(std::stoll(line.substr(version + 2)));
