Try a sampler when its load of weights may have ended

Cause: a load takes 0.9 s, but reports are some 0.2 s old and were asked each 0.25 s, so that samplers stood idle for 0.25 s and more after each load while items waited for them, and the next load waited too.

One waiting item at a time is now sent from 0.9 s on; a sampler that still loads answers that it has not run it. A report older than the load that a run has shown no longer takes the belief back.

--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -19,7 +19,9 @@
   bool usable = true; ///< Neither leaving nor failing at present.
   std::map<std::string, std::int64_t> versions; ///< By model.
   std::string loading; ///< Model that is being loaded, or empty.
-  std::string home;    ///< Model whose new versions it gets.
+  /// The load may have ended: one item may try.
+  bool mayHaveLoaded = false;
+  std::string home; ///< Model whose new versions it gets.
   /// Mean time between events in milliseconds; nothing while unknown.
   std::optional<double> eventMilliseconds;
   std::map<std::string, int> groups; ///< Running items of each group.
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -19,6 +19,8 @@
   time_point sentAt;
   bool accepted = false;
   time_point nextReport; ///< When to ask how far the load is.
+  time_point nextTrial;  ///< When an item may try whether the load has ended.
+  int trials = 0;
 };
 
 /// The leader's view of samplers: their runs, pace and weights. Sends the
@@ -78,6 +80,7 @@
                     const std::set<std::string>& aSingleVersion,
                     const std::map<std::string, std::size_t>& aWaiting);
   /// @return The version of a model that a sampler is believed to have.
+  /// While a load may have ended: the version that it brings.
   [[nodiscard]] std::int64_t VersionOf(const std::string& aId,
                                        const std::string& aModel) const;
 
@@ -97,6 +100,7 @@
     time_point avoidUntil;
     int failures = 0;
     time_point paceSince; ///< Last time the pace was measured.
+    time_point loadSeen;  ///< End of the last load of weights.
   };
 
   [[nodiscard]] bool Usable(const sampler& aSampler, time_point aNow) const;
@@ -104,6 +108,9 @@
                                       const sampler& aSampler) const;
   /// Takes a run off the load of its sampler.
   void Leave(const item_run& aRun);
+  /// @return Whether a load may have ended, so that an item may try.
+  [[nodiscard]] bool TrialDue(const sampler& aSampler) const;
+  void EndLoad(const std::string& aId, sampler& aSampler, const char* aSeenBy);
   void SendOrder(const version_plan::order& aOrder, bool aKeepRuns);
   void OnOrderAnswer(const std::string& aId, const http_response* aResponse);
   void AskReport(const std::string& aId);
--- a/include/arbutusferry/node/target_protocol.hpp
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -29,6 +29,7 @@
   std::string tenant;
   header_list headers;
   std::string body;
+  std::string model;
   std::string group;                ///< Items of a group share their prompt.
   std::int64_t expectedVersion = 0; ///< Weights the target must have.
   std::size_t resumeAfter = 0;      ///< Events that are there already.
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -132,6 +132,7 @@
   call.tenant = owner.Request().tenant;
   call.headers = request.headers;
   call.body = request.body;
+  call.model = aItem.model;
   call.group = request.group;
   call.expectedVersion = mPool.VersionOf(aSampler, aItem.model);
   call.resumeAfter = item.progress.events.size();
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -18,6 +18,8 @@
 constexpr double kPrefixBonus = 0.02;
 /// Advantage of each newer weight version, up to two.
 constexpr double kVersionBonus = 0.02;
+/// Disadvantage of a sampler that may still be loading the weights.
+constexpr double kTrialMalus = 1.0;
 /// A sampler slower than the typical one by this factor loses its runs.
 constexpr double kSlowFactor = 1.8;
 /// Silence after which a run is moved: several events of a slow sampler.
@@ -75,7 +77,8 @@
     const sampler_state& sampler = aSamplers[index];
     const auto version = sampler.versions.find(aItem.model);
     if (!sampler.usable || sampler.running >= sampler.slots ||
-        sampler.loading == aItem.model || version == sampler.versions.end() ||
+        (sampler.loading == aItem.model && !sampler.mayHaveLoaded) ||
+        version == sampler.versions.end() ||
         version->second < aItem.minimumVersion ||
         (aItem.onlyVersion != 0 && version->second != aItem.onlyVersion)) {
       continue;
@@ -83,6 +86,7 @@
     const double pace = sampler.eventMilliseconds.value_or(typical) / typical;
     double score = std::max(1.0, pace) *
                    (1.0 + kLoadWeight * sampler.running / sampler.slots);
+    score += sampler.loading == aItem.model ? kTrialMalus : 0.0;
     score -= sampler.home == aItem.model ? kHomeBonus : 0.0;
     score -= sampler.groups.contains(aItem.group) ? kPrefixBonus : 0.0;
     score -= kVersionBonus * static_cast<double>(std::min<std::int64_t>(
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -27,6 +27,11 @@
 constexpr milliseconds kLoadTime{ 900 };
 /// Interval of further questions.
 constexpr milliseconds kReportInterval{ 250 };
+/// Reports are as of so long ago (the platform's page: some hundred ms).
+constexpr milliseconds kReportLag{ 200 };
+/// An item is sent to a sampler that loads at the end of `kLoadTime`, and again
+/// after this pause for each trial so far. A refusal costs a few milliseconds.
+constexpr milliseconds kTrialPause{ 100 };
 /// An order that does not hold after so long is sent again.
 constexpr milliseconds kOrderLost{ 5'000 };
 /// Pause before another order after one that was refused or unanswered.
@@ -81,7 +86,15 @@
   state.running = aSampler.running;
   state.usable = Usable(aSampler, now);
   state.versions = aSampler.versions;
-  state.loading = aSampler.order ? aSampler.order->order.model : "";
+  if (TrialDue(aSampler)) {
+    const version_plan::order& order = aSampler.order->order;
+    state.versions[order.model] = order.version;
+    state.slots = std::min(state.slots, state.running + 1);
+    state.mayHaveLoaded = true;
+  }
+  if (aSampler.order) {
+    state.loading = aSampler.order->order.model;
+  }
   state.home = mPlan.Home(aId);
   if (now - aSampler.paceSince < kPaceKept) {
     state.eventMilliseconds = aSampler.eventMilliseconds;
@@ -122,14 +135,52 @@
   if (found == mSamplers.end()) {
     return 0;
   }
-  const auto version = found->second.versions.find(aModel);
-  return version == found->second.versions.end() ? 0 : version->second;
+  const sampler& entry = found->second;
+  if (TrialDue(entry) && entry.order->order.model == aModel) {
+    return entry.order->order.version;
+  }
+  const auto version = entry.versions.find(aModel);
+  return version == entry.versions.end() ? 0 : version->second;
+}
+
+bool
+sampler_pool::TrialDue(const sampler& aSampler) const
+{
+  return aSampler.order && aSampler.order->accepted &&
+         mParts.loop.Now() >= aSampler.order->nextTrial;
+}
+
+void
+sampler_pool::EndLoad(const std::string& aId,
+                      sampler& aSampler,
+                      const char* aSeenBy)
+{
+  const version_plan::order& order = aSampler.order->order;
+  Log(log_level::Info,
+      "weights_loaded",
+      { { "target", aId },
+        { "model", order.model },
+        { "version", std::to_string(order.version) },
+        { "seen_by", aSeenBy },
+        { "ms",
+          std::to_string(
+            ToMilliseconds(mParts.loop.Now() - aSampler.order->sentAt)) } });
+  std::int64_t& version = aSampler.versions[order.model];
+  version = std::max(version, order.version);
+  aSampler.loadSeen = mParts.loop.Now();
+  aSampler.order.reset();
+  mParts.changed();
 }
 
 void
 sampler_pool::AddRun(std::shared_ptr<item_run> aRun)
 {
   sampler& entry = mSamplers[aRun->Sampler()];
+  if (TrialDue(entry) && aRun->Call().model == entry.order->order.model) {
+    ++entry.order->trials;
+    entry.order->nextTrial =
+      mParts.loop.Now() + entry.order->trials * kTrialPause;
+  }
   ++entry.running;
   ++entry.groups[aRun->Call().group];
   mRuns.insert(std::move(aRun));
@@ -215,10 +266,18 @@
 sampler_pool::NoteEvent(const item_run& aRun)
 {
   const auto found = mSamplers.find(aRun.Sampler());
-  if (found == mSamplers.end() || !aRun.Pace().begun) {
+  if (found == mSamplers.end()) {
     return;
   }
   sampler& entry = found->second;
+  if (entry.order && entry.order->order.model == aRun.Call().model &&
+      aRun.Call().expectedVersion >= entry.order->order.version) {
+    // The sampler runs only what names the version that it has.
+    EndLoad(aRun.Sampler(), entry, "run");
+  }
+  if (!aRun.Pace().begun) {
+    return;
+  }
   const time_point now = mParts.loop.Now();
   const double interval =
     std::chrono::duration<double, std::milli>(now - aRun.Pace().lastEvent)
@@ -354,7 +413,8 @@
       ++*entry.ordersAccepted;
       entry.order->accepted = true;
       entry.order->sentAt = now;
-      entry.order->nextReport = now + kLoadTime;
+      entry.order->nextReport = now + kLoadTime + kReportLag;
+      entry.order->nextTrial = now + kLoadTime;
       break;
     case order_verdict::Holds:
       entry.versions[order.model] =
@@ -417,28 +477,25 @@
     }
     return;
   }
+  // A report may be older than a load whose end a run has shown.
+  const bool outdated =
+    mParts.loop.Now() - entry.loadSeen < kReportLag + kOrderTimeout;
   for (const auto& [model, version] : report->modelVersions) {
-    entry.versions[model] = version;
+    std::int64_t& believed = entry.versions[model];
+    believed = outdated ? std::max(believed, version) : version;
   }
   entry.ordersAccepted =
     std::max(entry.ordersAccepted.value_or(0), report->ordersAccepted);
   if (entry.order) {
     const version_plan::order& order = entry.order->order;
     if (entry.versions[order.model] >= order.version) {
-      Log(log_level::Info,
-          "weights_loaded",
-          { { "target", aId },
-            { "model", order.model },
-            { "version", std::to_string(order.version) },
-            { "ms",
-              std::to_string(
-                ToMilliseconds(mParts.loop.Now() - entry.order->sentAt)) } });
-      entry.order.reset();
+      EndLoad(aId, entry, "report");
     } else if (!report->busy && !entry.order->accepted) {
       entry.order.reset();
       entry.orderNotBefore = mParts.loop.Now() + kOrderPause;
-    } else if (report->busy) {
+    } else if (report->busy && !entry.order->accepted) {
       entry.order->accepted = true;
+      entry.order->nextTrial = mParts.loop.Now() + kLoadTime;
     }
   }
   mParts.changed();
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -23,6 +23,9 @@
     duration pace = milliseconds(40);
     bool dark = false;
     int running = 0;
+    duration loadTime = duration::zero();
+    time_point loadedAt; ///< End of the present load.
+    std::int64_t before = 1;
   };
 
   fake_samplers(manual_loop& aLoop, scripted_client& aClient)
@@ -35,6 +38,8 @@
   std::size_t events = 6;                  ///< Of each item.
   std::map<std::string, int> starts;       ///< Runs by item.
   std::vector<std::size_t> resumedAfter;
+  int reports = 0;
+  int refusedWhileLoading = 0;
 
 private:
   using exchange = std::shared_ptr<scripted_client::sent>;
@@ -58,17 +63,29 @@
         aSent->Answer(409);
         return;
       }
+      self.before = self.version;
       self.version = std::stoll(request.body.substr(at + 10));
+      self.loadedAt = mLoop.Now() + self.loadTime;
       ++self.orders;
       aSent->Answer(202);
       return;
     }
     if (request.target == "/report") {
+      // Reports are as of some time ago.
+      const bool busy = self.loadTime > duration::zero() &&
+                        mLoop.Now() < self.loadedAt + milliseconds(200);
+      ++reports;
       aSent->Answer(200,
                     {},
                     R"({"models":[{"name":"m","version":)" +
-                      std::to_string(self.version) + R"(}],"busy":false,)" +
-                      R"("seq":)" + std::to_string(self.orders) + "}");
+                      std::to_string(busy ? self.before : self.version) +
+                      R"(}],"busy":)" + (busy ? "true" : "false") +
+                      R"(,"seq":)" + std::to_string(self.orders) + "}");
+      return;
+    }
+    if (mLoop.Now() < self.loadedAt) {
+      ++refusedWhileLoading;
+      aSent->Answer(503, { { "Arbutusferry-Not-Run", "1" } });
       return;
     }
     if (request.headers.Get("Arbutusferry-Expect-Version") !=
@@ -416,6 +433,26 @@
   }
 }
 
+// Load pattern: a step comes with the version that all its samplers must load
+// first. Guards against items that wait for a report, which lags, after their
+// sampler has its weights.
+TEST_CASE("items start as soon as a load ends, whatever the reports say")
+{
+  leader_test test;
+  for (auto& [address, sampler] : test.samplers.samplers) {
+    sampler.loadTime = milliseconds(900);
+  }
+  const auto leader = test.Lead(1);
+  leader->NameVersion("m", 2);
+  test.loop.Advance(milliseconds(50));
+  leader->Submit(test.Request("b", 8, 2), [] {});
+  // Load, delay of two answers, one trial interval, six events.
+  test.loop.Advance(milliseconds(900 + 150 + 100 + 240));
+  CHECK(leader->Find("b", "acme")->Complete());
+  // One trial a sampler and interval, not one of each item.
+  CHECK(test.samplers.refusedWhileLoading <= 6);
+}
+
 TEST_CASE("readers wait for results, or for the end of the wait")
 {
   leader_test test;
--- a/tests/unit/item_scheduler_test.cpp
+++ b/tests/unit/item_scheduler_test.cpp
@@ -105,6 +105,12 @@
   std::vector<sampler_state> samplers{ Sampler("a", 1) };
   samplers[0].loading = "m";
   CHECK_FALSE(ChooseSampler(Item("g"), samplers));
+  samplers[0].mayHaveLoaded = true;
+  CHECK(ChooseSampler(Item("g"), samplers) == 0);
+  // Another sampler that surely has the weights is better.
+  samplers.push_back(Sampler("b", 1, 3));
+  CHECK(ChooseSampler(Item("g"), samplers) == 1);
+  samplers.pop_back();
   samplers[0].loading = "another";
   CHECK(ChooseSampler(Item("g"), samplers));
   samplers[0].usable = false;
