Answer a trainer's read near the end of its step when the step is complete

Cause: a trainer reads twice a second and ends its step after a read that shows it complete. Items of the greatest length begin together and end within 0.2 s of each other.

A read that waits and came before the results are due is now held for up to 0.45 s from its arrival while a quarter of the batch's items or fewer are missing from the groups that the trainer waits for. Reads that don't wait, and all reads after the due time, are answered at once as before.

--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -127,6 +127,9 @@
   {
     return mCompleteGroups;
   }
+  /// @return Unlisted items of the groups that the trainer waits for: those
+  /// that came back, and of the others the ones nearest to completion.
+  [[nodiscard]] std::size_t MissingItems() const;
   /// Sets the text of a result that was read from the journal.
   void SetText(std::size_t aPosition, std::string aText);
   /// Frees the texts of all results; the journal has them.
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/node/environment_view.hpp"
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
+#include "arbutusferry/node/result_wait.hpp"
 #include "arbutusferry/node/sampler_pool.hpp"
 #include "arbutusferry/node/target_protocol.hpp"
 
@@ -73,7 +74,7 @@
   /// @return The batch of a tenant, or null.
   [[nodiscard]] batch* Find(const std::string& aId, const std::string& aTenant);
   /// Calls a function when a batch has results from a position on, is closed,
-  /// or the time is up.
+  /// or the time is up; near the end of a step, when it is complete.
   void AwaitResults(const std::string& aId,
                     std::size_t aAfter,
                     std::chrono::milliseconds aWait,
@@ -104,10 +105,14 @@
   {
     std::string batch;
     std::size_t after = 0;
-    time_point until;
+    result_wait wait;
+    std::optional<time_point> resultsSince;
     std::function<void()> done;
   };
 
+  /// @return Whether a waiting reader is to be answered now.
+  [[nodiscard]] bool Due(waiter& aEntry);
+
   void Restore(journal_contents aContents);
   void ScheduleSoon();
   void Tick();
--- a/src/node/batch_book.cpp
+++ b/src/node/batch_book.cpp
@@ -111,6 +111,34 @@
   return found == mUnlisted.end() ? 0 : found->second;
 }
 
+std::size_t
+batch::MissingItems() const
+{
+  std::set<std::string> carried;
+  for (std::size_t index = 0; index < mItems.size(); ++index) {
+    if (mItems[index].carried) {
+      carried.insert(mRequest.items[index].group);
+    }
+  }
+  std::size_t missing = 0;
+  std::size_t wanted =
+    mRequest.targetGroups - std::min(mRequest.targetGroups, mCompleteGroups);
+  std::vector<std::size_t> others;
+  for (const auto& [group, unlisted] : mUnlisted) {
+    if (unlisted > 0 && carried.contains(group)) {
+      missing += unlisted;
+      wanted -= std::min<std::size_t>(wanted, 1);
+    } else if (unlisted > 0) {
+      others.push_back(unlisted);
+    }
+  }
+  std::sort(others.begin(), others.end());
+  for (std::size_t at = 0; at < std::min(wanted, others.size()); ++at) {
+    missing += others[at];
+  }
+  return missing;
+}
+
 batch&
 batch_book::Add(batch_request aRequest, bool aEnded)
 {
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -173,14 +173,41 @@
                            milliseconds aWait,
                            std::function<void()> aDone)
 {
-  batch* found = mBook.Find(aId);
-  if (!found || found->Closed() || found->Results().size() > aAfter ||
-      aWait.count() <= 0) {
-    aDone();
+  const time_point now = mParts.loop.Now();
+  waiter entry{ aId, aAfter, { now, now + aWait }, {}, std::move(aDone) };
+  if (Due(entry)) {
+    entry.done();
     return;
   }
-  mWaiters.push_back(
-    { aId, aAfter, mParts.loop.Now() + aWait, std::move(aDone) });
+  mWaiters.push_back(std::move(entry));
+}
+
+bool
+batch_leader::Due(waiter& aEntry)
+{
+  const time_point now = mParts.loop.Now();
+  batch* found = mBook.Find(aEntry.batch);
+  if (!found || found->Closed() || now >= aEntry.wait.until) {
+    return true;
+  }
+  if (found->Results().size() <= aEntry.after) {
+    return false;
+  }
+  if (!aEntry.resultsSince) {
+    aEntry.resultsSince = now;
+  }
+  const batch_request& request = found->Request();
+  const route_entry* route = request.items.empty()
+                               ? nullptr
+                               : mParts.environment.Environment().FindRoute(
+                                   request.host, request.items.front().path);
+  const milliseconds age(mParts.loop.UnixMilliseconds() -
+                         request.submittedUnixMs);
+  step_state step;
+  step.items = request.items.size();
+  step.missing = found->MissingItems();
+  step.due = now + (route ? route->resultDue : milliseconds(0)) - age;
+  return now >= AnswerTime(aEntry.wait, step, *aEntry.resultsSince);
 }
 
 void
@@ -213,12 +240,9 @@
 void
 batch_leader::WakeWaiters()
 {
-  const time_point now = mParts.loop.Now();
   std::vector<std::function<void()>> due;
   std::erase_if(mWaiters, [&](waiter& aEntry) {
-    batch* found = mBook.Find(aEntry.batch);
-    if (found && !found->Closed() && found->Results().size() <= aEntry.after &&
-        now < aEntry.until) {
+    if (!Due(aEntry)) {
       return false;
     }
     due.push_back(std::move(aEntry.done));
--- a/tests/unit/batch_book_test.cpp
+++ b/tests/unit/batch_book_test.cpp
@@ -49,6 +49,26 @@
   CHECK(entry.Results()[1].item == 2);
 }
 
+TEST_CASE("a step lacks the items of the groups that are nearest to completion")
+{
+  batch_request request =
+    Request("b", { "a1", "a2", "a3", "c1", "c2", "d1", "d2", "d3" }, 1);
+  request.targetGroups = 2;
+  batch entry(request, false);
+  CHECK(entry.MissingItems() == 5);
+  entry.List(Result(0));
+  entry.List(Result(1));
+  CHECK(entry.MissingItems() == 3);
+  entry.List(Result(3));
+  entry.List(Result(4));
+  CHECK(entry.MissingItems() == 1);
+  entry.List(Result(2));
+  CHECK(entry.MissingItems() == 0);
+  // A group that came back is waited for in any case.
+  entry.Items()[5].carried = true;
+  CHECK(entry.MissingItems() == 3);
+}
+
 TEST_CASE("unfinished items go on where they were in the next batch")
 {
   batch_book book;
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -147,7 +147,6 @@
       targets.Update(entry, loop.Now());
       samplers.samplers[entry.address.ip];
     }
-    route_entry route;
     route.name = "r";
     route.host = "h.example";
     route.pathPrefix = "/p/";
@@ -155,7 +154,6 @@
     route.services = { { "models", 1 } };
     route.maxAttempts = 3;
     route.itemRetention = milliseconds(40'000);
-    service_entry service;
     service.name = "models";
     service.models = { "m" };
     environment = environment_view(1, { route }, { service }, {}, {}, false);
@@ -207,6 +205,8 @@
     return request;
   }
 
+  route_entry route;
+  service_entry service;
   manual_loop loop;
   scripted_client client;
   fake_samplers samplers{ loop, client };
@@ -470,6 +470,38 @@
   CHECK(woken == 2);
 }
 
+// Guards against a trainer that reads a step one item short and comes back for
+// the last one half a second later.
+TEST_CASE("a trainer's read near the end of its step gets all of it")
+{
+  leader_test test;
+  auto request = test.Request("b", 4);
+  request.targetGroups = 1;
+  const auto leader = test.Lead(1);
+  test.environment = environment_view(2,
+                                      { [&] {
+                                        route_entry route = test.route;
+                                        route.resultDue = milliseconds(2'000);
+                                        return route;
+                                      }() },
+                                      { test.service },
+                                      {},
+                                      {},
+                                      false);
+  leader->Submit(std::move(request), [] {});
+  // One item is far slower than the others.
+  test.samplers.samplers["10.0.0.2"].pace = milliseconds(70);
+  test.loop.Advance(milliseconds(300));
+  batch* found = leader->Find("b", "acme");
+  REQUIRE(found->Results().size() == 2);
+  std::size_t seen = 0;
+  leader->AwaitResults(
+    "b", 0, milliseconds(1'000), [&] { seen = found->Results().size(); });
+  CHECK(seen == 0);
+  test.loop.Advance(milliseconds(400));
+  CHECK(seen == 4);
+}
+
 TEST_CASE("items of a route that the operator removed are listed as errored")
 {
   leader_test test;
