--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/address.hpp"
 #include "arbutusferry/error.hpp"
 #include "arbutusferry/node/http_message.hpp"
 #include "arbutusferry/time.hpp"
@@ -58,11 +59,22 @@
   std::vector<std::int64_t> versions;
 };
 
+/// Where a running item's stream is held.
+struct run_place
+{
+  std::string run;      ///< Name of the stream there.
+  socket_address relay; ///< Node that holds it.
+  std::string sampler;
+  std::size_t resumedAfter = 0; ///< Events before its first.
+};
+
 /// Events of a sample that were generated so far.
 struct item_progress
 {
   std::vector<std::string> events;
   std::vector<std::int64_t> versions; ///< Of each event.
+  /// The stream that goes on from here, if a node holds it.
+  std::optional<run_place> place;
 
   [[nodiscard]] bool FitsVersion(std::int64_t aMinimum) const;
   [[nodiscard]] std::string Text() const;
@@ -86,6 +98,7 @@
   int impossible = 0;   ///< Answers that it can never be done.
   bool carried = false; ///< Came back from an earlier batch.
   std::size_t savedEvents = 0; ///< Events of the last save of its progress.
+  std::string savedRun;        ///< Stream named by that save.
   time_point notBefore;        ///< Pause after a failure.
 };
 
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/node/environment_view.hpp"
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
+#include "arbutusferry/node/node_directory.hpp"
 #include "arbutusferry/node/result_wait.hpp"
 #include "arbutusferry/node/sampler_pool.hpp"
 #include "arbutusferry/node/target_protocol.hpp"
@@ -43,6 +44,8 @@
     http_client& client;
     record_log& log;
     target_view& targets;
+    /// Other nodes, which hold the streams of runs.
+    node_directory& nodes;
     const target_protocol& protocol;
     const environment_source& environment;
     metrics_registry& metrics;
@@ -127,6 +130,13 @@
   [[nodiscard]] std::vector<waiting_item> Waiting();
   [[nodiscard]] bool StartRun(const waiting_item& aItem,
                               const std::string& aSampler);
+  /// Attaches to the streams that an earlier leader's runs left at nodes.
+  void AttachRuns();
+  [[nodiscard]] std::shared_ptr<item_run> MakeRun(batch& aBatch,
+                                                  std::size_t aIndex,
+                                                  const std::string& aSampler,
+                                                  std::int64_t aVersion,
+                                                  std::size_t aResumeAfter);
 
   void OnRunEvent(const item_run& aRun,
                   std::string aData,
@@ -134,12 +144,16 @@
   void OnRunEnded(const item_run& aRun, run_end aEnd) override;
 
   parts mParts;
+  std::uint64_t mFence;
+  std::uint64_t mRunsStarted = 0;
   batch_book mBook;
   batch_journal mJournal;
   sampler_pool mPool;
   std::function<void(const std::map<std::int64_t, std::string>&)> mOnReady;
   bool mReady = false;
   bool mHandedOver = false;
+  bool mAttached = false;
+  bool mSuperseded = false; ///< A node knows of a later leader.
   bool mSavingProgress = false;
   time_point mProgressSaved;
   /// Items by model for which the last placing found no sampler.
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -80,6 +80,10 @@
   [[nodiscard]] std::optional<role_record> OtherLeader() const;
   /// Notes that a leader's process is known to have ended.
   void LeaderEnded(const std::string& aHolder);
+  /// Asks whether the leader's process still runs.
+  void ProbeLeader();
+  /// @return The highest fence of a leader that is known here.
+  [[nodiscard]] std::uint64_t HighestFence() const;
   /// @return The metrics of this process.
   [[nodiscard]] metrics_registry& Metrics() noexcept { return mMetrics; }
   /// @return Name of this process: node and incarnation.
@@ -96,10 +100,13 @@
 private:
   class role_observer;
   class usage_observer;
+  class node_observer;
 
   void CountRun(const std::string& aTenant,
                 std::int64_t aUnixMilliseconds) override;
   void SaveUsage();
+  /// Writes this node's record, or its removal, until the store has it.
+  void WriteNode(bool aPresent);
   void StepRole();
   void WriteRole(role_record aRecord);
   void FollowLeadership();
@@ -114,6 +121,7 @@
   environment_view mEnvironment;
   std::function<void(const environment_view&)> mOnEnvironment;
   target_view mTargets;
+  node_directory mNodes;
   std::map<std::string, std::int64_t> mNamedVersions;
   call_forwarder mForwarder;
   usage_meter mMeter;
@@ -127,6 +135,10 @@
   std::unique_ptr<usage_observer> mUsageObserver;
   std::unique_ptr<keyed_follower> mUsageFollower;
   std::unique_ptr<usage_desk> mUsage;
+  std::unique_ptr<node_observer> mNodeObserver;
+  std::unique_ptr<keyed_follower> mNodeFollower;
+  std::unique_ptr<timer> mNodeRetry;
+  time_point mLeaderProbed;
   scale_plan mScale;
   std::unique_ptr<periodic> mRoleTicker;
   std::unique_ptr<periodic> mSlowTicker;
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
 #include "arbutusferry/node/item_scheduler.hpp"
+#include "arbutusferry/node/run_relay.hpp"
 #include "arbutusferry/node/target_protocol.hpp"
 
 #include <memory>
@@ -20,6 +21,7 @@
   Broken,     ///< The connection broke or the bytes made no sense.
   Failed,     ///< The target answered that it failed.
   Impossible, ///< The target answered that the item can never be done.
+  RelayLost,  ///< The node that relays the run has none, or has ended.
 };
 
 [[nodiscard]] std::string_view
@@ -53,10 +55,24 @@
            std::string aSampler,
            item_call aCall);
 
-  /// Sends the request.
+  /// Sends the request to the sampler.
   void Start(http_client& aClient, const target_entry& aTarget);
+  /// Sends it through a node that holds the stream if the leader is lost.
+  void StartThrough(http_client& aClient,
+                    run_place aPlace,
+                    std::uint64_t aFence,
+                    const target_entry& aTarget);
+  /// Reads a stream that an earlier leader began, from its start.
+  /// @param aHave Events of the item that are there already.
+  void Attach(http_client& aClient,
+              run_place aPlace,
+              std::uint64_t aFence,
+              std::size_t aHave);
   /// Ends the run; its owner hears nothing more.
   void Cancel();
+  /// Leaves the run to the next leader if a node holds it, and ends it
+  /// otherwise; its owner hears nothing more.
+  void Leave();
 
   [[nodiscard]] const std::string& Batch() const noexcept { return mBatch; }
   [[nodiscard]] std::size_t Index() const noexcept { return mIndex; }
@@ -64,6 +80,21 @@
   [[nodiscard]] const item_call& Call() const noexcept { return mCall; }
   [[nodiscard]] const run_pace& Pace() const noexcept { return mPace; }
   [[nodiscard]] std::size_t NewEvents() const noexcept { return mNewEvents; }
+  /// @return The node that holds the stream, if one does.
+  [[nodiscard]] const std::optional<run_place>& Place() const noexcept
+  {
+    return mPlace;
+  }
+  /// @return Whether that node knows of a later leader.
+  [[nodiscard]] bool Superseded() const noexcept
+  {
+    return mRelayError == relay_error::Stale;
+  }
+  /// @return Whether that node could not be reached.
+  [[nodiscard]] bool RelayUnreachable() const noexcept
+  {
+    return mRelayUnreachable;
+  }
 
   void OnHead(int aStatus, const header_list& aHeaders) override;
   void OnBody(std::string_view aPart) override;
@@ -72,6 +103,10 @@
 
 private:
   void Conclude(run_end aEnd);
+  void Send(http_client& aClient,
+            const socket_address& aPeer,
+            http_request aRequest);
+  [[nodiscard]] run_end EndOfRelay() const noexcept;
 
   run_owner* mOwner; ///< Null after the end.
   event_loop& mLoop;
@@ -81,11 +116,17 @@
   std::string mSampler;
   item_call mCall;
   std::shared_ptr<http_exchange> mExchange;
+  http_client* mClient = nullptr; ///< Of the start.
+  std::optional<run_place> mPlace;
+  std::optional<relay_error> mRelayError;
+  bool mRelayUnreachable = false;
+  bool mHeadSeen = false;
   event_stream mStream;
   run_pace mPace;
   target_verdict mVerdict = target_verdict::Failed;
   std::int64_t mVersion = 0;
   std::size_t mNextEvent;
+  std::size_t mHave; ///< Events that the owner has already.
   std::size_t mNewEvents = 0;
 };
 
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -66,7 +66,8 @@
   }
   /// Cancels and forgets a run without judging its sampler.
   void CancelRun(const std::shared_ptr<item_run>& aRun);
-  void CancelAll();
+  /// Leaves all runs to the next leader, as far as other nodes hold them.
+  void LeaveAll();
 
   void NameVersion(const std::string& aModel, std::int64_t aVersion)
   {
--- a/src/node/batch_book.cpp
+++ b/src/node/batch_book.cpp
@@ -188,6 +188,7 @@
                  item_progress aProgress,
                  time_point aNow)
 {
+  aProgress.place.reset(); // Its run has ended.
   mKept[aItem] = { std::move(aProgress), aNow };
 }
 
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -163,6 +163,12 @@
     events.append(aProgress.events[index]);
     versions.append(Json::Int64(aProgress.versions[index]));
   }
+  if (aProgress.place) {
+    value["run"] = aProgress.place->run;
+    value["relay"] = FormatAddress(aProgress.place->relay);
+    value["sampler"] = aProgress.place->sampler;
+    value["resumed-after"] = Json::UInt64(aProgress.place->resumedAfter);
+  }
   return WriteJson(value);
 }
 
@@ -180,6 +186,13 @@
   for (const Json::Value& version : (*value)["versions"]) {
     progress.versions.push_back(version.asInt64());
   }
+  const auto relay = ParseAddress((*value)["relay"].asString());
+  if (relay) {
+    progress.place = { (*value)["run"].asString(),
+                       *relay,
+                       (*value)["sampler"].asString(),
+                       (*value)["resumed-after"].asUInt64() };
+  }
   return progress;
 }
 
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -24,6 +24,7 @@
 
 batch_leader::batch_leader(parts aParts, std::uint64_t aFence)
   : mParts(std::move(aParts))
+  , mFence(aFence)
   , mJournal(mParts.loop,
              mParts.log,
              kBatchPartition,
@@ -42,7 +43,7 @@
 
 batch_leader::~batch_leader()
 {
-  mPool.CancelAll();
+  mPool.LeaveAll();
   for (waiter& entry : std::exchange(mWaiters, {})) {
     entry.done();
   }
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -12,6 +12,8 @@
 
 /// Pause of an item after a target answered that it failed.
 constexpr milliseconds kFailedPause{ 100 };
+/// Pause of an item whose relaying node was lost; another one is found by then.
+constexpr milliseconds kRelayPause{ 20 };
 /// An item is given up after this many failures for each attempt that its
 /// route allows; three would be refused work.
 constexpr int kFailuresPerAttempt = 2;
@@ -63,7 +65,7 @@
 void
 batch_leader::Place()
 {
-  if (mHandedOver || !mParts.mayRun()) {
+  if (mHandedOver || mSuperseded || !mParts.mayRun()) {
     return;
   }
   const environment_view& environment = mParts.environment.Environment();
@@ -74,6 +76,9 @@
     }
   }
   mPool.Refresh(services);
+  if (!std::exchange(mAttached, true)) {
+    AttachRuns();
+  }
   std::map<std::string, std::vector<sampler_state>> states;
   mUnplaced.clear();
   for (waiting_item& item : Waiting()) {
@@ -120,34 +125,86 @@
 {
   const auto* target = mParts.targets.Find(aSampler);
   batch& owner = *mBook.Find(aItem.batch);
-  const batch_item& request = owner.Request().items[aItem.index];
   open_item& item = owner.Items()[aItem.index];
   if (!target) {
     return false;
   }
+  const auto run = MakeRun(owner,
+                           aItem.index,
+                           aSampler,
+                           mPool.VersionOf(aSampler, aItem.model),
+                           item.progress.events.size());
+  item.phase = item_phase::Running;
+  mPool.AddRun(run);
+  const auto relay =
+    mParts.nodes.RelayOf(aSampler, target->entry.zone, mParts.loop.Now());
+  if (!relay) {
+    item.progress.place.reset();
+    run->Start(mParts.client, target->entry);
+    return true;
+  }
+  item.progress.place = { std::to_string(mFence) + "-" +
+                            std::to_string(++mRunsStarted),
+                          relay->address,
+                          aSampler,
+                          item.progress.events.size() };
+  run->StartThrough(mParts.client, *item.progress.place, mFence, target->entry);
+  return true;
+}
+
+std::shared_ptr<item_run>
+batch_leader::MakeRun(batch& aBatch,
+                      std::size_t aIndex,
+                      const std::string& aSampler,
+                      std::int64_t aVersion,
+                      std::size_t aResumeAfter)
+{
+  const batch_item& request = aBatch.Request().items[aIndex];
   item_call call;
   call.id = request.id;
   call.path = request.path;
-  call.host = owner.Request().host;
-  call.tenant = owner.Request().tenant;
+  call.host = aBatch.Request().host;
+  call.tenant = aBatch.Request().tenant;
   call.headers = request.headers;
   call.body = request.body;
-  call.model = aItem.model;
+  call.model = aBatch.Request().model;
   call.group = request.group;
-  call.expectedVersion = mPool.VersionOf(aSampler, aItem.model);
-  call.resumeAfter = item.progress.events.size();
+  call.expectedVersion = aVersion;
+  call.resumeAfter = aResumeAfter;
   run_owner& self = *this;
-  auto run = std::make_shared<item_run>(self,
-                                        mParts.loop,
-                                        mParts.protocol,
-                                        aItem.batch,
-                                        aItem.index,
-                                        aSampler,
-                                        std::move(call));
-  item.phase = item_phase::Running;
-  mPool.AddRun(run);
-  run->Start(mParts.client, target->entry);
-  return true;
+  return std::make_shared<item_run>(self,
+                                    mParts.loop,
+                                    mParts.protocol,
+                                    aBatch.Request().id,
+                                    aIndex,
+                                    aSampler,
+                                    std::move(call));
+}
+
+void
+batch_leader::AttachRuns()
+{
+  std::size_t attached = 0;
+  for (const auto& [id, entry] : mBook.All()) {
+    for (std::size_t index = 0;
+         !entry->Closed() && index < entry->Items().size();
+         ++index) {
+      open_item& item = entry->Items()[index];
+      const auto place = item.progress.place;
+      if (item.phase != item_phase::Waiting || !place ||
+          place->resumedAfter > item.progress.events.size()) {
+        continue;
+      }
+      const auto run =
+        MakeRun(*entry, index, place->sampler, 0, place->resumedAfter);
+      item.phase = item_phase::Running;
+      mPool.AddRun(run);
+      run->Attach(mParts.client, *place, mFence, item.progress.events.size());
+      ++attached;
+    }
+  }
+  Log(
+    log_level::Info, "runs_attached", { { "runs", std::to_string(attached) } });
 }
 
 void
@@ -163,6 +220,9 @@
   progress.events.push_back(std::move(aData));
   progress.versions.push_back(aVersion);
   mPool.NoteEvent(aRun);
+  if (aRun.Place()) {
+    mParts.nodes.NoteAlive(aRun.Place()->relay, mParts.loop.Now());
+  }
 }
 
 void
@@ -170,6 +230,12 @@
 {
   mPool.EndRun(aRun, aEnd);
   ScheduleSoon();
+  if (aRun.Superseded() && !std::exchange(mSuperseded, true)) {
+    mParts.superseded();
+  }
+  if (aRun.RelayUnreachable()) {
+    mParts.nodes.NoteFailure(aRun.Place()->relay, mParts.loop.Now());
+  }
   mParts.metrics.Count("ferry_item_runs_total",
                        { { "outcome", std::string(RunEndName(aEnd)) } });
   batch* owner = mBook.Find(aRun.Batch());
@@ -178,12 +244,14 @@
   }
   open_item& item = owner->Items()[aRun.Index()];
   item.phase = item_phase::Waiting;
+  item.progress.place.reset();
   if (aEnd != run_end::Complete) {
     Log(log_level::Info,
         "item_run_ended",
         { { "item", aRun.Call().id },
           { "batch", aRun.Batch() },
           { "target", aRun.Sampler() },
+          { "relay", aRun.Place() ? FormatAddress(aRun.Place()->relay) : "" },
           { "outcome", std::string(RunEndName(aEnd)) },
           { "events", std::to_string(item.progress.events.size()) } });
   }
@@ -215,6 +283,9 @@
     case run_end::Misplaced:
     case run_end::Broken:
       break;
+    case run_end::RelayLost:
+      item.notBefore = mParts.loop.Now() + kRelayPause;
+      break;
   }
 }
 
@@ -280,9 +351,14 @@
             std::to_string(ToMilliseconds(now - run->Pace().lastEvent)) } });
     const bool silent = run->Pace().lastEvent + milliseconds(300) < now;
     if (batch* owner = mBook.Find(run->Batch())) {
-      owner->Items()[run->Index()].phase = item_phase::Waiting;
+      open_item& item = owner->Items()[run->Index()];
+      item.phase = item_phase::Waiting;
+      item.progress.place.reset();
     }
-    if (silent) {
+    if (silent && run->Place() &&
+        mParts.nodes.NoteSilence(run->Place()->relay, now)) {
+      mPool.CancelRun(run);
+    } else if (silent) {
       // Judged like a broken run, so that its sampler rests.
       mPool.EndRun(*run, run_end::Broken);
       run->Cancel();
@@ -306,8 +382,12 @@
       open_item& item = entry->Items()[index];
       const bool open =
         item.phase == item_phase::Running || item.phase == item_phase::Waiting;
-      if (open &&
-          item.progress.events.size() >= item.savedEvents + aLeastEvents) {
+      const std::string run =
+        item.progress.place ? item.progress.place->run : std::string();
+      // At the end of a term also the streams that no save has named yet.
+      const bool unnamed = mHandedOver && !run.empty() && run != item.savedRun;
+      if (open && (unnamed || item.progress.events.size() >=
+                                item.savedEvents + aLeastEvents)) {
         std::string encoded = EncodeProgress(item.progress);
         const std::size_t size = encoded.size() + kRecordOverhead;
         if (size > mParts.log.MaxRecordBytes()) {
@@ -319,6 +399,7 @@
         }
         bytes += size;
         item.savedEvents = item.progress.events.size();
+        item.savedRun = run;
         records.push_back({ ProgressKey(id, index), std::move(encoded) });
       }
     }
@@ -334,13 +415,8 @@
 batch_leader::HandOver(std::function<void()> aDone)
 {
   mHandedOver = true;
-  const auto runs = mPool.Runs();
-  for (const auto& run : runs) {
-    if (batch* owner = mBook.Find(run->Batch())) {
-      owner->Items()[run->Index()].phase = item_phase::Waiting;
-    }
-    mPool.CancelRun(run);
-  }
+  // Items stay as they are: nothing is placed any more.
+  mPool.LeaveAll();
   SaveProgress(1, std::move(aDone));
 }
 
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -26,6 +26,14 @@
 
 const log_partition kRolePartition{ "af.leader", 0, true };
 const log_partition kUsagePartition{ "af.usage", 0, true };
+/// Addresses of running nodes, by VM; read by the leader.
+const log_partition kNodePartition{ "af.nodes", 0, true };
+/// Pause before a node's record is written again after a failure.
+constexpr milliseconds kNodeRetry{ 1'000 };
+/// Shortest interval of questions whether the leader's process runs, and the
+/// longest wait for its answer.
+constexpr milliseconds kProbeInterval{ 200 };
+constexpr milliseconds kProbeTimeout{ 300 };
 /// Longest wait of a read of the leadership topic: shorter than the silence
 /// after which a holder is replaced, since a wait may miss a record.
 constexpr milliseconds kRolePoll{ 300 };
@@ -135,10 +143,39 @@
   ferry_node& mNode;
 };
 
+/// Reads the addresses of the other nodes, while this node leads.
+class ferry_node::node_observer final : public record_observer
+{
+public:
+  explicit node_observer(ferry_node& aNode)
+    : mNode(aNode)
+  {
+  }
+  void OnRecord(const std::string& aKey,
+                const std::string* aValue,
+                std::uint64_t aOffset) override
+  {
+    if (!aValue) {
+      mNode.mNodes.Remove(aKey);
+    } else if (auto node = DecodeNode(*aValue)) {
+      mNode.mNodes.Update(std::move(*node));
+    } else {
+      Log(log_level::Error,
+          "node_record_unreadable",
+          { { "vm", aKey }, { "offset", std::to_string(aOffset) } });
+    }
+  }
+  void OnCaughtUp() override {}
+
+private:
+  ferry_node& mNode;
+};
+
 ferry_node::ferry_node(parts aParts, node_settings aSettings)
   : mParts(aParts)
   , mSettings(std::move(aSettings))
   , mInstance(mSettings.vm + "/" + RandomHex(6))
+  , mNodes(mInstance)
   , mForwarder({ mParts.loop,
                  mParts.client,
                  mTargets,
@@ -171,6 +208,7 @@
 void
 ferry_node::Start()
 {
+  WriteNode(true);
   mRoleFollower->Start();
   mRoleTicker =
     std::make_unique<periodic>(mParts.loop, kRoleTick, [this] { StepRole(); });
@@ -269,6 +307,59 @@
   }
 }
 
+void
+ferry_node::ProbeLeader()
+{
+  const auto leader = OtherLeader();
+  const time_point now = mParts.loop.Now();
+  if (!leader || now - mLeaderProbed < kProbeInterval) {
+    return;
+  }
+  mLeaderProbed = now;
+  exchange_options options;
+  options.connect = kProbeTimeout;
+  options.silence = kProbeTimeout;
+  mParts.client.Send(
+    leader->address,
+    MakeRelayedAttach({}, HighestFence()),
+    options,
+    std::make_shared<whole_response>(
+      [this, holder = leader->holder](const http_response* aResponse,
+                                      exchange_failure aFailure) {
+        if (!aResponse && aFailure == exchange_failure::Refused) {
+          LeaderEnded(holder);
+        }
+      }));
+}
+
+std::uint64_t
+ferry_node::HighestFence() const
+{
+  const auto& holder = mClaim.Holder();
+  return std::max(mClaim.Leads() ? mClaim.Fence() : 0,
+                  holder ? holder->fence : 0);
+}
+
+void
+ferry_node::WriteNode(bool aPresent)
+{
+  append_request request;
+  request.where = kNodePartition;
+  request.records.push_back(
+    { mSettings.vm,
+      aPresent
+        ? EncodeNode(
+            { mSettings.vm, mInstance, mSettings.zone, mSettings.peerAddress })
+        : std::string() });
+  mParts.log.Append(
+    std::move(request), [this, aPresent](const append_result& aResult) {
+      if (aResult.status != append_status::Done && aPresent != mResigned) {
+        mNodeRetry = mParts.loop.After(
+          kNodeRetry, [this, aPresent] { WriteNode(aPresent); });
+      }
+    });
+}
+
 void
 ferry_node::CountRun(const std::string& aTenant, std::int64_t aUnixMilliseconds)
 {
@@ -391,6 +482,7 @@
                                                         mParts.client,
                                                         mParts.log,
                                                         mTargets,
+                                                        mNodes,
                                                         mParts.protocol,
                                                         *this,
                                                         mMetrics,
@@ -403,6 +495,13 @@
   for (const auto& [model, version] : mNamedVersions) {
     mLeader->NameVersion(model, version);
   }
+  mNodeObserver = std::make_unique<node_observer>(*this);
+  mNodeFollower = std::make_unique<keyed_follower>(mParts.loop,
+                                                   mParts.log,
+                                                   kNodePartition,
+                                                   keyed_follower::timing{},
+                                                   *mNodeObserver);
+  mNodeFollower->Start();
   mLeader->Start([this, superseded, mayAct](
                    const std::map<std::int64_t, std::string>& aFixed) {
     usage_desk::parts desk{ mParts.loop,
@@ -441,6 +540,8 @@
   Log(log_level::Warning,
       "leadership_ended",
       { { "reason", aReason }, { "fence", std::to_string(mClaim.Fence()) } });
+  mNodeFollower.reset();
+  mNodeObserver.reset();
   mUsageFollower.reset();
   mUsageObserver.reset();
   mUsage.reset();
@@ -454,6 +555,7 @@
     return;
   }
   mResigned = true;
+  WriteNode(false);
   if (batch_leader* leader = Leader()) {
     // What was generated so far is handed on through the journal.
     leader->HandOver([this] { Release(); });
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -28,9 +28,11 @@
     case run_end::Failed:
       return "failed";
     case run_end::Impossible:
+      return "impossible";
+    case run_end::RelayLost:
       break;
   }
-  return "impossible";
+  return "relay_lost";
 }
 
 item_run::item_run(run_owner& aOwner,
@@ -48,25 +50,78 @@
   , mSampler(std::move(aSampler))
   , mCall(std::move(aCall))
   , mNextEvent(mCall.resumeAfter + 1)
+  , mHave(mCall.resumeAfter)
 {
   mPace.started = mPace.lastEvent = aLoop.Now();
 }
 
 void
 item_run::Start(http_client& aClient, const target_entry& aTarget)
+{
+  Send(aClient, aTarget.address, mProtocol.MakeItemRequest(mCall, aTarget));
+}
+
+void
+item_run::StartThrough(http_client& aClient,
+                       run_place aPlace,
+                       std::uint64_t aFence,
+                       const target_entry& aTarget)
+{
+  mPlace = std::move(aPlace);
+  Send(aClient,
+       mPlace->relay,
+       MakeRelayedRun(mPlace->run,
+                      aFence,
+                      aTarget.address,
+                      mProtocol.MakeItemRequest(mCall, aTarget)));
+}
+
+void
+item_run::Attach(http_client& aClient,
+                 run_place aPlace,
+                 std::uint64_t aFence,
+                 std::size_t aHave)
+{
+  mPlace = std::move(aPlace);
+  mHave = aHave;
+  Send(aClient, mPlace->relay, MakeRelayedAttach(mPlace->run, aFence));
+}
+
+void
+item_run::Send(http_client& aClient,
+               const socket_address& aPeer,
+               http_request aRequest)
 {
   exchange_options options;
   options.connect = kConnectTimeout;
   options.silence = kSilence;
-  options.echoHeader = mProtocol.EchoHeader();
-  mExchange = aClient.Send(aTarget.address,
-                           mProtocol.MakeItemRequest(mCall, aTarget),
-                           options,
-                           shared_from_this());
+  if (!mPlace) {
+    options.echoHeader = mProtocol.EchoHeader();
+  }
+  mClient = &aClient;
+  mExchange =
+    aClient.Send(aPeer, std::move(aRequest), options, shared_from_this());
 }
 
 void
 item_run::Cancel()
+{
+  const bool running = mExchange != nullptr;
+  Leave();
+  if (mPlace && running) {
+    exchange_options options;
+    options.connect = kConnectTimeout;
+    // Without an answer the node ends the run by itself some seconds later.
+    mClient->Send(mPlace->relay,
+                  MakeRelayedCancel(mPlace->run),
+                  options,
+                  std::make_shared<whole_response>(
+                    [](const http_response*, exchange_failure) {}));
+  }
+}
+
+void
+item_run::Leave()
 {
   mOwner = nullptr;
   if (const auto exchange = std::exchange(mExchange, nullptr)) {
@@ -74,12 +129,25 @@
   }
 }
 
+run_end
+item_run::EndOfRelay() const noexcept
+{
+  return *mRelayError == relay_error::Unknown ||
+             *mRelayError == relay_error::Stale
+           ? run_end::RelayLost
+           : run_end::Broken;
+}
+
 void
 item_run::Conclude(run_end aEnd)
 {
   const auto self = shared_from_this();
   run_owner* owner = mOwner;
-  Cancel();
+  if (aEnd == run_end::Broken) {
+    Cancel(); // A node that holds the stream may not have noticed.
+  } else {
+    Leave();
+  }
   if (owner) {
     owner->OnRunEnded(*this, aEnd);
   }
@@ -88,6 +156,8 @@
 void
 item_run::OnHead(int aStatus, const header_list& aHeaders)
 {
+  mHeadSeen = true;
+  mRelayError = ReadRelayError(aHeaders);
   mVerdict = mProtocol.Judge(aStatus, aHeaders);
   if (mVerdict == target_verdict::Genuine && aStatus / 100 != 2) {
     mVerdict = target_verdict::Failed;
@@ -125,6 +195,9 @@
       return;
     }
     ++mNextEvent;
+    if (event.id <= mHave) {
+      continue; // The journal has it, of this same run.
+    }
     ++mNewEvents;
     mOwner->OnRunEvent(*this, std::move(event.data), mVersion);
     mPace.lastEvent = mLoop.Now();
@@ -135,6 +208,10 @@
 void
 item_run::OnEnd()
 {
+  if (mRelayError) {
+    Conclude(EndOfRelay());
+    return;
+  }
   switch (mVerdict) {
     case target_verdict::Genuine:
       Conclude(mStream.AtBoundary() ? run_end::Complete : run_end::Broken);
@@ -155,9 +232,13 @@
 }
 
 void
-item_run::OnFailure(exchange_failure)
+item_run::OnFailure(exchange_failure aFailure)
 {
-  Conclude(run_end::Broken);
+  mRelayUnreachable = mPlace && !mHeadSeen;
+  // A relaying node whose process is gone says nothing of the sampler; one that
+  // can't be reached may be cut off together with it.
+  Conclude(mPlace && aFailure == exchange_failure::Refused ? run_end::RelayLost
+                                                           : run_end::Broken);
 }
 
 } // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/node_directory.cpp
@@ -0,0 +1,139 @@
+#include "arbutusferry/node/node_directory.hpp"
+
+#include "arbutusferry/hash.hpp"
+#include "arbutusferry/json.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// First rest of a node that could not be reached; doubles with each further
+/// failure up to the longest.
+constexpr milliseconds kFirstRest{ 1'000 };
+constexpr milliseconds kLongestRest{ 30'000 };
+constexpr int kMostDoublings = 5;
+/// A node without a byte for so long is taken to be frozen or cut off: several
+/// events of any of its streams.
+constexpr milliseconds kNodeSilence{ 250 };
+
+} // namespace
+
+std::string
+EncodeNode(const node_entry& aNode)
+{
+  Json::Value value(Json::objectValue);
+  value["vm"] = aNode.vm;
+  value["instance"] = aNode.instance;
+  value["zone"] = aNode.zone;
+  value["address"] = FormatAddress(aNode.address);
+  return WriteJson(value);
+}
+
+std::optional<node_entry>
+DecodeNode(const std::string& aText)
+{
+  const auto parsed = Capture([&] { return ParseJson(aText, "node record"); });
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  if (!value || !value->isObject()) {
+    return std::nullopt;
+  }
+  node_entry node;
+  node.vm = (*value)["vm"].asString();
+  node.instance = (*value)["instance"].asString();
+  node.zone = (*value)["zone"].asString();
+  const auto address = ParseAddress((*value)["address"].asString());
+  if (!address || node.vm.empty()) {
+    return std::nullopt;
+  }
+  node.address = *address;
+  return node;
+}
+
+void
+node_directory::Update(node_entry aNode)
+{
+  if (aNode.instance == mSelf) {
+    return;
+  }
+  known_node& known = mNodes[aNode.vm];
+  if (known.entry.instance != aNode.instance) {
+    known = {};
+  }
+  known.entry = std::move(aNode);
+}
+
+std::optional<node_entry>
+node_directory::RelayOf(const std::string& aSampler,
+                        const std::string& aZone,
+                        time_point aNow) const
+{
+  const known_node* best = nullptr;
+  std::uint64_t bestWeight = 0;
+  for (const auto& [vm, known] : mNodes) {
+    if (known.entry.zone != aZone || known.avoidUntil > aNow) {
+      continue;
+    }
+    const std::uint64_t weight = Hash64(aSampler + "/" + vm);
+    if (!best || weight > bestWeight) {
+      best = &known;
+      bestWeight = weight;
+    }
+  }
+  return best ? std::optional(best->entry) : std::nullopt;
+}
+
+node_directory::known_node*
+node_directory::Find(const socket_address& aAddress)
+{
+  const auto found =
+    std::find_if(mNodes.begin(), mNodes.end(), [&](const auto& aKnown) {
+      return aKnown.second.entry.address == aAddress;
+    });
+  return found == mNodes.end() ? nullptr : &found->second;
+}
+
+void
+node_directory::Rest(known_node& aNode, time_point aNow)
+{
+  const duration rest =
+    kFirstRest * (1 << std::min(aNode.failures, kMostDoublings));
+  aNode.avoidUntil = aNow + std::min<duration>(rest, kLongestRest);
+  ++aNode.failures;
+}
+
+void
+node_directory::NoteAlive(const socket_address& aAddress, time_point aNow)
+{
+  if (known_node* node = Find(aAddress)) {
+    node->alive = aNow;
+    node->failures = 0;
+  }
+}
+
+void
+node_directory::NoteFailure(const socket_address& aAddress, time_point aNow)
+{
+  known_node* node = Find(aAddress);
+  if (node && node->avoidUntil <= aNow) {
+    Rest(*node, aNow);
+  }
+}
+
+bool
+node_directory::NoteSilence(const socket_address& aAddress, time_point aNow)
+{
+  known_node* node = Find(aAddress);
+  if (!node) {
+    return true;
+  }
+  if (node->avoidUntil <= aNow && aNow - node->alive > kNodeSilence) {
+    Rest(*node, aNow);
+  }
+  return node->avoidUntil > aNow;
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/node/run_relay.cpp
@@ -0,0 +1,362 @@
+#include "arbutusferry/node/run_relay.hpp"
+
+#include "arbutusferry/enum_names.hpp"
+#include "arbutusferry/logging.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace arbutusferry::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kRunPath = "/runs/";
+constexpr const char* kTarget = "Ferry-Target";
+constexpr const char* kFence = "Ferry-Fence";
+constexpr const char* kError = "Ferry-Relay-Error";
+
+/// Longest wait for a connection to a sampler, and for its next byte.
+constexpr milliseconds kConnectTimeout{ 400 };
+constexpr milliseconds kSilence{ 5'000 };
+/// A run without a leader goes on for so long: a new one claims the role after
+/// 3 s at most and reads the journal.
+constexpr milliseconds kOrphanTime{ 5'000 };
+/// A finished run is kept for so long, since the leader may be lost before it
+/// has saved the result.
+constexpr milliseconds kFinishedTime{ 3'000 };
+constexpr milliseconds kExpireInterval{ 500 };
+
+void
+SendError(responder& aResponder, relay_error aError)
+{
+  http_response response;
+  response.status = 502;
+  response.headers.Add(kError, std::string(EnumName(aError)));
+  aResponder.Send(std::move(response));
+}
+
+/// A request as lines, followed by its body.
+std::string
+WriteRequest(const http_request& aRequest)
+{
+  std::string text = aRequest.method + " " + aRequest.target + "\n";
+  for (const auto& [name, value] : aRequest.headers) {
+    text.append(name).append(": ").append(value).append("\n");
+  }
+  return text.append("\n").append(aRequest.body);
+}
+
+std::optional<http_request>
+ReadRequest(std::string_view aText)
+{
+  http_request request;
+  const auto line = [&aText]() -> std::optional<std::string_view> {
+    const auto end = aText.find('\n');
+    if (end == std::string_view::npos) {
+      return std::nullopt;
+    }
+    const std::string_view text = aText.substr(0, end);
+    aText.remove_prefix(end + 1);
+    return text;
+  };
+  const auto first = line();
+  const auto space = first ? first->find(' ') : std::string_view::npos;
+  if (space == std::string_view::npos) {
+    return std::nullopt;
+  }
+  request.method = first->substr(0, space);
+  request.target = first->substr(space + 1);
+  for (;;) {
+    const auto header = line();
+    if (!header) {
+      return std::nullopt;
+    }
+    if (header->empty()) {
+      break;
+    }
+    const auto colon = header->find(": ");
+    if (colon == std::string_view::npos) {
+      return std::nullopt;
+    }
+    request.headers.Add(std::string(header->substr(0, colon)),
+                        std::string(header->substr(colon + 2)));
+  }
+  request.body = aText;
+  return request;
+}
+
+http_request
+MakeRequest(const char* aMethod, const std::string& aRun)
+{
+  http_request request;
+  request.method = aMethod;
+  request.target.append(kRunPath).append(aRun);
+  return request;
+}
+
+} // namespace
+
+http_request
+MakeRelayedRun(const std::string& aRun,
+               std::uint64_t aFence,
+               const socket_address& aTarget,
+               const http_request& aRequest)
+{
+  http_request request = MakeRequest("POST", aRun);
+  request.headers.Add(kTarget, FormatAddress(aTarget));
+  request.headers.Add(kFence, std::to_string(aFence));
+  request.body = WriteRequest(aRequest);
+  return request;
+}
+
+http_request
+MakeRelayedAttach(const std::string& aRun, std::uint64_t aFence)
+{
+  http_request request = MakeRequest("GET", aRun);
+  request.headers.Add(kFence, std::to_string(aFence));
+  return request;
+}
+
+http_request
+MakeRelayedCancel(const std::string& aRun)
+{
+  return MakeRequest("DELETE", aRun);
+}
+
+std::optional<relay_error>
+ReadRelayError(const header_list& aHeaders)
+{
+  const auto text = aHeaders.Find(kError);
+  if (!text) {
+    return std::nullopt;
+  }
+  return ParseEnum<relay_error>(*text).value_or(relay_error::Broken);
+}
+
+/// One stream: what has arrived so far, and the leaders that read it.
+class run_relay::run final
+  : public response_sink
+  , public std::enable_shared_from_this<run>
+{
+public:
+  run(event_loop& aLoop, std::function<void()> aLeaderLeft)
+    : mLoop(aLoop)
+    , mLeaderLeft(std::move(aLeaderLeft))
+    , mChanged(aLoop.Now())
+  {
+  }
+
+  void Start(http_client& aClient,
+             const socket_address& aTarget,
+             http_request aRequest,
+             std::string aEchoHeader)
+  {
+    exchange_options options;
+    options.connect = kConnectTimeout;
+    options.silence = kSilence;
+    options.echoHeader = std::move(aEchoHeader);
+    mExchange =
+      aClient.Send(aTarget, std::move(aRequest), options, shared_from_this());
+  }
+
+  void Attach(std::shared_ptr<responder> aReader)
+  {
+    if (mError) {
+      SendError(*aReader, *mError);
+      return;
+    }
+    if (mStatus != 0) {
+      aReader->Begin(mStatus, mHeaders);
+      if (!mBody.empty()) {
+        aReader->Write(mBody);
+      }
+    }
+    if (mEnded) {
+      aReader->End();
+      return;
+    }
+    const std::weak_ptr<responder> weak = aReader;
+    aReader->OnGone([self = weak_from_this(), weak] {
+      const auto alive = self.lock();
+      if (alive) {
+        alive->Leave(weak.lock());
+      }
+    });
+    mReaders.push_back(std::move(aReader));
+  }
+
+  /// Ends the stream at the sampler.
+  void Cancel()
+  {
+    if (const auto exchange = std::exchange(mExchange, nullptr)) {
+      exchange->Cancel();
+    }
+    for (const auto& reader : std::exchange(mReaders, {})) {
+      reader->Abort();
+    }
+  }
+
+  [[nodiscard]] bool Expired(time_point aNow) const
+  {
+    const milliseconds kept = mEnded || mError ? kFinishedTime : kOrphanTime;
+    return mReaders.empty() && aNow - mChanged >= kept;
+  }
+
+  void OnHead(int aStatus, const header_list& aHeaders) override
+  {
+    mStatus = aStatus;
+    for (const auto& [name, value] : aHeaders) {
+      // The connection to the leader has its own framing.
+      if (!EqualIgnoringCase(name, "Connection") &&
+          !EqualIgnoringCase(name, "Keep-Alive") &&
+          !EqualIgnoringCase(name, "Transfer-Encoding") &&
+          !EqualIgnoringCase(name, "Content-Length")) {
+        mHeaders.Add(name, value);
+      }
+    }
+    for (const auto& reader : mReaders) {
+      reader->Begin(mStatus, mHeaders);
+    }
+  }
+
+  void OnBody(std::string_view aPart) override
+  {
+    mBody += aPart;
+    for (const auto& reader : mReaders) {
+      reader->Write(aPart);
+    }
+  }
+
+  void OnEnd() override
+  {
+    mEnded = true;
+    mChanged = mLoop.Now();
+    for (const auto& reader : std::exchange(mReaders, {})) {
+      reader->End();
+    }
+  }
+
+  void OnFailure(exchange_failure aFailure) override
+  {
+    mError =
+      NothingSent(aFailure) ? relay_error::Unreachable : relay_error::Broken;
+    mChanged = mLoop.Now();
+    for (const auto& reader : std::exchange(mReaders, {})) {
+      if (mStatus == 0) {
+        SendError(*reader, *mError);
+      } else {
+        reader->Abort();
+      }
+    }
+  }
+
+private:
+  void Leave(const std::shared_ptr<responder>& aReader)
+  {
+    if (std::erase(mReaders, aReader) == 0) {
+      return;
+    }
+    mChanged = mLoop.Now();
+    mLeaderLeft();
+  }
+
+  event_loop& mLoop;
+  std::function<void()> mLeaderLeft;
+  std::shared_ptr<http_exchange> mExchange;
+  int mStatus = 0; ///< 0 until the head of the answer.
+  header_list mHeaders;
+  std::string mBody;
+  bool mEnded = false;
+  std::optional<relay_error> mError;
+  std::vector<std::shared_ptr<responder>> mReaders;
+  time_point mChanged; ///< End, or departure of the last reader.
+};
+
+run_relay::run_relay(parts aParts)
+  : mParts(std::move(aParts))
+  , mTicker(mParts.loop, kExpireInterval, [this] { Expire(); })
+{
+}
+
+run_relay::~run_relay()
+{
+  for (const auto& [id, entry] : std::exchange(mRuns, {})) {
+    entry->Cancel();
+  }
+}
+
+void
+run_relay::Handle(http_request aRequest, std::shared_ptr<responder> aResponder)
+{
+  if (!std::string_view(aRequest.target).starts_with(kRunPath)) {
+    mParts.other.Handle(std::move(aRequest), std::move(aResponder));
+    return;
+  }
+  const std::string id = aRequest.target.substr(kRunPath.size());
+  const auto found = mRuns.find(id);
+  if (aRequest.method == "DELETE") {
+    if (found != mRuns.end()) {
+      const auto cancelled = mRuns.extract(found);
+      cancelled.mapped()->Cancel();
+    }
+    http_response done;
+    done.status = 204;
+    aResponder->Send(std::move(done));
+    return;
+  }
+  const auto fence = ParseInteger(aRequest.headers.Get(kFence)).value_or(0);
+  if (static_cast<std::uint64_t>(fence) < mParts.highestFence()) {
+    Log(log_level::Warning,
+        "run_refused",
+        { { "run", id },
+          { "fence", std::to_string(fence) },
+          { "highest", std::to_string(mParts.highestFence()) } });
+    SendError(*aResponder, relay_error::Stale);
+  } else if (found != mRuns.end()) {
+    found->second->Attach(std::move(aResponder));
+  } else if (aRequest.method == "POST") {
+    Start(id, aRequest, std::move(aResponder));
+  } else {
+    SendError(*aResponder, relay_error::Unknown);
+  }
+}
+
+void
+run_relay::Start(const std::string& aRun,
+                 const http_request& aRequest,
+                 std::shared_ptr<responder> aResponder)
+{
+  const auto target = ParseAddress(aRequest.headers.Get(kTarget));
+  auto request = ReadRequest(aRequest.body);
+  if (!target || !request) {
+    Log(log_level::Error, "run_unreadable", { { "run", aRun } });
+    SendError(*aResponder, relay_error::Unknown);
+    return;
+  }
+  auto started = std::make_shared<run>(mParts.loop, mParts.leaderLeft);
+  mRuns[aRun] = started;
+  started->Start(
+    mParts.client, *target, std::move(*request), mParts.echoHeader);
+  started->Attach(std::move(aResponder));
+}
+
+void
+run_relay::Expire()
+{
+  const time_point now = mParts.loop.Now();
+  std::vector<std::shared_ptr<run>> expired;
+  std::erase_if(mRuns, [&](const auto& aEntry) {
+    if (!aEntry.second->Expired(now)) {
+      return false;
+    }
+    expired.push_back(aEntry.second);
+    return true;
+  });
+  for (const auto& entry : expired) {
+    entry->Cancel();
+  }
+}
+
+} // namespace arbutusferry::node
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -210,10 +210,10 @@
 }
 
 void
-sampler_pool::CancelAll()
+sampler_pool::LeaveAll()
 {
   for (const auto& run : std::exchange(mRuns, {})) {
-    run->Cancel();
+    run->Leave();
   }
   mSamplers.clear();
 }
@@ -241,13 +241,19 @@
     case run_end::Impossible:
       entry.failures = 0;
       break;
+    case run_end::RelayLost:
+      break;
     case run_end::Full:
       entry.avoidUntil = std::max(entry.avoidUntil, now + kFullPause);
       break;
-    case run_end::Misplaced:
-      entry.avoidUntil = std::max(entry.avoidUntil, now + kFullPause);
+    case run_end::Misplaced: {
+      // Another process may have its address until the view of targets says so.
+      const duration pause = kFullPause * (1 << std::min(entry.failures, 6));
+      entry.avoidUntil = std::max(entry.avoidUntil, now + pause);
+      ++entry.failures;
       AskReport(aRun.Sampler());
       break;
+    }
     case run_end::Broken:
     case run_end::Failed: {
       if (aRun.NewEvents() > 0) {
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -294,6 +294,7 @@
     http_request request;
     std::shared_ptr<response_sink> sink;
     bool cancelled = false;
+    std::function<void()> onCancel; ///< The sender gives the request up.
 
     void Answer(int aStatus,
                 const header_list& aHeaders = {},
@@ -322,7 +323,7 @@
     std::shared_ptr<response_sink> aSink) override
   {
     auto entry = std::make_shared<sent>(
-      sent{ aPeer, std::move(aRequest), std::move(aSink) });
+      sent{ aPeer, std::move(aRequest), std::move(aSink), false, {} });
     requests.push_back(entry);
     if (onSend) {
       onSend(entry);
@@ -354,8 +355,12 @@
     }
     void Cancel() override
     {
-      mEntry->cancelled = mEntry->cancelled || mEntry->sink;
+      const bool open = mEntry->sink != nullptr;
+      mEntry->cancelled = mEntry->cancelled || open;
       mEntry->sink.reset();
+      if (open && mEntry->onCancel) {
+        mEntry->onCancel();
+      }
     }
 
   private:
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -1,4 +1,5 @@
 #include "arbutusferry/node/batch_leader.hpp"
+#include "arbutusferry/node/run_relay.hpp"
 
 #include "support/node_fakes.hpp"
 #include "target_wire.hpp"
@@ -11,6 +12,56 @@
 
 namespace {
 
+constexpr const char* kRelayIp = "10.0.0.50";
+
+/// Answers a request of the scripted client.
+class sink_responder final : public responder
+{
+public:
+  explicit sink_responder(std::shared_ptr<scripted_client::sent> aSent)
+    : mSent(std::move(aSent))
+  {
+  }
+  void Send(http_response aResponse) override
+  {
+    mSent->Answer(aResponse.status, aResponse.headers, aResponse.body);
+  }
+  void Begin(int aStatus, const header_list& aHeaders) override
+  {
+    if (const auto sink = mSent->sink) {
+      sink->OnHead(aStatus, aHeaders);
+    }
+  }
+  void Write(std::string_view aPart) override
+  {
+    if (const auto sink = mSent->sink) {
+      sink->OnBody(aPart);
+    }
+  }
+  void End() override
+  {
+    if (const auto sink = std::exchange(mSent->sink, nullptr)) {
+      sink->OnEnd();
+    }
+  }
+  void Abort() override { mSent->Fail(exchange_failure::Broken); }
+  [[nodiscard]] bool Gone() const override { return !mSent->sink; }
+  [[nodiscard]] std::size_t Pending() const override { return 0; }
+  void OnGone(std::function<void()> aFunction) override
+  {
+    mSent->onCancel = std::move(aFunction);
+  }
+
+private:
+  std::shared_ptr<scripted_client::sent> mSent;
+};
+
+class nothing_else final : public request_handler
+{
+public:
+  void Handle(http_request, std::shared_ptr<responder>) override {}
+};
+
 /// Samplers that make one event each `pace`.
 class fake_samplers
 {
@@ -22,6 +73,7 @@
     std::uint64_t fence = 0;
     duration pace = milliseconds(40);
     bool dark = false;
+    bool another = false; ///< Another process has the address.
     int running = 0;
     duration loadTime = duration::zero();
     time_point loadedAt; ///< End of the present load.
@@ -40,12 +92,18 @@
   std::vector<std::size_t> resumedAfter;
   int reports = 0;
   int refusedWhileLoading = 0;
+  int misplaced = 0;
+  run_relay* relay = nullptr; ///< At `kRelayIp`.
 
 private:
   using exchange = std::shared_ptr<scripted_client::sent>;
 
   void OnSend(const exchange& aSent)
   {
+    if (relay && aSent->peer.ip == kRelayIp) {
+      relay->Handle(aSent->request, std::make_shared<sink_responder>(aSent));
+      return;
+    }
     mLoop.Post(milliseconds(2), [this, aSent] { Serve(aSent); });
   }
 
@@ -88,8 +146,9 @@
       aSent->Answer(503, { { "Arbutusferry-Not-Run", "1" } });
       return;
     }
-    if (request.headers.Get("Arbutusferry-Expect-Version") !=
-        std::to_string(self.version)) {
+    if (self.another || request.headers.Get("Arbutusferry-Expect-Version") !=
+                          std::to_string(self.version)) {
+      ++misplaced;
       aSent->Answer(421);
       return;
     }
@@ -171,6 +230,7 @@
                            client,
                            log,
                            targets,
+                           nodes,
                            protocol,
                            *this,
                            metrics,
@@ -213,6 +273,7 @@
   memory_store store;
   memory_log log{ loop, store };
   target_view targets;
+  node_directory nodes{ "vm" };
   platform::target_wire protocol;
   environment_view environment;
   metrics_registry metrics;
@@ -339,6 +400,113 @@
   CHECK_FALSE(test.samplers.resumedAfter.empty());
 }
 
+// Load pattern: the leader is lost while a step runs. Guards against items that
+// stop until the next leader has claimed the role and read the journal.
+TEST_CASE("items go on while one leader follows another")
+{
+  leader_test test;
+  nothing_else other;
+  run_relay relay({ test.loop,
+                    test.client,
+                    test.protocol.EchoHeader(),
+                    [] { return 1; },
+                    [] {},
+                    other });
+  test.samplers.relay = &relay;
+  test.samplers.events = 40;
+  test.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
+  auto first = test.Lead(1);
+  first->Submit(test.Request("b", 3), [] {});
+  test.loop.Advance(milliseconds(900));
+  CHECK(relay.Runs() == 3);
+  first.reset();
+  // Most of the events are made while nobody leads.
+  test.loop.Advance(milliseconds(700));
+  const auto second = test.Lead(2);
+  test.loop.Advance(milliseconds(200));
+  batch* found = second->Find("b", "acme");
+  REQUIRE(found->Complete());
+  CHECK(test.samplers.starts["i0"] == 1);
+  CHECK(test.samplers.resumedAfter.empty());
+  std::string expected;
+  for (int id = 1; id <= 40; ++id) {
+    expected += (id > 1 ? "\n" : "") + std::string("i1.") + std::to_string(id);
+  }
+  for (const batch_result& result : found->Results()) {
+    if (found->Request().items[result.item].id == "i1") {
+      CHECK(result.text == expected);
+    }
+  }
+}
+
+// Load pattern: a sampler is lost while the store is down, and another service
+// gets its address. Guards against hundreds of runs that it refuses.
+TEST_CASE("a sampler whose address another process has is asked ever less")
+{
+  leader_test test;
+  test.samplers.samplers["10.0.0.2"].another = true;
+  const auto leader = test.Lead(1);
+  leader->Submit(test.Request("b", 24), [] {});
+  test.loop.Advance(milliseconds(3'000));
+  CHECK(leader->Find("b", "acme")->Complete());
+  CHECK(test.samplers.misplaced <= 20);
+}
+
+// Guards against a leader that was replaced and asks nodes again and again.
+TEST_CASE("a leader that a node refuses as outdated ends its term")
+{
+  leader_test test;
+  nothing_else other;
+  run_relay relay({ test.loop,
+                    test.client,
+                    test.protocol.EchoHeader(),
+                    [] { return 2; },
+                    [] {},
+                    other });
+  test.samplers.relay = &relay;
+  test.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
+  const auto leader = test.Lead(1);
+  leader->Submit(test.Request("b", 1), [] {});
+  test.loop.Advance(milliseconds(10));
+  CHECK(test.superseded == 1);
+  CHECK(test.samplers.starts.empty());
+}
+
+// Guards against texts joined of two runs: a stream that has gone can't be
+// attached to, and its item goes on after its last saved event.
+TEST_CASE("an item whose stream was lost with its node goes on elsewhere")
+{
+  leader_test test;
+  nothing_else other;
+  auto relay =
+    std::make_unique<run_relay>(run_relay::parts{ test.loop,
+                                                  test.client,
+                                                  test.protocol.EchoHeader(),
+                                                  [] { return 1; },
+                                                  [] {},
+                                                  other });
+  test.samplers.relay = relay.get();
+  test.samplers.events = 40;
+  test.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
+  auto first = test.Lead(1);
+  first->Submit(test.Request("b", 1), [] {});
+  test.loop.Advance(milliseconds(900));
+  first.reset();
+  run_relay restarted({ test.loop,
+                        test.client,
+                        test.protocol.EchoHeader(),
+                        [] { return 1; },
+                        [] {},
+                        other });
+  test.samplers.relay = &restarted;
+  relay.reset();
+  const auto second = test.Lead(2);
+  test.loop.Advance(milliseconds(1'700));
+  REQUIRE(second->Find("b", "acme")->Complete());
+  REQUIRE(test.samplers.resumedAfter.size() == 1);
+  CHECK(test.samplers.resumedAfter[0] >= 8);
+}
+
 TEST_CASE("a stopping leader hands on all that its runs have generated")
 {
   leader_test test;
--- /dev/null
+++ b/tests/unit/run_relay_test.cpp
@@ -0,0 +1,174 @@
+#include "arbutusferry/node/run_relay.hpp"
+
+#include "support/node_fakes.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace arbutusferry;
+using namespace arbutusferry::node;
+using std::chrono::milliseconds;
+
+namespace {
+
+class no_other final : public request_handler
+{
+public:
+  void Handle(http_request, std::shared_ptr<responder>) override { ++calls; }
+  int calls = 0;
+};
+
+struct relay_test
+{
+  http_request Item()
+  {
+    http_request request;
+    request.method = "POST";
+    request.target = "/p/x?y=1";
+    request.headers = { { "Host", "h.example" }, { "A-Header", "v: w" } };
+    request.body = std::string("body\n\nwith \0 bytes", 17);
+    return request;
+  }
+  std::shared_ptr<kept_answer> Call(http_request aRequest)
+  {
+    auto answer = std::make_shared<kept_answer>();
+    relay.Handle(std::move(aRequest), answer);
+    return answer;
+  }
+  std::shared_ptr<kept_answer> Run(const std::string& aRun,
+                                   std::uint64_t aFence = 5)
+  {
+    return Call(MakeRelayedRun(aRun, aFence, { "10.0.0.9", 80 }, Item()));
+  }
+
+  manual_loop loop;
+  scripted_client client;
+  no_other other;
+  std::uint64_t highest = 5;
+  int left = 0;
+  run_relay relay{ { loop,
+                     client,
+                     "Id",
+                     [this] { return highest; },
+                     [this] { ++left; },
+                     other } };
+};
+
+} // namespace
+
+TEST_CASE("the sampler gets the request as the leader made it")
+{
+  relay_test test;
+  const auto answer = test.Run("5-1");
+  REQUIRE(test.client.requests.size() == 1);
+  const auto sent = test.client.requests.front();
+  CHECK(sent->peer == socket_address{ "10.0.0.9", 80 });
+  CHECK(sent->request.method == "POST");
+  CHECK(sent->request.target == "/p/x?y=1");
+  CHECK(sent->request.body == test.Item().body);
+  CHECK(sent->request.headers.Get("A-Header") == "v: w");
+  CHECK_FALSE(sent->request.headers.Find("Ferry-Target"));
+  sent->Answer(200, { { "Stamp", "s" }, { "Connection", "close" } }, "whole");
+  CHECK(answer->response.status == 200);
+  CHECK(answer->response.headers.Get("Stamp") == "s");
+  CHECK_FALSE(answer->response.headers.Find("Connection"));
+  CHECK(answer->response.body == "whole");
+  CHECK(answer->answers == 1);
+}
+
+// Load pattern: the leader is lost while its items run. Guards against items
+// that stop for the second and more that a change of leaders takes.
+TEST_CASE("a stream outlives its leader, and the next one gets all of it")
+{
+  relay_test test;
+  const auto first = test.Run("5-1");
+  const auto sent = test.client.requests.front();
+  sent->sink->OnHead(200, { { "Stamp", "s" } });
+  sent->sink->OnBody("one ");
+  first->Leave();
+  CHECK(test.left == 1);
+  sent->sink->OnBody("two ");
+  test.loop.Advance(milliseconds(4'000));
+  CHECK_FALSE(sent->cancelled);
+  test.highest = 6;
+  const auto second = test.Call(MakeRelayedAttach("5-1", 6));
+  CHECK(second->response.headers.Get("Stamp") == "s");
+  CHECK(second->response.body == "one two ");
+  const auto sink = std::exchange(sent->sink, nullptr);
+  sink->OnBody("three");
+  sink->OnEnd();
+  CHECK(second->response.body == "one two three");
+  CHECK(second->answers == 1);
+  CHECK(first->response.body == "one ");
+}
+
+TEST_CASE("a stream that ended without a leader is kept for the next one")
+{
+  relay_test test;
+  const auto first = test.Run("5-1");
+  first->Leave();
+  test.client.requests.front()->Answer(200, {}, "whole");
+  test.loop.Advance(milliseconds(2'000));
+  const auto second = test.Call(MakeRelayedAttach("5-1", 5));
+  CHECK(second->response.body == "whole");
+  CHECK(second->answers == 1);
+  test.loop.Advance(milliseconds(4'000));
+  CHECK(test.relay.Runs() == 0);
+}
+
+// Guards against samplers that work for nobody.
+TEST_CASE("a stream that no leader asks for is ended")
+{
+  relay_test test;
+  const auto first = test.Run("5-1");
+  const auto second = test.Run("5-2");
+  first->Leave();
+  test.loop.Advance(milliseconds(6'000));
+  CHECK(test.client.requests[0]->cancelled);
+  CHECK_FALSE(test.client.requests[1]->cancelled);
+  CHECK(test.Call(MakeRelayedCancel("5-2"))->response.status == 204);
+  CHECK(test.client.requests[1]->cancelled);
+  CHECK(second->aborted);
+  CHECK(test.relay.Runs() == 0);
+  CHECK(
+    ReadRelayError(test.Call(MakeRelayedAttach("5-2", 5))->response.headers) ==
+    relay_error::Unknown);
+}
+
+// Guards against a request of a leader that was cut off: it may arrive after
+// the next leader has ended the item's batch.
+TEST_CASE("a leader that was replaced begins nothing")
+{
+  relay_test test;
+  test.highest = 6;
+  const auto answer = test.Run("5-1", 5);
+  CHECK(test.client.requests.empty());
+  CHECK(ReadRelayError(answer->response.headers) == relay_error::Stale);
+}
+
+TEST_CASE("a sampler's failure is told apart before and after its answer began")
+{
+  relay_test test;
+  const auto unreachable = test.Run("5-1");
+  test.client.requests[0]->Fail(exchange_failure::Refused);
+  CHECK(ReadRelayError(unreachable->response.headers) ==
+        relay_error::Unreachable);
+  const auto broken = test.Run("5-2");
+  test.client.requests[1]->sink->OnHead(200, {});
+  test.client.requests[1]->Fail(exchange_failure::Broken);
+  CHECK(broken->aborted);
+}
+
+TEST_CASE("what concerns no run goes to the other handler")
+{
+  relay_test test;
+  http_request request;
+  request.method = "GET";
+  request.target = "/lots/1";
+  test.Call(request);
+  CHECK(test.other.calls == 1);
+  request.method = "POST";
+  request.target = "/runs/1";
+  request.body = "no request";
+  CHECK(ReadRelayError(test.Call(request)->response.headers));
+  CHECK(test.client.requests.empty());
+}
