--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -355,10 +355,9 @@
       item.phase = item_phase::Waiting;
       item.progress.place.reset();
     }
-    if (silent && run->Place() &&
-        mParts.nodes.NoteSilence(run->Place()->relay, now)) {
-      mPool.CancelRun(run);
-    } else if (silent) {
+    const bool nodeSilent = silent && run->Place() &&
+                            mParts.nodes.NoteSilence(run->Place()->relay, now);
+    if (silent && !nodeSilent) {
       // Judged like a broken run, so that its sampler rests.
       mPool.EndRun(*run, run_end::Broken);
       run->Cancel();
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -77,7 +77,8 @@
     if (known.entry.zone != aZone || known.avoidUntil > aNow) {
       continue;
     }
-    const std::uint64_t weight = Hash64(aSampler + "/" + vm);
+    std::string pair = aSampler;
+    const std::uint64_t weight = Hash64(pair.append("/").append(vm));
     if (!best || weight > bestWeight) {
       best = &known;
       bestWeight = weight;
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -4,6 +4,7 @@
 #include "support/node_fakes.hpp"
 #include "target_wire.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace arbutusferry;
