Log where and how long each item of a batch ran

batch_ended names no slow item, so an operator could not tell a step that waited for weights from one that waited for a slow sampler. item_ended says how long an item waited for its first run, how many runs it had, and at which target it ended.

--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -99,7 +99,11 @@
   bool carried = false; ///< Came back from an earlier batch.
   std::size_t savedEvents = 0; ///< Events of the last save of its progress.
   std::string savedRun;        ///< Stream named by that save.
-  time_point notBefore;        ///< Pause after a failure.
+  int runs = 0;                ///< Begun by this leader.
+  /// From the batch's submission to the first of them.
+  std::chrono::milliseconds waited{ 0 };
+  std::string sampler;  ///< Of the last run.
+  time_point notBefore; ///< Pause after a failure.
 };
 
 /// One batch with its results.
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -126,6 +126,12 @@
   void GiveUpItems();
   void ExpireBatches();
   void WakeWaiters();
+  /// @return Time since a batch was submitted.
+  [[nodiscard]] std::chrono::milliseconds Age(const batch& aBatch) const
+  {
+    return std::chrono::milliseconds(mParts.loop.UnixMilliseconds() -
+                                     aBatch.Request().submittedUnixMs);
+  }
   void Finish(batch& aBatch, std::size_t aIndex, result_state aState);
   [[nodiscard]] std::vector<waiting_item> Waiting();
   [[nodiscard]] bool StartRun(const waiting_item& aItem,
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -202,12 +202,10 @@
                                ? nullptr
                                : mParts.environment.Environment().FindRoute(
                                    request.host, request.items.front().path);
-  const milliseconds age(mParts.loop.UnixMilliseconds() -
-                         request.submittedUnixMs);
   step_state step;
   step.items = request.items.size();
   step.missing = found->MissingItems();
-  step.due = now + (route ? route->resultDue : milliseconds(0)) - age;
+  step.due = now + (route ? route->resultDue : milliseconds(0)) - Age(*found);
   return now >= AnswerTime(aEntry.wait, step, *aEntry.resultsSince);
 }
 
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -135,6 +135,10 @@
                            mPool.VersionOf(aSampler, aItem.model),
                            item.progress.events.size());
   item.phase = item_phase::Running;
+  item.sampler = aSampler;
+  if (item.runs++ == 0) {
+    item.waited = Age(owner);
+  }
   mPool.AddRun(run);
   const auto relay =
     mParts.nodes.RelayOf(aSampler, target->entry.zone, mParts.loop.Now());
@@ -198,6 +202,7 @@
       const auto run =
         MakeRun(*entry, index, place->sampler, 0, place->resumedAfter);
       item.phase = item_phase::Running;
+      item.sampler = place->sampler;
       mPool.AddRun(run);
       run->Attach(mParts.client, *place, mFence, item.progress.events.size());
       ++attached;
@@ -294,6 +299,17 @@
 {
   open_item& item = aBatch.Items()[aIndex];
   item.phase = item_phase::Saving;
+  Log(
+    log_level::Info,
+    "item_ended",
+    { { "item", aBatch.Request().items[aIndex].id },
+      { "batch", aBatch.Request().id },
+      { "state", aState == result_state::Completed ? "completed" : "errored" },
+      { "events", std::to_string(item.progress.events.size()) },
+      { "runs", std::to_string(item.runs) },
+      { "target", item.sampler },
+      { "waited_ms", std::to_string(item.waited.count()) },
+      { "ms", std::to_string(Age(aBatch).count()) } });
   batch_result result;
   result.item = aIndex;
   result.state = aState;
