Never count a usage window anew after the clock jumped back

Cause: a leader forgets windows that are over 30 s old. When its time of day had jumped ahead and back, windows that it had reported and forgotten were in range again and were counted from what was left. The leader now keeps the first window that it has not forgotten and never goes below it.

The test fails without the change.

--- a/include/arbutusferry/node/duty_desk.hpp
+++ b/include/arbutusferry/node/duty_desk.hpp
@@ -79,6 +79,7 @@
   parts mParts;
   usage_sum mSum;
   std::map<std::int64_t, report> mReports;
+  std::int64_t mFirst = 0; ///< Windows before it are forgotten.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/src/node/duty_desk.cpp
+++ b/src/node/duty_desk.cpp
@@ -42,7 +42,9 @@
   const std::int64_t length = mParts.window.count();
   const std::int64_t last =
     (mParts.loop.UnixMilliseconds() - kSettle.count()) / length - 1;
-  const std::int64_t first = last - mParts.due.count() / length - kLateWindows;
+  // The time of day may jump back to windows that were forgotten.
+  mFirst = std::max(mFirst, last - mParts.due.count() / length - kLateWindows);
+  const std::int64_t first = mFirst;
   for (std::int64_t window = first; window <= last; ++window) {
     report& entry = mReports[window];
     if (entry.done || entry.busy) {
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -25,7 +25,7 @@
   }
   [[nodiscard]] std::int64_t UnixMilliseconds() const noexcept override
   {
-    return kStartUnixMs + ToMilliseconds(mNow - kStart);
+    return kStartUnixMs + ToMilliseconds(mNow - kStart + clockStep);
   }
   [[nodiscard]] std::unique_ptr<timer> After(
     duration aDelay,
@@ -35,6 +35,7 @@
     mTimers.emplace(mNow + std::max(aDelay, duration::zero()), entry);
     return std::make_unique<manual_timer>(std::move(entry));
   }
+  duration clockStep{}; ///< By how much the time of day has jumped.
   /// Calls a function at a time without a handle.
   void Post(duration aDelay, std::function<void()> aFunction)
   {
--- a/tests/unit/duty_desk_test.cpp
+++ b/tests/unit/duty_desk_test.cpp
@@ -133,6 +133,27 @@
         std::vector<tenant_counts>(3, { { "acme", 4 } }));
 }
 
+// Load pattern: the leader's time of day jumps ahead and back. Guards against a
+// window that was forgotten as too old and is then counted anew.
+TEST_CASE("a window is not fixed again when the clock jumps back")
+{
+  usage_test test;
+  const std::int64_t window = test.Window();
+  auto desk = test.Desk();
+  desk->Add("p", { { window, { { "acme", 4 } } } });
+  test.loop.Advance(milliseconds(9'000));
+  desk->Tick();
+  test.loop.clockStep = milliseconds(60'000);
+  desk->Tick();
+  test.loop.clockStep = {};
+  desk->Add("p", { { window, { { "acme", 9 } } } });
+  desk->Tick();
+  for (const tenant_counts& counts : test.Reported(window)) {
+    CHECK(counts == tenant_counts{ { "acme", 4 } });
+  }
+  CHECK(DecodeCounts(test.fixed[window]) == tenant_counts{ { "acme", 4 } });
+}
+
 TEST_CASE("a report that meets a higher fence ends the term")
 {
   usage_test test;
