Refuse runs that were under way to their node for long

Path found by reading: a leader that is cut off from a node writes the run to a kept connection, ends the batch, and the node gets the request when the cut is over. Before streams were held at nodes the same request came from the leader's own machine, which is not in touch after a cut.

A node now refuses a run that was under way for over 1 s by its own clock, which the leader knows from the node's earlier answers, and a leader begins runs only up to 1.6 s after its last confirmed renewal (3 s before), so that way and connection fit into the 3 s.

Ruled out: an outdated leader (nodes that know of a later one refuse it), and attaching (it never sends to a sampler).

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -148,6 +148,7 @@
                   std::string aData,
                   std::int64_t aVersion) override;
   void OnRunEnded(const item_run& aRun, run_end aEnd) override;
+  void OnRelayTime(const item_run& aRun, std::int64_t aTime) override;
 
   parts mParts;
   std::uint64_t mFence;
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -39,6 +39,8 @@
                           std::string aData,
                           std::int64_t aVersion) = 0;
   virtual void OnRunEnded(const item_run& aRun, run_end aEnd) = 0;
+  /// The node that holds the stream has told its clock, in milliseconds.
+  virtual void OnRelayTime(const item_run& aRun, std::int64_t aTime) = 0;
 };
 
 /// One run of an item at a sampler. Kept alive by its exchange.
@@ -61,6 +63,7 @@
   void StartThrough(http_client& aClient,
                     run_place aPlace,
                     std::uint64_t aFence,
+                    std::optional<std::int64_t> aSentAt,
                     const target_entry& aTarget);
   /// Reads a stream that an earlier leader began, from its start.
   /// @param aHave Events of the item that are there already.
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -47,6 +47,13 @@
 
   /// Notes bytes from a node.
   void NoteAlive(const socket_address& aAddress, time_point aNow);
+  /// Notes a node's clock, in milliseconds, as its answer told it.
+  void NoteClock(const socket_address& aAddress,
+                 std::int64_t aClock,
+                 time_point aNow);
+  /// @return A node's clock now, or somewhat before; nothing if it never told.
+  [[nodiscard]] std::optional<std::int64_t> ClockOf(const std::string& aVm,
+                                                    time_point aNow) const;
   /// Notes that a node could not be reached.
   void NoteFailure(const socket_address& aAddress, time_point aNow);
   /// Notes that a stream through a node is silent. The node rests if nothing
@@ -61,6 +68,8 @@
     time_point avoidUntil;
     time_point alive;
     int failures = 0;
+    std::optional<std::int64_t> clock;
+    time_point clockAt; ///< When its answer arrived.
   };
   [[nodiscard]] known_node* Find(const socket_address& aAddress);
   static void Rest(known_node& aNode, time_point aNow);
--- a/include/arbutusferry/node/run_relay.hpp
+++ b/include/arbutusferry/node/run_relay.hpp
@@ -22,12 +22,17 @@
   Stale,       ///< It knows of a later leader.
   Unreachable, ///< The sampler can't be reached; it has received nothing.
   Broken,      ///< The sampler broke off before its answer.
+  Late,        ///< The request was under way for too long, or names no time.
 };
 
 /// Requests of the leader to a relaying node.
+/// @param aSentAt The node's own clock at the sending, in milliseconds, as
+/// estimated from an earlier answer; the node refuses what is much older, since
+/// its batch may have ended meanwhile.
 [[nodiscard]] http_request
 MakeRelayedRun(const std::string& aRun,
                std::uint64_t aFence,
+               std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
                const http_request& aRequest);
 [[nodiscard]] http_request
@@ -38,6 +43,9 @@
 /// @return What the relaying node says instead of the sampler, if it does.
 [[nodiscard]] std::optional<relay_error>
 ReadRelayError(const header_list& aHeaders);
+/// @return The relaying node's clock in milliseconds at its answer.
+[[nodiscard]] std::optional<std::int64_t>
+ReadRelayTime(const header_list& aHeaders);
 
 /// Streams of samplers that this node holds for the leader. They outlive it:
 /// the next leader attaches to a stream and gets all of it from its start, so
@@ -94,4 +102,6 @@
                std::string_view("unreachable") },
     std::pair{ arbutusferry::node::relay_error::Broken,
                std::string_view("broken") },
+    std::pair{ arbutusferry::node::relay_error::Late,
+               std::string_view("late") },
   };
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -152,7 +152,11 @@
                           relay->address,
                           aSampler,
                           item.progress.events.size() };
-  run->StartThrough(mParts.client, *item.progress.place, mFence, target->entry);
+  run->StartThrough(mParts.client,
+                    *item.progress.place,
+                    mFence,
+                    mParts.nodes.ClockOf(relay->vm, mParts.loop.Now()),
+                    target->entry);
   return true;
 }
 
@@ -230,6 +234,12 @@
   }
 }
 
+void
+batch_leader::OnRelayTime(const item_run& aRun, std::int64_t aTime)
+{
+  mParts.nodes.NoteClock(aRun.Place()->relay, aTime, mParts.loop.Now());
+}
+
 void
 batch_leader::OnRunEnded(const item_run& aRun, run_end aEnd)
 {
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -37,6 +37,9 @@
 /// Longest wait of a read of the leadership topic: shorter than the silence
 /// after which a holder is replaced, since a wait may miss a record.
 constexpr milliseconds kRolePoll{ 300 };
+/// Part of the time in which an ended batch's items may begin that a run may
+/// need on its way through another node to its sampler.
+constexpr milliseconds kRunMargin{ 1'400 };
 /// Longest wait of a stopping leader for its last save.
 constexpr milliseconds kHandOver{ 500 };
 /// The only key of the leadership topic.
@@ -475,7 +478,8 @@
   };
   const auto mayAct = [this] { return mClaim.MayAct(mParts.loop.Now()); };
   const auto mayRun = [this] {
-    return mClaim.ConfirmedWithin(mSettings.cancelWithin, mParts.loop.Now());
+    return mClaim.ConfirmedWithin(mSettings.cancelWithin - kRunMargin,
+                                  mParts.loop.Now());
   };
   mLeader =
     std::make_unique<batch_leader>(batch_leader::parts{ mParts.loop,
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -65,6 +65,7 @@
 item_run::StartThrough(http_client& aClient,
                        run_place aPlace,
                        std::uint64_t aFence,
+                       std::optional<std::int64_t> aSentAt,
                        const target_entry& aTarget)
 {
   mPlace = std::move(aPlace);
@@ -72,6 +73,7 @@
        mPlace->relay,
        MakeRelayedRun(mPlace->run,
                       aFence,
+                      aSentAt,
                       aTarget.address,
                       mProtocol.MakeItemRequest(mCall, aTarget)));
 }
@@ -133,7 +135,8 @@
 item_run::EndOfRelay() const noexcept
 {
   return *mRelayError == relay_error::Unknown ||
-             *mRelayError == relay_error::Stale
+             *mRelayError == relay_error::Stale ||
+             *mRelayError == relay_error::Late
            ? run_end::RelayLost
            : run_end::Broken;
 }
@@ -158,6 +161,10 @@
 {
   mHeadSeen = true;
   mRelayError = ReadRelayError(aHeaders);
+  const auto time = mPlace ? ReadRelayTime(aHeaders) : std::nullopt;
+  if (time && mOwner) {
+    mOwner->OnRelayTime(*this, *time);
+  }
   mVerdict = mProtocol.Judge(aStatus, aHeaders);
   if (mVerdict == target_verdict::Genuine && aStatus / 100 != 2) {
     mVerdict = target_verdict::Failed;
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -115,6 +115,27 @@
   }
 }
 
+void
+node_directory::NoteClock(const socket_address& aAddress,
+                          std::int64_t aClock,
+                          time_point aNow)
+{
+  if (known_node* node = Find(aAddress)) {
+    node->clock = aClock;
+    node->clockAt = aNow;
+  }
+}
+
+std::optional<std::int64_t>
+node_directory::ClockOf(const std::string& aVm, time_point aNow) const
+{
+  const auto found = mNodes.find(aVm);
+  if (found == mNodes.end() || !found->second.clock) {
+    return std::nullopt;
+  }
+  return *found->second.clock + ToMilliseconds(aNow - found->second.clockAt);
+}
+
 void
 node_directory::NoteFailure(const socket_address& aAddress, time_point aNow)
 {
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -16,6 +16,13 @@
 constexpr const char* kTarget = "Ferry-Target";
 constexpr const char* kFence = "Ferry-Fence";
 constexpr const char* kError = "Ferry-Relay-Error";
+constexpr const char* kSentAt = "Ferry-Sent-At";
+constexpr const char* kTime = "Ferry-Time";
+
+/// A run that was under way to this node for longer is refused. Items may begin
+/// up to 3 s after the end of their batch; the sampler's connection needs 0.4 s
+/// of it, and a leader's knowledge of its term 1.6 s.
+constexpr milliseconds kLongestWay{ 1'000 };
 
 /// Longest wait for a connection to a sampler, and for its next byte.
 constexpr milliseconds kConnectTimeout{ 400 };
@@ -28,12 +35,19 @@
 constexpr milliseconds kFinishedTime{ 3'000 };
 constexpr milliseconds kExpireInterval{ 500 };
 
+std::int64_t
+ClockOf(const event_loop& aLoop)
+{
+  return ToMilliseconds(aLoop.Now().time_since_epoch());
+}
+
 void
-SendError(responder& aResponder, relay_error aError)
+SendError(const event_loop& aLoop, responder& aResponder, relay_error aError)
 {
   http_response response;
   response.status = 502;
   response.headers.Add(kError, std::string(EnumName(aError)));
+  response.headers.Add(kTime, std::to_string(ClockOf(aLoop)));
   aResponder.Send(std::move(response));
 }
 
@@ -101,10 +115,14 @@
 http_request
 MakeRelayedRun(const std::string& aRun,
                std::uint64_t aFence,
+               std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
                const http_request& aRequest)
 {
   http_request request = MakeRequest("POST", aRun);
+  if (aSentAt) {
+    request.headers.Add(kSentAt, std::to_string(*aSentAt));
+  }
   request.headers.Add(kTarget, FormatAddress(aTarget));
   request.headers.Add(kFence, std::to_string(aFence));
   request.body = WriteRequest(aRequest);
@@ -135,6 +153,12 @@
   return ParseEnum<relay_error>(*text).value_or(relay_error::Broken);
 }
 
+std::optional<std::int64_t>
+ReadRelayTime(const header_list& aHeaders)
+{
+  return ParseInteger(aHeaders.Get(kTime));
+}
+
 /// One stream: what has arrived so far, and the leaders that read it.
 class run_relay::run final
   : public response_sink
@@ -164,11 +188,11 @@
   void Attach(std::shared_ptr<responder> aReader)
   {
     if (mError) {
-      SendError(*aReader, *mError);
+      SendError(mLoop, *aReader, *mError);
       return;
     }
     if (mStatus != 0) {
-      aReader->Begin(mStatus, mHeaders);
+      Begin(*aReader);
       if (!mBody.empty()) {
         aReader->Write(mBody);
       }
@@ -217,7 +241,7 @@
       }
     }
     for (const auto& reader : mReaders) {
-      reader->Begin(mStatus, mHeaders);
+      Begin(*reader);
     }
   }
 
@@ -245,7 +269,7 @@
     mChanged = mLoop.Now();
     for (const auto& reader : std::exchange(mReaders, {})) {
       if (mStatus == 0) {
-        SendError(*reader, *mError);
+        SendError(mLoop, *reader, *mError);
       } else {
         reader->Abort();
       }
@@ -253,6 +277,13 @@
   }
 
 private:
+  void Begin(responder& aReader) const
+  {
+    header_list headers = mHeaders;
+    headers.Add(kTime, std::to_string(ClockOf(mLoop)));
+    aReader.Begin(mStatus, headers);
+  }
+
   void Leave(const std::shared_ptr<responder>& aReader)
   {
     if (std::erase(mReaders, aReader) == 0) {
@@ -313,13 +344,19 @@
         { { "run", id },
           { "fence", std::to_string(fence) },
           { "highest", std::to_string(mParts.highestFence()) } });
-    SendError(*aResponder, relay_error::Stale);
+    SendError(mParts.loop, *aResponder, relay_error::Stale);
   } else if (found != mRuns.end()) {
     found->second->Attach(std::move(aResponder));
   } else if (aRequest.method == "POST") {
+    const auto sentAt = ParseInteger(aRequest.headers.Get(kSentAt));
+    const std::int64_t way = ClockOf(mParts.loop) - sentAt.value_or(0);
+    if (!sentAt || way < -kLongestWay.count() || way > kLongestWay.count()) {
+      SendError(mParts.loop, *aResponder, relay_error::Late);
+      return;
+    }
     Start(id, aRequest, std::move(aResponder));
   } else {
-    SendError(*aResponder, relay_error::Unknown);
+    SendError(mParts.loop, *aResponder, relay_error::Unknown);
   }
 }
 
@@ -332,7 +369,7 @@
   auto request = ReadRequest(aRequest.body);
   if (!target || !request) {
     Log(log_level::Error, "run_unreadable", { { "run", aRun } });
-    SendError(*aResponder, relay_error::Unknown);
+    SendError(mParts.loop, *aResponder, relay_error::Unknown);
     return;
   }
   auto started = std::make_shared<run>(mParts.loop, mParts.leaderLeft);
--- a/tests/unit/node_directory_test.cpp
+++ b/tests/unit/node_directory_test.cpp
@@ -84,6 +84,17 @@
   CHECK(nodes.NoteSilence(address, kStart + milliseconds(450)));
 }
 
+TEST_CASE("a node's clock goes on from its last answer")
+{
+  node_directory nodes = Directory();
+  CHECK_FALSE(nodes.ClockOf("n4", kStart));
+  nodes.NoteClock(Node("n4", "b").address, 5'000, kStart);
+  CHECK(nodes.ClockOf("n4", kStart + milliseconds(700)) == 5'700);
+  // Another process may run on another machine.
+  nodes.Update(Node("n4", "b", "2"));
+  CHECK_FALSE(nodes.ClockOf("n4", kStart));
+}
+
 TEST_CASE("records of nodes are read back, broken ones are none")
 {
   const auto node = DecodeNode(EncodeNode(Node("n2", "a")));
--- a/tests/unit/run_relay_test.cpp
+++ b/tests/unit/run_relay_test.cpp
@@ -34,10 +34,15 @@
     relay.Handle(std::move(aRequest), answer);
     return answer;
   }
+  [[nodiscard]] std::int64_t Clock() const
+  {
+    return ToMilliseconds(loop.Now().time_since_epoch());
+  }
   std::shared_ptr<kept_answer> Run(const std::string& aRun,
                                    std::uint64_t aFence = 5)
   {
-    return Call(MakeRelayedRun(aRun, aFence, { "10.0.0.9", 80 }, Item()));
+    return Call(
+      MakeRelayedRun(aRun, aFence, Clock(), { "10.0.0.9", 80 }, Item()));
   }
 
   manual_loop loop;
@@ -145,6 +150,26 @@
   CHECK(ReadRelayError(answer->response.headers) == relay_error::Stale);
 }
 
+// Load pattern: the leader is cut off from the node, ends the item's batch, and
+// the request arrives when the cut is over. Guards against items that begin
+// long after their batch was ended.
+TEST_CASE("a run that was under way for too long is refused")
+{
+  relay_test test;
+  const socket_address target{ "10.0.0.9", 80 };
+  const auto late = test.Call(
+    MakeRelayedRun("5-1", 5, test.Clock() - 1'500, target, test.Item()));
+  CHECK(ReadRelayError(late->response.headers) == relay_error::Late);
+  // The first request to a node can't name its clock; the refusal tells it.
+  const auto first =
+    test.Call(MakeRelayedRun("5-2", 5, {}, target, test.Item()));
+  CHECK(ReadRelayError(first->response.headers) == relay_error::Late);
+  CHECK(ReadRelayTime(first->response.headers) == test.Clock());
+  CHECK(test.client.requests.empty());
+  test.Call(MakeRelayedRun("5-3", 5, test.Clock() - 200, target, test.Item()));
+  CHECK(test.client.requests.size() == 1);
+}
+
 TEST_CASE("a sampler's failure is told apart before and after its answer began")
 {
   relay_test test;
