--- a/include/arbutusferry/node/batch_book.hpp
+++ b/include/arbutusferry/node/batch_book.hpp
@@ -74,7 +74,7 @@
   std::vector<std::string> events;
   std::vector<std::int64_t> versions; ///< Of each event.
   /// The stream that goes on from here, if a node holds it.
-  std::optional<run_place> place;
+  std::optional<run_place> place = std::nullopt;
 
   [[nodiscard]] bool FitsVersion(std::int64_t aMinimum) const;
   [[nodiscard]] std::string Text() const;
