Never choose one port twice in a run of the soak

The logs name the cause: 320 times 'listen: 127.0.0.1:43021: Address already in use', the caller port of another node of the same run, whose readiness answers came back to callers. Ports were chosen by opening and closing a socket, so one could be chosen twice.

--- a/standins/node-soak/main.cpp
+++ b/standins/node-soak/main.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <random>
+#include <set>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -31,13 +32,20 @@
 /// read and ended: only one that hangs takes so long.
 constexpr std::chrono::seconds kRecovery{ 40 };
 
+/// @return A free port that this run has not had before.
 std::uint16_t
 FreePort()
 {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(
-    context, { boost::asio::ip::address_v4::loopback(), 0 });
-  return acceptor.local_endpoint().port();
+  static std::set<std::uint16_t> sGiven;
+  for (;;) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+      context, { boost::asio::ip::address_v4::loopback(), 0 });
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    if (sGiven.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 socket_address
