--- /dev/null
+++ b/tests/support/leader_fixture.hpp
@@ -0,0 +1,297 @@
+#pragma once
+
+#include "arbutusferry/node/batch_leader.hpp"
+#include "arbutusferry/node/run_relay.hpp"
+
+#include "support/node_fakes.hpp"
+#include "target_wire.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutusferry::node {
+
+inline constexpr const char* kRelayIp = "10.0.0.50";
+
+/// Answers a request of the scripted client.
+class sink_responder final : public responder
+{
+public:
+  explicit sink_responder(std::shared_ptr<scripted_client::sent> aSent)
+    : mSent(std::move(aSent))
+  {
+  }
+  void Send(http_response aResponse) override
+  {
+    mSent->Answer(aResponse.status, aResponse.headers, aResponse.body);
+  }
+  void Begin(int aStatus, const header_list& aHeaders) override
+  {
+    if (const auto sink = mSent->sink) {
+      sink->OnHead(aStatus, aHeaders);
+    }
+  }
+  void Write(std::string_view aPart) override
+  {
+    if (const auto sink = mSent->sink) {
+      sink->OnBody(aPart);
+    }
+  }
+  void End() override
+  {
+    if (const auto sink = std::exchange(mSent->sink, nullptr)) {
+      sink->OnEnd();
+    }
+  }
+  void Abort() override { mSent->Fail(exchange_failure::Broken); }
+  [[nodiscard]] bool Gone() const override { return !mSent->sink; }
+  [[nodiscard]] std::size_t Pending() const override { return 0; }
+  void OnGone(std::function<void()> aFunction) override
+  {
+    mSent->onCancel = std::move(aFunction);
+  }
+
+private:
+  std::shared_ptr<scripted_client::sent> mSent;
+};
+
+class nothing_else final : public request_handler
+{
+public:
+  void Handle(http_request, std::shared_ptr<responder>) override {}
+};
+
+/// Samplers that make one event each `pace`.
+class fake_samplers
+{
+public:
+  struct sampler
+  {
+    std::int64_t version = 1;
+    std::uint64_t orders = 0;
+    std::uint64_t fence = 0;
+    duration pace = std::chrono::milliseconds(40);
+    bool dark = false;
+    bool another = false; ///< Another process has the address.
+    int running = 0;
+    duration loadTime = duration::zero();
+    time_point loadedAt; ///< End of the present load.
+    std::int64_t before = 1;
+  };
+
+  fake_samplers(manual_loop& aLoop, scripted_client& aClient)
+    : mLoop(aLoop)
+  {
+    aClient.onSend = [this](const auto& aSent) { OnSend(aSent); };
+  }
+
+  std::map<std::string, sampler> samplers; ///< By address.
+  std::size_t events = 6;                  ///< Of each item.
+  std::map<std::string, int> starts;       ///< Runs by item.
+  std::vector<std::size_t> resumedAfter;
+  int reports = 0;
+  int refusedWhileLoading = 0;
+  int misplaced = 0;
+  run_relay* relay = nullptr; ///< At `kRelayIp`.
+
+private:
+  using exchange = std::shared_ptr<scripted_client::sent>;
+
+  void OnSend(const exchange& aSent)
+  {
+    if (relay && aSent->peer.ip == kRelayIp) {
+      relay->Handle(aSent->request, std::make_shared<sink_responder>(aSent));
+      return;
+    }
+    mLoop.Post(std::chrono::milliseconds(2), [this, aSent] { Serve(aSent); });
+  }
+
+  void Serve(const exchange& aSent)
+  {
+    sampler& self = samplers[aSent->peer.ip];
+    if (self.dark || !aSent->sink) {
+      return;
+    }
+    const auto& request = aSent->request;
+    if (request.target == "/order") {
+      const auto at = request.body.find("\"version\":");
+      if (request.body.find("\"expected-rev\":" +
+                            std::to_string(self.orders)) == std::string::npos) {
+        aSent->Answer(409);
+        return;
+      }
+      self.before = self.version;
+      self.version = std::stoll(request.body.substr(at + 10));
+      self.loadedAt = mLoop.Now() + self.loadTime;
+      ++self.orders;
+      aSent->Answer(202);
+      return;
+    }
+    if (request.target == "/report") {
+      // Reports are as of some time ago.
+      const bool busy =
+        self.loadTime > duration::zero() &&
+        mLoop.Now() < self.loadedAt + std::chrono::milliseconds(200);
+      ++reports;
+      aSent->Answer(200,
+                    {},
+                    R"({"models":[{"name":"m","version":)" +
+                      std::to_string(busy ? self.before : self.version) +
+                      R"(}],"busy":)" + (busy ? "true" : "false") +
+                      R"(,"seq":)" + std::to_string(self.orders) + "}");
+      return;
+    }
+    if (mLoop.Now() < self.loadedAt) {
+      ++refusedWhileLoading;
+      aSent->Answer(503, { { "Arbutusferry-Not-Run", "1" } });
+      return;
+    }
+    if (self.another || request.headers.Get("Arbutusferry-Expect-Version") !=
+                          std::to_string(self.version)) {
+      ++misplaced;
+      aSent->Answer(421);
+      return;
+    }
+    const std::string item(request.headers.Get("Arbutusferry-Request-Id"));
+    ++starts[item];
+    const auto after = static_cast<std::size_t>(
+      ParseInteger(request.headers.Get("Last-Event-Id")).value_or(0));
+    if (after > 0) {
+      resumedAfter.push_back(after);
+    }
+    aSent->sink->OnHead(
+      200,
+      { { "Arbutusferry-Server-Stamp", "s" },
+        { "Arbutusferry-Weight-Versions", std::to_string(self.version) } });
+    Produce(aSent, item, after + 1);
+  }
+
+  void Produce(const exchange& aSent, const std::string& aItem, std::size_t aId)
+  {
+    const sampler& self = samplers[aSent->peer.ip];
+    mLoop.Post(self.pace, [this, aSent, aItem, aId] {
+      if (!aSent->sink || samplers[aSent->peer.ip].dark) {
+        return;
+      }
+      const auto sink = aSent->sink;
+      sink->OnBody("id: " + std::to_string(aId) + "\ndata: " + aItem + "." +
+                   std::to_string(aId) + "\n\n");
+      if (!aSent->sink) {
+        return;
+      }
+      if (aId == events) {
+        aSent->sink.reset();
+        sink->OnEnd();
+      } else {
+        Produce(aSent, aItem, aId + 1);
+      }
+    });
+  }
+
+  manual_loop& mLoop;
+};
+
+struct leader_test : environment_source
+{
+  leader_test()
+  {
+    for (const char* id : { "s1", "s2" }) {
+      target_entry entry;
+      entry.id = id;
+      entry.service = "models";
+      entry.address = { std::string("10.0.0.") + id[1], 80 };
+      entry.zone = "z";
+      entry.slots = 4;
+      entry.modelVersions = { { "m", 1 } };
+      targets.Update(entry, loop.Now());
+      samplers.samplers[entry.address.ip];
+    }
+    route.name = "r";
+    route.host = "h.example";
+    route.pathPrefix = "/p/";
+    route.kind = route_kind::Batch;
+    route.services = { { "models", 1 } };
+    route.maxAttempts = 3;
+    route.itemRetention = std::chrono::milliseconds(40'000);
+    service.name = "models";
+    service.models = { "m" };
+    environment = environment_view(1, { route }, { service }, {}, {}, false);
+  }
+
+  [[nodiscard]] const environment_view& Environment() const override
+  {
+    return environment;
+  }
+
+  std::unique_ptr<batch_leader> Lead(std::uint64_t aFence)
+  {
+    auto leader = std::make_unique<batch_leader>(
+      batch_leader::parts{ loop,
+                           client,
+                           log,
+                           targets,
+                           nodes,
+                           protocol,
+                           *this,
+                           metrics,
+                           "vm",
+                           std::chrono::milliseconds(120'000),
+                           [this] { ++superseded; },
+                           [] { return true; },
+                           [this] { return mayRun; } },
+      aFence);
+    leader->Start([](const auto&) {});
+    loop.Advance(std::chrono::milliseconds(100));
+    REQUIRE(leader->Ready());
+    return leader;
+  }
+
+  batch_request Request(const std::string& aId,
+                        int aItems,
+                        std::int64_t aMinimum = 1)
+  {
+    batch_request request;
+    request.id = aId;
+    request.tenant = "acme";
+    request.host = "h.example";
+    request.route = "r";
+    request.model = "m";
+    request.minimumVersion = aMinimum;
+    request.submittedUnixMs = loop.UnixMilliseconds();
+    for (int index = 0; index < aItems; ++index) {
+      const std::string name = std::string("i") + std::to_string(index);
+      request.items.push_back({ name, "/p/x", {}, "body", 10, "g" });
+    }
+    return request;
+  }
+
+  route_entry route;
+  service_entry service;
+  manual_loop loop;
+  scripted_client client;
+  fake_samplers samplers{ loop, client };
+  memory_store store;
+  memory_log log{ loop, store };
+  target_view targets;
+  node_directory nodes{ "vm" };
+  platform::target_wire protocol;
+  environment_view environment;
+  metrics_registry metrics;
+  int superseded = 0;
+  bool mayRun = true;
+};
+
+inline std::string
+WholeText(const std::string& aItem)
+{
+  std::string text;
+  for (int id = 1; id <= 6; ++id) {
+    text += (id > 1 ? "\n" : "") + aItem + "." + std::to_string(id);
+  }
+  return text;
+}
+
+} // namespace arbutusferry::node
