--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -1,4 +1,5 @@
 #include "arbutusferry/node/ferry_node.hpp"
+#include "ferry_node_observers.hpp"
 
 #include "arbutusferry/hash.hpp"
 #include "arbutusferry/logging.hpp"
@@ -66,114 +67,6 @@
 
 } // namespace
 
-/// Reads the leadership topic.
-class ferry_node::role_observer final : public record_observer
-{
-public:
-  explicit role_observer(ferry_node& aNode)
-    : mNode(aNode)
-  {
-  }
-  void OnRecord(const std::string&,
-                const std::string* aValue,
-                std::uint64_t aOffset) override
-  {
-    if (!aValue) {
-      return;
-    }
-    if (const auto record = DecodeRole(*aValue)) {
-      const auto& before = mNode.mClaim.Holder();
-      if (record->released || !before || before->fence != record->fence) {
-        Log(log_level::Info,
-            record->released ? "leader_released" : "leader_seen",
-            { { "holder", record->holder },
-              { "zone", record->zone },
-              { "fence", std::to_string(record->fence) },
-              { "offset", std::to_string(aOffset) } });
-      }
-      mNode.mClaim.Observe(aOffset, *record, mNode.mParts.loop.Now());
-    } else {
-      Log(log_level::Error,
-          "leader_record_unreadable",
-          { { "offset", std::to_string(aOffset) } });
-    }
-    mSeen = true;
-  }
-  void OnCaughtUp() override
-  {
-    if (!mSeen) {
-      // Nobody has ever led: no need to wait for silence.
-      mSeen = true;
-      role_record vacant;
-      vacant.released = true;
-      mNode.mClaim.Observe(0, vacant, mNode.mParts.loop.Now());
-    }
-    mNode.StepRole();
-  }
-  void OnRegained() override { mNode.mClaim.Regained(mNode.mParts.loop.Now()); }
-
-private:
-  ferry_node& mNode;
-  bool mSeen = false;
-};
-
-/// Reads the counts that nodes save, while this node leads.
-class ferry_node::usage_observer final : public record_observer
-{
-public:
-  explicit usage_observer(ferry_node& aNode)
-    : mNode(aNode)
-  {
-  }
-  void OnRecord(const std::string& aKey,
-                const std::string* aValue,
-                std::uint64_t aOffset) override
-  {
-    if (!aValue || !mNode.mUsage) {
-      return;
-    }
-    if (const auto windows = DecodeUsage(*aValue)) {
-      mNode.mUsage->Add(aKey, *windows);
-    } else {
-      Log(log_level::Error,
-          "usage_record_unreadable",
-          { { "process", aKey }, { "offset", std::to_string(aOffset) } });
-    }
-  }
-  void OnCaughtUp() override {}
-
-private:
-  ferry_node& mNode;
-};
-
-/// Reads the addresses of the other nodes, while this node leads.
-class ferry_node::node_observer final : public record_observer
-{
-public:
-  explicit node_observer(ferry_node& aNode)
-    : mNode(aNode)
-  {
-  }
-  void OnRecord(const std::string& aKey,
-                const std::string* aValue,
-                std::uint64_t aOffset) override
-  {
-    if (!aValue) {
-      mNode.mNodes.Remove(aKey);
-    } else if (auto node = DecodeNode(*aValue)) {
-      mNode.mNodes.Update(std::move(*node));
-    } else {
-      Log(log_level::Error,
-          "node_record_unreadable",
-          { { "vm", aKey }, { "offset", std::to_string(aOffset) } });
-    }
-  }
-  void OnCaughtUp() override {}
-
-private:
-  ferry_node& mNode;
-};
-
 ferry_node::ferry_node(parts aParts, node_settings aSettings)
   : mParts(aParts)
   , mSettings(std::move(aSettings))
