--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,13 +1,6 @@
 #include "arbutusferry/node/asio_net.hpp"
-#include "message_parser.hpp"
+#include "server_connection.hpp"
 
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/status.hpp>
-#include <deque>
-#include <optional>
 #include <set>
 
 namespace arbutusferry::node {
@@ -15,7 +8,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using net_error = boost::system::error_code;
 using std::chrono::milliseconds;
@@ -25,12 +17,10 @@
 constexpr milliseconds kSweepInterval{ 500 };
 /// Pause after a failed accept, such as one for want of descriptors.
 constexpr milliseconds kAcceptBackoff{ 50 };
-/// Input that a caller may send ahead while its request is handled.
-constexpr std::size_t kMaxReadAhead = std::size_t{ 64 } * 1024;
 
-class server_connection;
-
-class asio_listener final : public http_listener
+class asio_listener final
+  : public http_listener
+  , private connection_owner
 {
 public:
   asio_listener(asio_loop& aLoop,
@@ -54,25 +44,28 @@
   }
   [[nodiscard]] std::size_t Active() const override { return mActive; }
 
-  [[nodiscard]] asio_loop& Loop() noexcept { return mLoop; }
-  [[nodiscard]] request_handler& Handler() noexcept { return mHandler; }
-  [[nodiscard]] const listener_limits& Limits() const noexcept
+private:
+  [[nodiscard]] asio_loop& Loop() noexcept override { return mLoop; }
+  [[nodiscard]] request_handler& Handler() noexcept override
+  {
+    return mHandler;
+  }
+  [[nodiscard]] const listener_limits& Limits() const noexcept override
   {
     return mLimits;
   }
-  [[nodiscard]] bool Draining() const noexcept { return mDraining; }
-  [[nodiscard]] duration IdleTimeout() const noexcept
+  [[nodiscard]] bool Draining() const noexcept override { return mDraining; }
+  [[nodiscard]] duration IdleTimeout() const noexcept override
   {
     return mDraining ? mDrainIdle : duration(mLimits.idleTimeout);
   }
-  void Forget(const std::shared_ptr<server_connection>& aConnection)
+  void Forget(const std::shared_ptr<server_connection>& aConnection) override
   {
     mConnections.erase(aConnection);
   }
-  void RequestBegan() noexcept { ++mActive; }
-  void RequestEnded() noexcept { --mActive; }
+  void RequestBegan() noexcept override { ++mActive; }
+  void RequestEnded() noexcept override { --mActive; }
 
-private:
   void Accept();
   void Sweep();
 
@@ -88,129 +81,6 @@
   std::size_t mActive = 0;
 };
 
-/// One accepted connection.
-class server_connection final
-  : public std::enable_shared_from_this<server_connection>
-  , private parse_events
-{
-public:
-  server_connection(asio_listener& aOwner, tcp::socket aSocket)
-    : mOwner(&aOwner)
-    , mSocket(std::move(aSocket))
-    , mSince(aOwner.Loop().Now())
-  {
-    net_error ignored;
-    mSocket.set_option(tcp::no_delay(true), ignored);
-    mSocket.non_blocking(true, ignored);
-    NewParser();
-  }
-
-  void Start() { WaitReadable(); }
-  void Sweep(time_point aNow);
-  void Close();
-
-  void Send(std::uint64_t aRequest, http_response aResponse);
-  void Begin(std::uint64_t aRequest, int aStatus, const header_list& aHeaders);
-  void Write(std::uint64_t aRequest, std::string_view aPart);
-  void End(std::uint64_t aRequest);
-  void Abort(std::uint64_t aRequest);
-  void OnGone(std::uint64_t aRequest, std::function<void()> aFunction);
-  [[nodiscard]] bool Gone(std::uint64_t aRequest) const
-  {
-    return mClosed || aRequest != mRequestNumber || !mHandling;
-  }
-  [[nodiscard]] std::size_t Pending() const
-  {
-    return mWriting.size() + mOutput.size();
-  }
-
-private:
-  enum class phase
-  {
-    Idle,
-    Header,
-    Body,
-  };
-
-  void OnParsedHead() override { mPhase = phase::Body; }
-  void OnParsedBody(std::string_view aPart) override { mBody += aPart; }
-  void NewParser();
-  void WaitReadable();
-  void ReadAvailable();
-  void Parse();
-  void Dispatch();
-  void Refuse(int aStatus);
-  void Flush();
-  void Complete();
-  void StartLine(int aStatus, header_list aHeaders);
-
-  asio_listener* mOwner;
-  tcp::socket mSocket;
-  std::optional<message_parser<true>> mParser;
-  phase mPhase = phase::Idle;
-  time_point mSince; ///< Start of the present phase.
-  std::string mInput;
-  std::string mBody;
-  std::string mOutput;  ///< Waits for `mWriting` to be sent.
-  std::string mWriting; ///< Being sent.
-  std::function<void()> mOnGone;
-  std::uint64_t mRequestNumber = 0;
-  bool mHandling = false;
-  bool mReading = false;
-  bool mClosed = false;
-  bool mCloseAfter = false;
-  bool mChunked = false;
-  bool mHeadRequest = false;
-};
-
-class connection_responder final : public responder
-{
-public:
-  connection_responder(std::shared_ptr<server_connection> aConnection,
-                       std::uint64_t aRequest)
-    : mConnection(std::move(aConnection))
-    , mRequest(aRequest)
-  {
-  }
-  /// A request that nobody answered ends its connection.
-  ~connection_responder() override
-  {
-    WithoutThrowing([this] { mConnection->Abort(mRequest); });
-  }
-  connection_responder(const connection_responder&) = delete;
-  connection_responder& operator=(const connection_responder&) = delete;
-  void Send(http_response aResponse) override
-  {
-    mConnection->Send(mRequest, std::move(aResponse));
-  }
-  void Begin(int aStatus, const header_list& aHeaders) override
-  {
-    mConnection->Begin(mRequest, aStatus, aHeaders);
-  }
-  void Write(std::string_view aPart) override
-  {
-    mConnection->Write(mRequest, aPart);
-  }
-  void End() override { mConnection->End(mRequest); }
-  void Abort() override { mConnection->Abort(mRequest); }
-  [[nodiscard]] bool Gone() const override
-  {
-    return mConnection->Gone(mRequest);
-  }
-  [[nodiscard]] std::size_t Pending() const override
-  {
-    return mConnection->Pending();
-  }
-  void OnGone(std::function<void()> aFunction) override
-  {
-    mConnection->OnGone(mRequest, std::move(aFunction));
-  }
-
-private:
-  std::shared_ptr<server_connection> mConnection;
-  std::uint64_t mRequest;
-};
-
 asio_listener::~asio_listener()
 {
   WithoutThrowing([this] {
@@ -233,8 +103,9 @@
       mBackoff = mLoop.After(kAcceptBackoff, [this] { Accept(); });
       return;
     }
+    connection_owner& self = *this;
     auto connection =
-      std::make_shared<server_connection>(*this, std::move(aSocket));
+      std::make_shared<server_connection>(self, std::move(aSocket));
     mConnections.insert(connection);
     connection->Start();
     Accept();
@@ -251,339 +122,8 @@
   }
 }
 
-void
-server_connection::NewParser()
-{
-  mPhase = phase::Idle;
-  mBody.clear();
-  mParser.emplace(static_cast<parse_events&>(*this));
-  mParser->header_limit(
-    static_cast<std::uint32_t>(mOwner->Limits().maxHeaderBytes));
-  mParser->body_limit(mOwner->Limits().maxBodyBytes);
-}
-
-void
-server_connection::Sweep(time_point aNow)
-{
-  if (mHandling) {
-    return;
-  }
-  const duration limit = mPhase == phase::Header
-                           ? duration(mOwner->Limits().headerTimeout)
-                           : mOwner->IdleTimeout();
-  if (mPhase != phase::Body && aNow - mSince >= limit) {
-    Close();
-  }
-}
-
-void
-server_connection::WaitReadable()
-{
-  if (mReading || mClosed) {
-    return;
-  }
-  mReading = true;
-  mSocket.async_wait(tcp::socket::wait_read,
-                     [self = shared_from_this()](const net_error& aError) {
-                       self->mReading = false;
-                       if (self->mClosed) {
-                         return;
-                       }
-                       if (aError) {
-                         self->Close();
-                         return;
-                       }
-                       self->ReadAvailable();
-                     });
-}
-
-void
-server_connection::ReadAvailable()
-{
-  static std::array<char, kMaxReadAhead> sBuffer;
-  net_error error;
-  const std::size_t size = mSocket.read_some(asio::buffer(sBuffer), error);
-  if (error == asio::error::would_block || error == asio::error::try_again) {
-    WaitReadable();
-    return;
-  }
-  if (error) {
-    Close();
-    return;
-  }
-  mInput.append(sBuffer.data(), size);
-  if (!mHandling) {
-    Parse();
-  }
-  if (!mClosed && (!mHandling || mInput.size() < kMaxReadAhead)) {
-    WaitReadable();
-  }
-}
-
-void
-server_connection::Parse()
-{
-  while (!mHandling && !mClosed && !mInput.empty()) {
-    if (mPhase == phase::Idle) {
-      mPhase = phase::Header;
-      mSince = mOwner->Loop().Now();
-    }
-    net_error error;
-    const std::size_t used = mParser->put(asio::buffer(mInput), error);
-    mInput.erase(0, used);
-    if (error == http::error::need_more) {
-      if (mPhase == phase::Header &&
-          mInput.size() > mOwner->Limits().maxHeaderBytes) {
-        Refuse(431);
-      }
-      return;
-    }
-    if (error == http::error::header_limit) {
-      Refuse(431);
-      return;
-    }
-    if (error == http::error::body_limit) {
-      Refuse(413);
-      return;
-    }
-    if (error) {
-      Refuse(400);
-      return;
-    }
-    if (mParser->is_done()) {
-      Dispatch();
-      return;
-    }
-    if (mPhase == phase::Body &&
-        EqualIgnoringCase(mParser->headers.Get("Expect"), "100-continue") &&
-        mBody.empty() && used > 0 && mOutput.empty() && mWriting.empty()) {
-      mOutput = "HTTP/1.1 100 Continue\r\n\r\n";
-      Flush();
-    }
-    if (used == 0) {
-      return;
-    }
-  }
-}
-
-void
-server_connection::Dispatch()
-{
-  const auto& headers = mParser->headers;
-  // Two lengths, or a length beside a transfer coding, let one request hide
-  // inside another.
-  if (headers.Count("Content-Length") > 1 || headers.Count("Host") > 1 ||
-      (headers.Count("Content-Length") > 0 &&
-       headers.Count("Transfer-Encoding") > 0)) {
-    Refuse(400);
-    return;
-  }
-  http_request request{
-    mParser->method, mParser->target, headers, std::move(mBody)
-  };
-  mCloseAfter = !mParser->keep_alive();
-  mHeadRequest = request.method == "HEAD";
-  mHandling = true;
-  ++mRequestNumber;
-  mOwner->RequestBegan();
-  auto answer =
-    std::make_shared<connection_responder>(shared_from_this(), mRequestNumber);
-  mOwner->Handler().Handle(std::move(request), std::move(answer));
-}
-
-void
-server_connection::Refuse(int aStatus)
-{
-  mHandling = true;
-  ++mRequestNumber;
-  mOwner->RequestBegan();
-  mCloseAfter = true;
-  Send(mRequestNumber, { aStatus, {}, {} });
-}
-
-void
-server_connection::StartLine(int aStatus, header_list aHeaders)
-{
-  mCloseAfter = mCloseAfter || mOwner->Draining();
-  aHeaders.Remove("Connection");
-  if (mCloseAfter) {
-    aHeaders.Add("Connection", "close");
-  }
-  const auto reason = http::obsolete_reason(static_cast<http::status>(aStatus));
-  mOutput += "HTTP/1.1 " + std::to_string(aStatus) + " " +
-             std::string(reason.data(), reason.size()) + "\r\n";
-  AppendHeaders(mOutput, aHeaders);
-}
-
-void
-server_connection::Send(std::uint64_t aRequest, http_response aResponse)
-{
-  if (Gone(aRequest)) {
-    return;
-  }
-  aResponse.headers.Remove("Transfer-Encoding");
-  if (!mHeadRequest) {
-    aResponse.headers.Remove("Content-Length");
-    aResponse.headers.Add("Content-Length",
-                          std::to_string(aResponse.body.size()));
-  }
-  StartLine(aResponse.status, std::move(aResponse.headers));
-  if (!mHeadRequest) {
-    mOutput += aResponse.body;
-  }
-  Complete();
-}
-
-void
-server_connection::Begin(std::uint64_t aRequest,
-                         int aStatus,
-                         const header_list& aHeaders)
-{
-  if (Gone(aRequest)) {
-    return;
-  }
-  header_list headers = aHeaders;
-  mChunked = !headers.Find("Content-Length");
-  if (mChunked) {
-    headers.Add("Transfer-Encoding", "chunked");
-  }
-  StartLine(aStatus, std::move(headers));
-  Flush();
-}
-
-void
-server_connection::Write(std::uint64_t aRequest, std::string_view aPart)
-{
-  if (Gone(aRequest) || aPart.empty() || mHeadRequest) {
-    return;
-  }
-  if (mChunked) {
-    std::array<char, 20> size{};
-    const int digits =
-      std::snprintf(size.data(), size.size(), "%zx\r\n", aPart.size());
-    mOutput.append(size.data(), static_cast<std::size_t>(digits));
-    mOutput += aPart;
-    mOutput += "\r\n";
-  } else {
-    mOutput += aPart;
-  }
-  Flush();
-}
-
-void
-server_connection::End(std::uint64_t aRequest)
-{
-  if (Gone(aRequest)) {
-    return;
-  }
-  if (mChunked && !mHeadRequest) {
-    mOutput += "0\r\n\r\n";
-  }
-  Complete();
-}
-
-void
-server_connection::Complete()
-{
-  mHandling = false;
-  mOnGone = nullptr;
-  mOwner->RequestEnded();
-  mSince = mOwner->Loop().Now();
-  NewParser();
-  Flush();
-  if (!mClosed && !mCloseAfter) {
-    // The next request may be in the buffer already; handling it from here
-    // would nest one request in another.
-    asio::post(mOwner->Loop().Context(), [self = shared_from_this()] {
-      if (!self->mClosed) {
-        self->Parse();
-        self->WaitReadable();
-      }
-    });
-  }
-}
-
-void
-server_connection::Flush()
-{
-  if (mClosed || !mWriting.empty()) {
-    return;
-  }
-  if (mOutput.empty()) {
-    if (mCloseAfter && !mHandling) {
-      Close();
-    }
-    return;
-  }
-  mWriting.swap(mOutput);
-  asio::async_write(
-    mSocket,
-    asio::buffer(mWriting),
-    [self = shared_from_this()](const net_error& aError, std::size_t) {
-      self->mWriting.clear();
-      if (self->mClosed) {
-        return;
-      }
-      if (aError) {
-        self->Close();
-        return;
-      }
-      self->Flush();
-    });
-}
-
-void
-server_connection::Abort(std::uint64_t aRequest)
-{
-  if (!Gone(aRequest)) {
-    mOnGone = nullptr;
-    Close();
-  }
-}
-
-void
-server_connection::OnGone(std::uint64_t aRequest,
-                          std::function<void()> aFunction)
-{
-  if (!Gone(aRequest)) {
-    mOnGone = std::move(aFunction);
-  }
-}
-
-void
-server_connection::Close()
-{
-  if (mClosed) {
-    return;
-  }
-  const auto self = shared_from_this();
-  mClosed = true;
-  net_error ignored;
-  mSocket.shutdown(tcp::socket::shutdown_send, ignored);
-  mSocket.close(ignored);
-  if (mHandling) {
-    mOwner->RequestEnded();
-  }
-  mOwner->Forget(self);
-  if (const auto gone = std::exchange(mOnGone, nullptr)) {
-    gone();
-  }
-}
-
 } // namespace
 
-void
-AppendHeaders(std::string& aText, const header_list& aHeaders)
-{
-  for (const auto& [name, value] : aHeaders) {
-    aText += name;
-    aText += ": ";
-    aText += value;
-    aText += "\r\n";
-  }
-  aText += "\r\n";
-}
-
 result<std::unique_ptr<http_listener>>
 Listen(asio_loop& aLoop,
        const socket_address& aAddress,
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,4 +1,5 @@
 #include "arbutusferry/node/http_message.hpp"
+#include "message_parser.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -82,4 +83,16 @@
   return value;
 }
 
+void
+AppendHeaders(std::string& aText, const header_list& aHeaders)
+{
+  for (const auto& [name, value] : aHeaders) {
+    aText += name;
+    aText += ": ";
+    aText += value;
+    aText += "\r\n";
+  }
+  aText += "\r\n";
+}
+
 } // namespace arbutusferry::node
--- /dev/null
+++ b/src/net/server_connection.cpp
@@ -0,0 +1,401 @@
+#include "server_connection.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace arbutusferry::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using net_error = boost::system::error_code;
+
+/// Input that a caller may send ahead while its request is handled.
+constexpr std::size_t kMaxReadAhead = std::size_t{ 64 } * 1024;
+
+class connection_responder final : public responder
+{
+public:
+  connection_responder(std::shared_ptr<server_connection> aConnection,
+                       std::uint64_t aRequest)
+    : mConnection(std::move(aConnection))
+    , mRequest(aRequest)
+  {
+  }
+  /// A request that nobody answered ends its connection.
+  ~connection_responder() override
+  {
+    WithoutThrowing([this] { mConnection->Abort(mRequest); });
+  }
+  connection_responder(const connection_responder&) = delete;
+  connection_responder& operator=(const connection_responder&) = delete;
+  void Send(http_response aResponse) override
+  {
+    mConnection->Send(mRequest, std::move(aResponse));
+  }
+  void Begin(int aStatus, const header_list& aHeaders) override
+  {
+    mConnection->Begin(mRequest, aStatus, aHeaders);
+  }
+  void Write(std::string_view aPart) override
+  {
+    mConnection->Write(mRequest, aPart);
+  }
+  void End() override { mConnection->End(mRequest); }
+  void Abort() override { mConnection->Abort(mRequest); }
+  [[nodiscard]] bool Gone() const override
+  {
+    return mConnection->Gone(mRequest);
+  }
+  [[nodiscard]] std::size_t Pending() const override
+  {
+    return mConnection->Pending();
+  }
+  void OnGone(std::function<void()> aFunction) override
+  {
+    mConnection->OnGone(mRequest, std::move(aFunction));
+  }
+
+private:
+  std::shared_ptr<server_connection> mConnection;
+  std::uint64_t mRequest;
+};
+
+} // namespace
+
+server_connection::server_connection(connection_owner& aOwner,
+                                     tcp::socket aSocket)
+  : mOwner(&aOwner)
+  , mSocket(std::move(aSocket))
+  , mSince(aOwner.Loop().Now())
+{
+  net_error ignored;
+  mSocket.set_option(tcp::no_delay(true), ignored);
+  mSocket.non_blocking(true, ignored);
+  NewParser();
+}
+
+void
+server_connection::NewParser()
+{
+  mPhase = phase::Idle;
+  mBody.clear();
+  mParser.emplace(static_cast<parse_events&>(*this));
+  mParser->header_limit(
+    static_cast<std::uint32_t>(mOwner->Limits().maxHeaderBytes));
+  mParser->body_limit(mOwner->Limits().maxBodyBytes);
+}
+
+void
+server_connection::Sweep(time_point aNow)
+{
+  if (mHandling) {
+    return;
+  }
+  const duration limit = mPhase == phase::Header
+                           ? duration(mOwner->Limits().headerTimeout)
+                           : mOwner->IdleTimeout();
+  if (mPhase != phase::Body && aNow - mSince >= limit) {
+    Close();
+  }
+}
+
+void
+server_connection::WaitReadable()
+{
+  if (mReading || mClosed) {
+    return;
+  }
+  mReading = true;
+  mSocket.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const net_error& aError) {
+                       self->mReading = false;
+                       if (self->mClosed) {
+                         return;
+                       }
+                       if (aError) {
+                         self->Close();
+                         return;
+                       }
+                       self->ReadAvailable();
+                     });
+}
+
+void
+server_connection::ReadAvailable()
+{
+  static std::array<char, kMaxReadAhead> sBuffer;
+  net_error error;
+  const std::size_t size = mSocket.read_some(asio::buffer(sBuffer), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    WaitReadable();
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  mInput.append(sBuffer.data(), size);
+  if (!mHandling) {
+    Parse();
+  }
+  if (!mClosed && (!mHandling || mInput.size() < kMaxReadAhead)) {
+    WaitReadable();
+  }
+}
+
+void
+server_connection::Parse()
+{
+  while (!mHandling && !mClosed && !mInput.empty()) {
+    if (mPhase == phase::Idle) {
+      mPhase = phase::Header;
+      mSince = mOwner->Loop().Now();
+    }
+    net_error error;
+    const std::size_t used = mParser->put(asio::buffer(mInput), error);
+    mInput.erase(0, used);
+    if (error == http::error::need_more) {
+      if (mPhase == phase::Header &&
+          mInput.size() > mOwner->Limits().maxHeaderBytes) {
+        Refuse(431);
+      }
+      return;
+    }
+    if (error == http::error::header_limit) {
+      Refuse(431);
+      return;
+    }
+    if (error == http::error::body_limit) {
+      Refuse(413);
+      return;
+    }
+    if (error) {
+      Refuse(400);
+      return;
+    }
+    if (mParser->is_done()) {
+      Dispatch();
+      return;
+    }
+    if (mPhase == phase::Body &&
+        EqualIgnoringCase(mParser->headers.Get("Expect"), "100-continue") &&
+        mBody.empty() && used > 0 && mOutput.empty() && mWriting.empty()) {
+      mOutput = "HTTP/1.1 100 Continue\r\n\r\n";
+      Flush();
+    }
+    if (used == 0) {
+      return;
+    }
+  }
+}
+
+void
+server_connection::Dispatch()
+{
+  const auto& headers = mParser->headers;
+  // Two lengths, or a length beside a transfer coding, let one request hide
+  // inside another.
+  if (headers.Count("Content-Length") > 1 || headers.Count("Host") > 1 ||
+      (headers.Count("Content-Length") > 0 &&
+       headers.Count("Transfer-Encoding") > 0)) {
+    Refuse(400);
+    return;
+  }
+  http_request request{
+    mParser->method, mParser->target, headers, std::move(mBody)
+  };
+  mCloseAfter = !mParser->keep_alive();
+  mHeadRequest = request.method == "HEAD";
+  mHandling = true;
+  ++mRequestNumber;
+  mOwner->RequestBegan();
+  auto answer =
+    std::make_shared<connection_responder>(shared_from_this(), mRequestNumber);
+  mOwner->Handler().Handle(std::move(request), std::move(answer));
+}
+
+void
+server_connection::Refuse(int aStatus)
+{
+  mHandling = true;
+  ++mRequestNumber;
+  mOwner->RequestBegan();
+  mCloseAfter = true;
+  Send(mRequestNumber, { aStatus, {}, {} });
+}
+
+void
+server_connection::StartLine(int aStatus, header_list aHeaders)
+{
+  mCloseAfter = mCloseAfter || mOwner->Draining();
+  aHeaders.Remove("Connection");
+  if (mCloseAfter) {
+    aHeaders.Add("Connection", "close");
+  }
+  const auto reason = http::obsolete_reason(static_cast<http::status>(aStatus));
+  mOutput += "HTTP/1.1 " + std::to_string(aStatus) + " " +
+             std::string(reason.data(), reason.size()) + "\r\n";
+  AppendHeaders(mOutput, aHeaders);
+}
+
+void
+server_connection::Send(std::uint64_t aRequest, http_response aResponse)
+{
+  if (Gone(aRequest)) {
+    return;
+  }
+  aResponse.headers.Remove("Transfer-Encoding");
+  if (!mHeadRequest) {
+    aResponse.headers.Remove("Content-Length");
+    aResponse.headers.Add("Content-Length",
+                          std::to_string(aResponse.body.size()));
+  }
+  StartLine(aResponse.status, std::move(aResponse.headers));
+  if (!mHeadRequest) {
+    mOutput += aResponse.body;
+  }
+  Complete();
+}
+
+void
+server_connection::Begin(std::uint64_t aRequest,
+                         int aStatus,
+                         const header_list& aHeaders)
+{
+  if (Gone(aRequest)) {
+    return;
+  }
+  header_list headers = aHeaders;
+  mChunked = !headers.Find("Content-Length");
+  if (mChunked) {
+    headers.Add("Transfer-Encoding", "chunked");
+  }
+  StartLine(aStatus, std::move(headers));
+  Flush();
+}
+
+void
+server_connection::Write(std::uint64_t aRequest, std::string_view aPart)
+{
+  if (Gone(aRequest) || aPart.empty() || mHeadRequest) {
+    return;
+  }
+  if (mChunked) {
+    std::array<char, 20> size{};
+    const int digits =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", aPart.size());
+    mOutput.append(size.data(), static_cast<std::size_t>(digits));
+    mOutput += aPart;
+    mOutput += "\r\n";
+  } else {
+    mOutput += aPart;
+  }
+  Flush();
+}
+
+void
+server_connection::End(std::uint64_t aRequest)
+{
+  if (Gone(aRequest)) {
+    return;
+  }
+  if (mChunked && !mHeadRequest) {
+    mOutput += "0\r\n\r\n";
+  }
+  Complete();
+}
+
+void
+server_connection::Complete()
+{
+  mHandling = false;
+  mOnGone = nullptr;
+  mOwner->RequestEnded();
+  mSince = mOwner->Loop().Now();
+  NewParser();
+  Flush();
+  if (!mClosed && !mCloseAfter) {
+    // The next request may be in the buffer already; handling it from here
+    // would nest one request in another.
+    asio::post(mOwner->Loop().Context(), [self = shared_from_this()] {
+      if (!self->mClosed) {
+        self->Parse();
+        self->WaitReadable();
+      }
+    });
+  }
+}
+
+void
+server_connection::Flush()
+{
+  if (mClosed || !mWriting.empty()) {
+    return;
+  }
+  if (mOutput.empty()) {
+    if (mCloseAfter && !mHandling) {
+      Close();
+    }
+    return;
+  }
+  mWriting.swap(mOutput);
+  asio::async_write(
+    mSocket,
+    asio::buffer(mWriting),
+    [self = shared_from_this()](const net_error& aError, std::size_t) {
+      self->mWriting.clear();
+      if (self->mClosed) {
+        return;
+      }
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->Flush();
+    });
+}
+
+void
+server_connection::Abort(std::uint64_t aRequest)
+{
+  if (!Gone(aRequest)) {
+    mOnGone = nullptr;
+    Close();
+  }
+}
+
+void
+server_connection::OnGone(std::uint64_t aRequest,
+                          std::function<void()> aFunction)
+{
+  if (!Gone(aRequest)) {
+    mOnGone = std::move(aFunction);
+  }
+}
+
+void
+server_connection::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  mClosed = true;
+  net_error ignored;
+  mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+  mSocket.close(ignored);
+  if (mHandling) {
+    mOwner->RequestEnded();
+  }
+  mOwner->Forget(self);
+  if (const auto gone = std::exchange(mOnGone, nullptr)) {
+    gone();
+  }
+}
+
+} // namespace arbutusferry::node
--- /dev/null
+++ b/src/net/server_connection.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "arbutusferry/node/asio_net.hpp"
+#include "message_parser.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace arbutusferry::node {
+
+class server_connection;
+
+/// What a connection needs of the listener that accepted it.
+class connection_owner
+{
+public:
+  virtual ~connection_owner() = default;
+  [[nodiscard]] virtual asio_loop& Loop() noexcept = 0;
+  [[nodiscard]] virtual request_handler& Handler() noexcept = 0;
+  [[nodiscard]] virtual const listener_limits& Limits() const noexcept = 0;
+  /// @return Whether every response closes its connection.
+  [[nodiscard]] virtual bool Draining() const noexcept = 0;
+  /// @return Time after which an idle connection is closed.
+  [[nodiscard]] virtual duration IdleTimeout() const noexcept = 0;
+  /// Drops a connection that has closed.
+  virtual void Forget(
+    const std::shared_ptr<server_connection>& aConnection) = 0;
+  virtual void RequestBegan() noexcept = 0;
+  virtual void RequestEnded() noexcept = 0;
+};
+
+/// One accepted connection.
+class server_connection final
+  : public std::enable_shared_from_this<server_connection>
+  , private parse_events
+{
+public:
+  server_connection(connection_owner& aOwner,
+                    boost::asio::ip::tcp::socket aSocket);
+
+  void Start() { WaitReadable(); }
+  void Sweep(time_point aNow);
+  void Close();
+
+  void Send(std::uint64_t aRequest, http_response aResponse);
+  void Begin(std::uint64_t aRequest, int aStatus, const header_list& aHeaders);
+  void Write(std::uint64_t aRequest, std::string_view aPart);
+  void End(std::uint64_t aRequest);
+  void Abort(std::uint64_t aRequest);
+  void OnGone(std::uint64_t aRequest, std::function<void()> aFunction);
+  [[nodiscard]] bool Gone(std::uint64_t aRequest) const
+  {
+    return mClosed || aRequest != mRequestNumber || !mHandling;
+  }
+  [[nodiscard]] std::size_t Pending() const
+  {
+    return mWriting.size() + mOutput.size();
+  }
+
+private:
+  enum class phase
+  {
+    Idle,
+    Header,
+    Body,
+  };
+
+  void OnParsedHead() override { mPhase = phase::Body; }
+  void OnParsedBody(std::string_view aPart) override { mBody += aPart; }
+  void NewParser();
+  void WaitReadable();
+  void ReadAvailable();
+  void Parse();
+  void Dispatch();
+  void Refuse(int aStatus);
+  void Flush();
+  void Complete();
+  void StartLine(int aStatus, header_list aHeaders);
+
+  connection_owner* mOwner;
+  boost::asio::ip::tcp::socket mSocket;
+  std::optional<message_parser<true>> mParser;
+  phase mPhase = phase::Idle;
+  time_point mSince; ///< Start of the present phase.
+  std::string mInput;
+  std::string mBody;
+  std::string mOutput;  ///< Waits for `mWriting` to be sent.
+  std::string mWriting; ///< Being sent.
+  std::function<void()> mOnGone;
+  std::uint64_t mRequestNumber = 0;
+  bool mHandling = false;
+  bool mReading = false;
+  bool mClosed = false;
+  bool mCloseAfter = false;
+  bool mChunked = false;
+  bool mHeadRequest = false;
+};
+
+} // namespace arbutusferry::node
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -284,6 +284,25 @@
   bool mayRun = true;
 };
 
+/// A node at `kRelayIp` that holds the streams of the samplers' zone.
+struct stream_holder
+{
+  explicit stream_holder(leader_test& aTest, std::uint64_t aFence = 1)
+    : relay({ aTest.loop,
+              aTest.client,
+              aTest.protocol.EchoHeader(),
+              [aFence] { return aFence; },
+              [] {},
+              other })
+  {
+    aTest.samplers.relay = &relay;
+    aTest.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
+  }
+
+  nothing_else other;
+  run_relay relay;
+};
+
 inline std::string
 WholeText(const std::string& aItem)
 {
--- a/tests/unit/batch_runs_test.cpp
+++ b/tests/unit/batch_runs_test.cpp
@@ -41,20 +41,12 @@
 TEST_CASE("items go on while one leader follows another")
 {
   leader_test test;
-  nothing_else other;
-  run_relay relay({ test.loop,
-                    test.client,
-                    test.protocol.EchoHeader(),
-                    [] { return 1; },
-                    [] {},
-                    other });
-  test.samplers.relay = &relay;
+  const stream_holder holder(test);
   test.samplers.events = 40;
-  test.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
   auto first = test.Lead(1);
   first->Submit(test.Request("b", 3), [] {});
   test.loop.Advance(milliseconds(900));
-  CHECK(relay.Runs() == 3);
+  CHECK(holder.relay.Runs() == 3);
   first.reset();
   // Most of the events are made while nobody leads.
   test.loop.Advance(milliseconds(700));
@@ -92,15 +84,7 @@
 TEST_CASE("a leader that a node refuses as outdated ends its term")
 {
   leader_test test;
-  nothing_else other;
-  run_relay relay({ test.loop,
-                    test.client,
-                    test.protocol.EchoHeader(),
-                    [] { return 2; },
-                    [] {},
-                    other });
-  test.samplers.relay = &relay;
-  test.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
+  const stream_holder holder(test, 2);
   const auto leader = test.Lead(1);
   leader->Submit(test.Request("b", 1), [] {});
   test.loop.Advance(milliseconds(10));
@@ -113,29 +97,14 @@
 TEST_CASE("an item whose stream was lost with its node goes on elsewhere")
 {
   leader_test test;
-  nothing_else other;
-  auto relay =
-    std::make_unique<run_relay>(run_relay::parts{ test.loop,
-                                                  test.client,
-                                                  test.protocol.EchoHeader(),
-                                                  [] { return 1; },
-                                                  [] {},
-                                                  other });
-  test.samplers.relay = relay.get();
+  auto holder = std::make_unique<stream_holder>(test);
   test.samplers.events = 40;
-  test.nodes.Update({ "n2", "n2/1", "z", { kRelayIp, 9000 } });
   auto first = test.Lead(1);
   first->Submit(test.Request("b", 1), [] {});
   test.loop.Advance(milliseconds(900));
   first.reset();
-  run_relay restarted({ test.loop,
-                        test.client,
-                        test.protocol.EchoHeader(),
-                        [] { return 1; },
-                        [] {},
-                        other });
-  test.samplers.relay = &restarted;
-  relay.reset();
+  holder.reset();
+  const stream_holder restarted(test);
   const auto second = test.Lead(2);
   test.loop.Advance(milliseconds(1'700));
   REQUIRE(second->Find("b", "acme")->Complete());
