--- a/include/arbutusferry/node/run_relay.hpp
+++ b/include/arbutusferry/node/run_relay.hpp
@@ -15,6 +15,11 @@
 
 namespace arbutusferry::node {
 
+/// Longest wait for a connection to a sampler, or to the node that relays it.
+inline constexpr std::chrono::milliseconds kRunConnect{ 400 };
+/// A run without a byte for so long has failed; slower ones are moved before.
+inline constexpr std::chrono::milliseconds kRunSilence{ 5'000 };
+
 /// What a relaying node says of a run that it doesn't have or can't reach.
 enum class relay_error
 {
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -4,15 +4,6 @@
 
 namespace arbutusferry::node {
 
-namespace {
-
-/// Longest wait for a connection to a sampler.
-constexpr std::chrono::milliseconds kConnectTimeout{ 400 };
-/// A run without a byte for so long has failed; slower ones are moved before.
-constexpr std::chrono::milliseconds kSilence{ 5'000 };
-
-} // namespace
-
 std::string_view
 RunEndName(run_end aEnd) noexcept
 {
@@ -95,8 +86,8 @@
                http_request aRequest)
 {
   exchange_options options;
-  options.connect = kConnectTimeout;
-  options.silence = kSilence;
+  options.connect = kRunConnect;
+  options.silence = kRunSilence;
   if (!mPlace) {
     options.echoHeader = mProtocol.EchoHeader();
   }
@@ -112,7 +103,7 @@
   Leave();
   if (mPlace && running) {
     exchange_options options;
-    options.connect = kConnectTimeout;
+    options.connect = kRunConnect;
     // Without an answer the node ends the run by itself some seconds later.
     mClient->Send(mPlace->relay,
                   MakeRelayedCancel(mPlace->run),
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -24,9 +24,6 @@
 /// of it, and a leader's knowledge of its term 1.6 s.
 constexpr milliseconds kLongestWay{ 1'000 };
 
-/// Longest wait for a connection to a sampler, and for its next byte.
-constexpr milliseconds kConnectTimeout{ 400 };
-constexpr milliseconds kSilence{ 5'000 };
 /// A run without a leader goes on for so long: a new one claims the role after
 /// 3 s at most and reads the journal.
 constexpr milliseconds kOrphanTime{ 5'000 };
@@ -178,8 +175,8 @@
              std::string aEchoHeader)
   {
     exchange_options options;
-    options.connect = kConnectTimeout;
-    options.silence = kSilence;
+    options.connect = kRunConnect;
+    options.silence = kRunSilence;
     options.echoHeader = std::move(aEchoHeader);
     mExchange =
       aClient.Send(aTarget, std::move(aRequest), options, shared_from_this());
