Read the request limit that targets name, and log it

Cause: Server-Limit was not read, and no line said to which sampler an item was sent, so logs could not show how far a target was over its limit. Change: the limit is decoded in platform/ and kept with the target until a response to a later request names none. Nothing acts on the limit yet.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -150,6 +150,9 @@
                   std::string aData,
                   std::int64_t aVersion) override;
   void OnRunEnded(const item_run& aRun, run_outcome aEnd) override;
+  void OnRunLimit(const item_run& aRun,
+                  const limit_notice& aNotice,
+                  bool aGenuine) override;
   void OnRelayClock(const item_run& aRun, std::int64_t aClockMs) override;
 
   parts mParts;
--- a/include/arbutusferry/node/http_message.hpp
+++ b/include/arbutusferry/node/http_message.hpp
@@ -70,4 +70,8 @@
 [[nodiscard]] std::optional<std::int64_t>
 ParseInteger(std::string_view aText) noexcept;
 
+/// @return The value of a non-negative, finite decimal number, or nothing.
+[[nodiscard]] std::optional<double>
+ParseDecimal(std::string_view aText) noexcept;
+
 } // namespace arbutusferry::node
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -40,6 +40,11 @@
                           std::string aData,
                           std::int64_t aVersion) = 0;
   virtual void OnRunEnded(const item_run& aRun, run_outcome aEnd) = 0;
+  /// Called with what the sampler's response says of its limit. Not called when
+  /// attached to a stream, whose head may be old.
+  virtual void OnRunLimit(const item_run& aRun,
+                          const limit_notice& aNotice,
+                          bool aGenuine) = 0;
   /// Called with the relaying node's clock, in milliseconds.
   virtual void OnRelayClock(const item_run& aRun, std::int64_t aClockMs) = 0;
 };
@@ -127,6 +132,7 @@
   std::optional<relay_error> mRelayError;
   bool mRelayUnreachable = false;
   bool mHeadSeen = false;
+  bool mAttached = false; ///< An earlier leader started the run.
   event_stream_parser mStream;
   run_timing mTiming;
   response_class mVerdict = response_class::Failed;
--- a/include/arbutusferry/node/target_protocol.hpp
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/node/http_message.hpp"
+#include "arbutusferry/node/request_limit.hpp"
 #include "arbutusferry/node/target_view.hpp"
 
 #include <chrono>
@@ -78,6 +79,8 @@
   [[nodiscard]] virtual response_class ClassifyResponse(
     int aStatus,
     const header_list& aHeaders) const = 0;
+  [[nodiscard]] virtual limit_notice ReadLimit(
+    const header_list& aHeaders) const = 0;
   /// @return Name of the response header that repeats the id of the request.
   [[nodiscard]] virtual std::string EchoHeader() const = 0;
   [[nodiscard]] virtual http_request MakeItemRequest(
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/address.hpp"
+#include "arbutusferry/node/request_limit.hpp"
 #include "arbutusferry/time.hpp"
 
 #include <cstdint>
@@ -40,6 +41,7 @@
     time_point avoidUntil;
     int failures = 0; ///< In a row.
     int outstanding = 0;
+    std::optional<request_limit> limit;
   };
 
   /// Adds or changes a target.
@@ -75,6 +77,15 @@
   void NoteFailure(const std::string& aId, time_point aNow);
   /// Notes that a target refused a request because it was full.
   void NoteFull(const std::string& aId, time_point aNow);
+  /// Applies what a target's response says about its limit. One that names none
+  /// ends the limit if its request was sent after the limit was last named.
+  /// @param aGenuine Whether the target has run the request and answered it.
+  /// @param aSentAt When the request was sent.
+  void NoteLimit(const std::string& aId,
+                 const limit_notice& aNotice,
+                 bool aGenuine,
+                 time_point aSentAt,
+                 time_point aNow);
 
 private:
   std::map<std::string, known_target> mTargets;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 
 namespace arbutusferry::node {
@@ -83,6 +84,22 @@
   return value;
 }
 
+std::optional<double>
+ParseDecimal(std::string_view aText) noexcept
+{
+  double value = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(),
+                    aText.data() + aText.size(),
+                    value,
+                    std::chars_format::fixed);
+  if (error != std::errc() || end != aText.data() + aText.size() ||
+      !std::isfinite(value) || std::signbit(value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 void
 AppendHeaders(std::string& aText, const header_list& aHeaders)
 {
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -151,6 +151,15 @@
   mPool.AddRun(run);
   const auto relay =
     mParts.nodes.ChooseRelay(aSampler, target->entry.zone, mParts.loop.Now());
+  Log(log_level::Info,
+      "item_run_started",
+      { { "item", run->Call().id },
+        { "batch", aItem.batch },
+        { "target", aSampler },
+        { "limit",
+          target->limit ? std::to_string(target->limit->perSecond) : "" },
+        { "relay", relay ? FormatAddress(relay->address) : "" },
+        { "events", std::to_string(item.progress.events.size()) } });
   if (!relay) {
     item.progress.location.reset();
     run->Start(mParts.client, target->entry);
@@ -244,6 +253,18 @@
   }
 }
 
+void
+batch_leader::OnRunLimit(const item_run& aRun,
+                         const limit_notice& aNotice,
+                         bool aGenuine)
+{
+  mParts.targets.NoteLimit(aRun.Sampler(),
+                           aNotice,
+                           aGenuine,
+                           aRun.Timing().started,
+                           mParts.loop.Now());
+}
+
 void
 batch_leader::OnRelayClock(const item_run& aRun, std::int64_t aClockMs)
 {
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -101,10 +101,11 @@
 public:
   attempt(std::shared_ptr<forwarded_call> aCall,
           std::string aTarget,
-          std::int64_t aSentUnixMs)
+          const event_loop& aLoop)
     : mCall(std::move(aCall))
     , mTarget(std::move(aTarget))
-    , mSentUnixMs(aSentUnixMs)
+    , mSentAt(aLoop.Now())
+    , mSentUnixMs(aLoop.UnixMilliseconds())
   {
   }
 
@@ -125,6 +126,7 @@
 private:
   std::shared_ptr<forwarded_call> mCall;
   std::string mTarget;
+  time_point mSentAt;
   std::int64_t mSentUnixMs;
   bool mStreaming = false;
   bool mReleased = false;
@@ -147,7 +149,15 @@
 {
   response.status = aStatus;
   response.headers = aHeaders;
-  verdict = mCall->mParts.protocol.ClassifyResponse(aStatus, aHeaders);
+  const call_forwarder::parts& parts = mCall->mParts;
+  verdict = parts.protocol.ClassifyResponse(aStatus, aHeaders);
+  if (verdict != response_class::WrongTarget) {
+    parts.targets.NoteLimit(mTarget,
+                            parts.protocol.ReadLimit(aHeaders),
+                            verdict == response_class::Genuine,
+                            mSentAt,
+                            parts.loop.Now());
+  }
   if (verdict != response_class::Genuine) {
     return;
   }
@@ -290,8 +300,8 @@
   options.connectTimeout = kConnectTimeout;
   options.readTimeout = std::max(left, milliseconds(1'000));
   options.echoHeader = mParts.protocol.EchoHeader();
-  auto sink = std::make_shared<attempt>(
-    shared_from_this(), chosen, mParts.loop.UnixMilliseconds());
+  auto sink =
+    std::make_shared<attempt>(shared_from_this(), chosen, mParts.loop);
   mAttempts.push_back(sink);
   sink->exchange =
     mParts.client.Send(known->entry.address, std::move(request), options, sink);
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -77,6 +77,7 @@
 {
   mPlace = std::move(aPlace);
   mKnownEvents = aKnownEvents;
+  mAttached = true;
   Send(aClient, mPlace->relay, MakeRelayedAttach(mPlace->run, aFence));
 }
 
@@ -160,6 +161,12 @@
   if (mVerdict == response_class::Genuine && aStatus / 100 != 2) {
     mVerdict = response_class::Failed;
   }
+  if (!mAttached && !mRelayError && mObserver &&
+      mVerdict != response_class::WrongTarget) {
+    mObserver->OnRunLimit(*this,
+                          mProtocol.ReadLimit(aHeaders),
+                          mVerdict == response_class::Genuine);
+  }
   mVersion = mProtocol.WeightVersion(aHeaders).value_or(mCall.expectedVersion);
 }
 
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -1,6 +1,7 @@
 #include "arbutusferry/node/target_view.hpp"
 
 #include "arbutusferry/hash.hpp"
+#include "arbutusferry/logging.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -32,6 +33,7 @@
   if (restarted) {
     known.failures = 0;
     known.avoidUntil = {};
+    known.limit.reset();
   }
   if (aEntry.draining && !known.entry.draining) {
     known.drainingSince = aNow;
@@ -128,4 +130,34 @@
   }
 }
 
+void
+target_view::NoteLimit(const std::string& aId,
+                       const limit_notice& aNotice,
+                       bool aGenuine,
+                       time_point aSentAt,
+                       time_point aNow)
+{
+  known_target* known = Find(aId);
+  if (!known) {
+    return;
+  }
+  std::optional<request_limit>& limit = known->limit;
+  if (aNotice.perSecond) {
+    if (!limit || limit->perSecond != *aNotice.perSecond) {
+      Log(log_level::Info,
+          "target_limit",
+          { { "target", aId },
+            { "per_second", std::to_string(*aNotice.perSecond) },
+            { "before", limit ? std::to_string(limit->perSecond) : "" } });
+    }
+    limit = { *aNotice.perSecond, aNow };
+  } else if (limit && !aNotice.present && aGenuine &&
+             aSentAt >= limit->namedAt) {
+    Log(log_level::Info,
+        "target_limit_ended",
+        { { "target", aId }, { "before", std::to_string(limit->perSecond) } });
+    limit.reset();
+  }
+}
+
 } // namespace arbutusferry::node
