--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/node/batch_leader.hpp"
 #include "arbutusferry/node/run_relay.hpp"
 
+#include "common/limit_rule.hpp"
 #include "http_protocols.hpp"
 #include "support/node_fakes.hpp"
 
@@ -80,6 +81,8 @@
     duration loadTime = duration::zero();
     time_point loadedAt; ///< End of the current load.
     std::int64_t previousVersion = 1;
+    standin::limit_rule limit;
+    std::size_t limitExceededBy = 0; ///< Requests in 4 s, if too many.
   };
 
   fake_samplers(manual_loop& aLoop, scripted_client& aClient)
@@ -145,6 +148,11 @@
           std::to_string(self.orders) + "}");
       return;
     }
+    // A relaying node sends all items if there is one.
+    const std::string sender = relay ? "relay" : "leader";
+    self.limitExceededBy =
+      std::max(self.limitExceededBy,
+               self.limit.NoteRequest(sender, mLoop.Now()).value_or(0));
     if (mLoop.Now() < self.loadedAt) {
       ++refusedWhileLoading;
       aSent->Answer(503, { { "Arbutusferry-Not-Run", "1" } });
@@ -164,10 +172,14 @@
     if (after > 0) {
       resumedAfter.push_back(after);
     }
-    aSent->sink->OnHead(
-      200,
-      { { "Arbutusferry-Server-Stamp", "s" },
-        { "Arbutusferry-Weight-Versions", std::to_string(self.version) } });
+    header_list headers{ { "Arbutusferry-Server-Stamp", "s" },
+                         { "Arbutusferry-Weight-Versions",
+                           std::to_string(self.version) } };
+    if (self.limit.Limit()) {
+      headers.Add("Server-Limit", std::to_string(*self.limit.Limit()));
+      self.limit.NoteResponse(sender, mLoop.Now());
+    }
+    aSent->sink->OnHead(200, headers);
     Produce(aSent, item, after + 1);
   }
 
