Keep to the request limits that targets name, over all nodes together

Cause: nothing acted on a named limit. Slots alone decided how many requests a target got, and each node decided for itself. Class: a bound that belongs to all nodes together, kept by none or by each alone. Change: target_limit spaces starts under a named rate. The leader owns the rates: it starts items as they allow and grants plain requests to the other nodes (limit_coordinator). A node that reaches no confirmed leader sends nothing to such targets, so nodes that can't reach each other can't exceed a rate together. A relaying node keeps the rates too, for leaders that don't know them yet. Plain requests prefer targets without a limit; where none may start in time, callers are refused at once with the time until one may.

--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -5,6 +5,7 @@
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
 #include "arbutusferry/node/http_listener.hpp"
+#include "arbutusferry/node/limit_coordinator.hpp"
 #include "arbutusferry/node/target_protocol.hpp"
 
 #include <functional>
@@ -61,6 +62,7 @@
     target_view& targets;
     const target_protocol& protocol;
     const caller_protocol& callers;
+    target_admission& admission;
     run_counter& runs;
     metrics_registry& metrics;
     std::string zone;
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -71,6 +71,7 @@
     return mEnvironment;
   }
   [[nodiscard]] call_forwarder& Forwarder() noexcept { return mForwarder; }
+  [[nodiscard]] limit_coordinator& Limits() noexcept { return mLimits; }
   [[nodiscard]] event_loop& Loop() noexcept { return mParts.loop; }
   /// @return The leader of batches, or null unless this node leads and has read
   /// the journal.
@@ -125,6 +126,7 @@
   target_view mTargets;
   node_directory mNodes;
   std::map<std::string, std::int64_t> mNewestVersions;
+  limit_coordinator mLimits;
   call_forwarder mForwarder;
   usage_meter mUsageMeter;
   bool mSavingUsage = false;
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -16,7 +16,7 @@
 enum class run_outcome
 {
   Complete,
-  Full,       ///< Not run: the sampler has no free slot.
+  Full,       ///< Not run: the sampler has no free slot or is at its limit.
   Misplaced,  ///< Not run: the target or its weight version is another.
   Broken,     ///< The connection broke or the response is malformed.
   Failed,     ///< The target reported a failure.
--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/time.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,6 +18,8 @@
   int slots = 1;
   int running = 0;
   bool usable = true; ///< Registered, not draining, not in backoff.
+  /// Items that its limit allows to start now.
+  int startsAvailable = std::numeric_limits<int>::max();
   std::map<std::string, std::int64_t> versions; ///< Weights by model.
   std::string loading; ///< Model whose weights are being loaded, or empty.
   /// The load may have ended: one item may be sent as a probe.
--- a/include/arbutusferry/node/run_relay.hpp
+++ b/include/arbutusferry/node/run_relay.hpp
@@ -5,6 +5,7 @@
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
 #include "arbutusferry/node/http_listener.hpp"
+#include "arbutusferry/node/target_protocol.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,7 @@
   Unreachable, ///< No connection to the sampler; it has received nothing.
   Broken,      ///< The sampler's connection broke before its response.
   Late,        ///< The request was in transit too long, or names no time.
+  Limited,     ///< The sampler's limit allows no request now.
 };
 
 /// Makes the leader's request to start a run through a relaying node.
@@ -49,6 +51,9 @@
 /// @return The error, if the relaying node answered in place of the sampler.
 [[nodiscard]] std::optional<relay_error>
 ReadRelayError(const header_list& aHeaders);
+/// @return The sampler's limit, if the relaying node refused a run by it.
+[[nodiscard]] limit_notice
+ReadRelayLimit(const header_list& aHeaders);
 /// @return The relaying node's clock at its response, in milliseconds.
 [[nodiscard]] std::optional<std::int64_t>
 ReadRelayClock(const header_list& aHeaders);
@@ -63,8 +68,7 @@
   {
     event_loop& loop;
     http_client& client;
-    /// Header by which a sampler's response names its request.
-    std::string echoHeader;
+    const target_protocol& protocol;
     /// @return The highest leader fence that this node knows of.
     std::function<std::uint64_t()> highestFence;
     /// Called when a leader has closed its connection.
@@ -90,7 +94,12 @@
              std::shared_ptr<responder> aResponder);
   void Expire();
 
+  /// Limits by the address of the sampler. They hold for all leaders, so that
+  /// a new one, which knows no limit yet, doesn't exceed it.
+  using limit_table = std::map<std::string, target_limit>;
+
   parts mParts;
+  std::shared_ptr<limit_table> mLimits = std::make_shared<limit_table>();
   std::map<std::string, std::shared_ptr<run>> mRuns;
   periodic_timer mExpiryTimer;
 };
@@ -110,4 +119,6 @@
                std::string_view("broken") },
     std::pair{ arbutusferry::node::relay_error::Late,
                std::string_view("late") },
+    std::pair{ arbutusferry::node::relay_error::Limited,
+               std::string_view("limited") },
   };
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -41,7 +41,9 @@
     time_point avoidUntil;
     int failures = 0; ///< In a row.
     int outstanding = 0;
-    std::optional<request_limit> limit;
+    target_limit limit;
+    /// Earliest start that the leader offers while the target has a limit.
+    time_point nextStart;
   };
 
   /// Adds or changes a target.
@@ -62,8 +64,9 @@
   }
 
   /// Chooses a target for a plain request: in the own zone while that has free
-  /// slots, with the fewest outstanding requests. One that failed recently or
-  /// was tried is chosen only if no other is left.
+  /// slots, with the fewest outstanding requests. One that has named a limit
+  /// recently is chosen only if the others failed recently or were tried; one
+  /// that failed recently or was tried only if no other is left.
   /// @param aTried Targets that this request was already sent to.
   /// @param aSalt Breaks ties differently for each request.
   /// @return The target's id, or empty.
@@ -72,15 +75,16 @@
                                    const std::vector<std::string>& aTried,
                                    std::uint64_t aSalt,
                                    time_point aNow) const;
+  /// Takes the bursts of all limits as used, when this process begins to share
+  /// out the rates of targets.
+  void SpendLimitBursts(time_point aNow);
   /// Notes how an exchange with a target ended.
   void NoteSuccess(const std::string& aId);
   void NoteFailure(const std::string& aId, time_point aNow);
   /// Notes that a target refused a request because it was full.
   void NoteFull(const std::string& aId, time_point aNow);
-  /// Applies what a target's response says about its limit. One that names none
-  /// ends the limit if its request was sent after the limit was last named.
-  /// @param aGenuine Whether the target has run the request and answered it.
-  /// @param aSentAt When the request was sent.
+  /// Applies what a target's response says about its limit, as
+  /// `target_limit::Note` does.
   void NoteLimit(const std::string& aId,
                  const limit_notice& aNotice,
                  bool aGenuine,
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -124,6 +124,7 @@
       ++mUnplaced[item.model];
     } else if (StartRun(item, at->second[*chosen].id)) {
       ++at->second[*chosen].running;
+      --at->second[*chosen].startsAvailable;
       ++at->second[*chosen].groups[item.group];
     }
   }
@@ -132,10 +133,11 @@
 bool
 batch_leader::StartRun(const waiting_item& aItem, const std::string& aSampler)
 {
-  const auto* target = mParts.targets.Find(aSampler);
+  auto* target = mParts.targets.Find(aSampler);
   batch& owner = *mBatches.Find(aItem.batch);
   item_state& item = owner.Items()[aItem.index];
-  if (!target) {
+  const time_point now = mParts.loop.Now();
+  if (!target || !target->limit.Reserve(now, now)) {
     return false;
   }
   const auto run = MakeRun(owner,
@@ -150,14 +152,14 @@
   }
   mPool.AddRun(run);
   const auto relay =
-    mParts.nodes.ChooseRelay(aSampler, target->entry.zone, mParts.loop.Now());
+    mParts.nodes.ChooseRelay(aSampler, target->entry.zone, now);
+  const auto& limit = target->limit.Named();
   Log(log_level::Info,
       "item_run_started",
       { { "item", run->Call().id },
         { "batch", aItem.batch },
         { "target", aSampler },
-        { "limit",
-          target->limit ? std::to_string(target->limit->perSecond) : "" },
+        { "limit", limit ? std::to_string(limit->perSecond) : "" },
         { "relay", relay ? FormatAddress(relay->address) : "" },
         { "events", std::to_string(item.progress.events.size()) } });
   if (!relay) {
@@ -173,7 +175,7 @@
   run->StartRelayed(mParts.client,
                     *item.progress.location,
                     mFence,
-                    mParts.nodes.ClockOf(relay->vm, mParts.loop.Now()),
+                    mParts.nodes.ClockOf(relay->vm, now),
                     target->entry);
   return true;
 }
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -65,6 +65,14 @@
     return std::min(mCall.deadline - kAnswerMargin, mCall.timeout);
   }
   void TryNextTarget();
+  void RequestAdmission(const std::string& aTarget);
+  void OnAdmission(const std::string& aTarget, const admission& aAdmission);
+  void OnNotAdmitted(milliseconds aWait);
+  void SendTo(const std::string& aTarget);
+  /// @return Whether a ready target has not been tried.
+  [[nodiscard]] bool MoreTargets() const;
+  /// Tries another target at once, or all again after a delay.
+  void TryAfterRefusal();
   void Hedge();
   void OnTimeout();
   void OnCallerGone();
@@ -72,7 +80,7 @@
   void OnNotRun(attempt& aAttempt, response_class aVerdict);
   void OnAttemptDone(attempt& aAttempt);
   void Conclude(http_response aResponse, const char* aOutcome);
-  void Refuse(const char* aReason);
+  void Refuse(const char* aReason, milliseconds aRetryAfter = kRetryAfter);
   void Fail(bool aTimedOut, const char* aReason);
   void StopAttempts(const attempt* aExcept);
   void RecordOutcome(const char* aOutcome, const std::string& aTarget);
@@ -87,6 +95,11 @@
   std::vector<std::string> mTriedTargets;
   /// Targets that may have run the request; at most the route's `maxAttempts`.
   std::set<std::string> mUsedTargets;
+  /// Tried targets that may not get a request now because of their limits, and
+  /// the shortest wait until one of them may.
+  std::size_t mNotAdmitted = 0;
+  milliseconds mShortestWait = milliseconds::max();
+  bool mAwaitingAdmission = false;
   bool mMayHaveRun = false;
   bool mEnded = false;
   bool mRunCounted = false;
@@ -286,13 +299,96 @@
     }
     return;
   }
+  mTriedTargets.push_back(chosen);
+  if (known->limit.Named()) {
+    RequestAdmission(chosen);
+  } else {
+    SendTo(chosen);
+  }
+}
+
+void
+forwarded_call::RequestAdmission(const std::string& aTarget)
+{
+  const time_point now = mParts.loop.Now();
+  const auto* known = mParts.targets.Find(aTarget);
+  // A longer wait would leave too little time for a response on time.
+  const milliseconds maxWait = std::min(
+    mCall.route.latencyTarget / 2,
+    std::chrono::duration_cast<milliseconds>(mCall.deadline - now) / 2);
+  if (known->nextStart > now + maxWait) {
+    OnNotAdmitted(std::chrono::ceil<milliseconds>(known->nextStart - now));
+    return;
+  }
+  mAwaitingAdmission = true;
+  mParts.admission.Request(
+    aTarget,
+    *known->limit.Named(),
+    maxWait,
+    [self = shared_from_this(), aTarget](const admission& aAdmission) {
+      self->OnAdmission(aTarget, aAdmission);
+    });
+}
+
+void
+forwarded_call::OnAdmission(const std::string& aTarget,
+                            const admission& aAdmission)
+{
+  if (!aAdmission.granted) {
+    mAwaitingAdmission = false;
+    if (auto* known = mParts.targets.Find(aTarget)) {
+      known->nextStart = mParts.loop.Now() + aAdmission.wait;
+    }
+    if (!mEnded) {
+      OnNotAdmitted(aAdmission.wait);
+    }
+    return;
+  }
+  const auto send = [self = shared_from_this(), aTarget] {
+    self->mAwaitingAdmission = false;
+    if (!self->mEnded) {
+      self->SendTo(aTarget);
+    }
+  };
+  if (aAdmission.wait > milliseconds(0) && !mEnded) {
+    mRetryTimer = mParts.loop.After(aAdmission.wait, send);
+  } else {
+    send();
+  }
+}
+
+void
+forwarded_call::OnNotAdmitted(milliseconds aWait)
+{
+  ++mNotAdmitted;
+  mShortestWait = std::min(mShortestWait, aWait);
+  if (!mAttempts.empty()) {
+    return;
+  }
+  if (mNotAdmitted < mTriedTargets.size() || MoreTargets()) {
+    TryAfterRefusal();
+  } else if (mMayHaveRun) {
+    Fail(false, "target_limits");
+  } else {
+    Refuse("target_limits", std::max(mShortestWait, kRetryAfter));
+  }
+}
+
+void
+forwarded_call::SendTo(const std::string& aTarget)
+{
+  const time_point now = mParts.loop.Now();
+  auto* known = mParts.targets.Find(aTarget);
+  if (!known || known->entry.draining) {
+    TryNextTarget();
+    return;
+  }
   const auto left =
     std::chrono::duration_cast<milliseconds>(mCall.deadline - now);
   if (left <= kMinTimeLeft) {
     return;
   }
-  mTriedTargets.push_back(chosen);
-  mUsedTargets.insert(chosen);
+  mUsedTargets.insert(aTarget);
   ++known->outstanding;
   http_request request = mCall.request;
   mParts.protocol.Prepare(request, known->entry, left);
@@ -301,7 +397,7 @@
   options.readTimeout = std::max(left, milliseconds(1'000));
   options.echoHeader = mParts.protocol.EchoHeader();
   auto sink =
-    std::make_shared<attempt>(shared_from_this(), chosen, mParts.loop);
+    std::make_shared<attempt>(shared_from_this(), aTarget, mParts.loop);
   mAttempts.push_back(sink);
   sink->exchange =
     mParts.client.Send(known->entry.address, std::move(request), options, sink);
@@ -315,7 +411,7 @@
 void
 forwarded_call::Hedge()
 {
-  if (!mEnded && mAttempts.size() == 1) {
+  if (!mEnded && mAttempts.size() == 1 && !mAwaitingAdmission) {
     mParts.targets.NoteFailure(mAttempts.front()->Target(), mParts.loop.Now());
     TryNextTarget();
   }
@@ -375,17 +471,29 @@
   } else {
     mParts.targets.NoteFull(aAttempt.Target(), now);
   }
-  // Another target is tried at once; when all have been, after a delay.
-  std::size_t known = 0;
+  TryAfterRefusal();
+}
+
+bool
+forwarded_call::MoreTargets() const
+{
+  std::size_t ready = 0;
   for (const auto& [id, target] : mParts.targets.All()) {
-    known += target.entry.service == mCall.service && !target.entry.draining &&
+    ready += target.entry.service == mCall.service && !target.entry.draining &&
              !target.removedSince;
   }
-  if (mTriedTargets.size() < known) {
+  return mTriedTargets.size() < ready;
+}
+
+void
+forwarded_call::TryAfterRefusal()
+{
+  if (MoreTargets()) {
     TryNextTarget();
     return;
   }
   mTriedTargets.clear();
+  mNotAdmitted = 0;
   mRetryTimer = mParts.loop.After(
     kFullRetryDelay, [self = shared_from_this()] { self->TryNextTarget(); });
 }
@@ -475,9 +583,9 @@
 }
 
 void
-forwarded_call::Refuse(const char* aReason)
+forwarded_call::Refuse(const char* aReason, milliseconds aRetryAfter)
 {
-  Conclude(mParts.callers.Refusal(mCall.id, kRetryAfter), aReason);
+  Conclude(mParts.callers.Refusal(mCall.id, aRetryAfter), aReason);
 }
 
 void
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -43,6 +43,10 @@
 /// `cancelWithin` (3 s) after the end of their batch, so a leader starts runs
 /// up to 1.6 s after its leadership was last confirmed.
 constexpr milliseconds kRunStartMargin{ 1'400 };
+/// Age of a leader's last confirmation up to which it grants requests to
+/// targets with a limit: shorter than the silence after which another may lead
+/// (0.9 s), so that two leaders never grant the same rate.
+constexpr milliseconds kGrantValidity{ 700 };
 /// Longest wait of a stopping leader for its last write to the journal.
 constexpr milliseconds kHandOverTimeout{ 500 };
 /// The only key of the leadership topic.
@@ -74,11 +78,23 @@
   , mSettings(std::move(aSettings))
   , mInstance(mSettings.vm + "/" + RandomHex(6))
   , mNodes(mInstance)
+  , mLimits({ mParts.loop,
+              mParts.client,
+              mTargets,
+              [this] {
+                return mElection.ConfirmedWithin(kGrantValidity,
+                                                 mParts.loop.Now());
+              },
+              [this]() -> std::optional<socket_address> {
+                const auto leader = OtherLeader();
+                return leader ? std::optional(leader->address) : std::nullopt;
+              } })
   , mForwarder({ mParts.loop,
                  mParts.client,
                  mTargets,
                  mParts.protocol,
                  mParts.callers,
+                 mLimits,
                  *this,
                  mMetrics,
                  mSettings.zone })
@@ -367,6 +383,7 @@
   Log(log_level::Info,
       "leadership_began",
       { { "fence", std::to_string(mElection.Fence()) } });
+  mTargets.SpendLimitBursts(mParts.loop.Now());
   // The leader may learn in its own callbacks that its term is over, so it is
   // destroyed from the event loop.
   const auto superseded = [this] {
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -126,6 +126,9 @@
 run_outcome
 item_run::RelayErrorEnd() const noexcept
 {
+  if (*mRelayError == relay_error::Limited) {
+    return run_outcome::Full;
+  }
   return *mRelayError == relay_error::Unknown ||
              *mRelayError == relay_error::Stale ||
              *mRelayError == relay_error::Late
@@ -161,8 +164,10 @@
   if (mVerdict == response_class::Genuine && aStatus / 100 != 2) {
     mVerdict = response_class::Failed;
   }
-  if (!mAttached && !mRelayError && mObserver &&
-      mVerdict != response_class::WrongTarget) {
+  if (mRelayError == relay_error::Limited && mObserver) {
+    mObserver->OnRunLimit(*this, ReadRelayLimit(aHeaders), false);
+  } else if (!mAttached && !mRelayError && mObserver &&
+             mVerdict != response_class::WrongTarget) {
     mObserver->OnRunLimit(*this,
                           mProtocol.ReadLimit(aHeaders),
                           mVerdict == response_class::Genuine);
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -18,6 +18,12 @@
 constexpr const char* kErrorHeader = "Ferry-Relay-Error";
 constexpr const char* kSentAtHeader = "Ferry-Sent-At";
 constexpr const char* kClockHeader = "Ferry-Time";
+/// Limit of the sampler in requests per second, with `relay_error::Limited`.
+constexpr const char* kLimitHeader = "Ferry-Limit";
+
+/// Burst of a relayed sampler: above the leader's, whose runs may arrive
+/// unevenly.
+constexpr int kRelayLimitBurst = kLimitBurst + 1;
 
 /// A request to start a run that was in transit for longer is refused, as its
 /// batch may have ended meanwhile. So is one without a sending time, or with
@@ -40,12 +46,18 @@
 }
 
 void
-SendError(const event_loop& aLoop, responder& aResponder, relay_error aError)
+SendError(const event_loop& aLoop,
+          responder& aResponder,
+          relay_error aError,
+          const std::optional<request_limit>& aLimit = std::nullopt)
 {
   http_response response;
   response.status = 502;
   response.headers.Add(kErrorHeader, std::string(EnumName(aError)));
   response.headers.Add(kClockHeader, std::to_string(ClockMs(aLoop)));
+  if (aLimit) {
+    response.headers.Add(kLimitHeader, std::to_string(aLimit->perSecond));
+  }
   aResponder.Send(std::move(response));
 }
 
@@ -151,6 +163,13 @@
   return ParseEnum<relay_error>(*text).value_or(relay_error::Broken);
 }
 
+limit_notice
+ReadRelayLimit(const header_list& aHeaders)
+{
+  const auto perSecond = ParseDecimal(aHeaders.Get(kLimitHeader));
+  return { perSecond.has_value(), perSecond };
+}
+
 std::optional<std::int64_t>
 ReadRelayClock(const header_list& aHeaders)
 {
@@ -163,8 +182,16 @@
   , public std::enable_shared_from_this<run>
 {
 public:
-  run(event_loop& aLoop, std::function<void()> aLeaderDisconnected)
+  run(event_loop& aLoop,
+      const target_protocol& aProtocol,
+      std::string aTarget,
+      std::shared_ptr<limit_table> aLimits,
+      std::function<void()> aLeaderDisconnected)
     : mLoop(aLoop)
+    , mProtocol(aProtocol)
+    , mTarget(std::move(aTarget))
+    , mLimits(std::move(aLimits))
+    , mStarted(aLoop.Now())
     , mLeaderDisconnected(std::move(aLeaderDisconnected))
     , mLastChange(aLoop.Now())
   {
@@ -172,13 +199,12 @@
 
   void Start(http_client& aClient,
              const socket_address& aTarget,
-             http_request aRequest,
-             std::string aEchoHeader)
+             http_request aRequest)
   {
     exchange_options options;
     options.connectTimeout = kRunConnectTimeout;
     options.readTimeout = kRunIdleTimeout;
-    options.echoHeader = std::move(aEchoHeader);
+    options.echoHeader = mProtocol.EchoHeader();
     mExchange =
       aClient.Send(aTarget, std::move(aRequest), options, shared_from_this());
   }
@@ -230,6 +256,7 @@
   void OnHead(int aStatus, const header_list& aHeaders) override
   {
     mStatus = aStatus;
+    NoteLimit(aHeaders);
     for (const auto& [name, value] : aHeaders) {
       // The connection to the leader has its own framing.
       if (!EqualIgnoringCase(name, "Connection") &&
@@ -276,6 +303,25 @@
   }
 
 private:
+  void NoteLimit(const header_list& aHeaders)
+  {
+    const response_class verdict =
+      mProtocol.ClassifyResponse(mStatus, aHeaders);
+    const limit_notice notice = mProtocol.ReadLimit(aHeaders);
+    const auto known = mLimits->find(mTarget);
+    if (verdict == response_class::WrongTarget ||
+        (known == mLimits->end() && !notice.perSecond)) {
+      return;
+    }
+    target_limit& limit =
+      mLimits->try_emplace(mTarget, kRelayLimitBurst).first->second;
+    limit.Note(
+      notice, verdict == response_class::Genuine, mStarted, mLoop.Now());
+    if (!limit.Named()) {
+      mLimits->erase(mTarget);
+    }
+  }
+
   void BeginResponse(responder& aReader) const
   {
     header_list headers = mHeaders;
@@ -293,6 +339,10 @@
   }
 
   event_loop& mLoop;
+  const target_protocol& mProtocol;
+  std::string mTarget; ///< Address of the sampler.
+  std::shared_ptr<limit_table> mLimits;
+  time_point mStarted;
   std::function<void()> mLeaderDisconnected;
   std::shared_ptr<http_exchange> mExchange;
   int mStatus = 0; ///< 0 until the head of the response.
@@ -373,10 +423,18 @@
     SendError(mParts.loop, *aResponder, relay_error::Unknown);
     return;
   }
-  auto started = std::make_shared<run>(mParts.loop, mParts.leaderDisconnected);
+  const time_point now = mParts.loop.Now();
+  const std::string address = FormatAddress(*target);
+  const auto limit = mLimits->find(address);
+  if (limit != mLimits->end() && !limit->second.Reserve(now, now)) {
+    SendError(
+      mParts.loop, *aResponder, relay_error::Limited, limit->second.Named());
+    return;
+  }
+  auto started = std::make_shared<run>(
+    mParts.loop, mParts.protocol, address, mLimits, mParts.leaderDisconnected);
   mRuns[aRun] = started;
-  started->Start(
-    mParts.client, *target, std::move(*request), mParts.echoHeader);
+  started->Start(mParts.client, *target, std::move(*request));
   started->Attach(std::move(aResponder));
 }
 
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -87,6 +87,9 @@
   state.slots = aSampler.target.slots;
   state.running = aSampler.running;
   state.usable = Usable(aSampler, now);
+  if (const auto* known = mParts.targets.Find(aId)) {
+    state.startsAvailable = known->limit.StartsAvailable(now);
+  }
   state.versions = aSampler.versions;
   if (ProbeDue(aSampler)) {
     const version_plan::order& order = aSampler.order->load;
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds kMaxBackoff{ 4'000 };
 /// How long a target that refused a request as full is avoided.
 constexpr milliseconds kFullTargetPause{ 30 };
+/// A target that named a limit this long ago is chosen like any other, since
+/// its limit may have ended.
+constexpr milliseconds kLimitRecheck{ 2'000 };
 
 } // namespace
 
@@ -33,7 +36,8 @@
   if (restarted) {
     known.failures = 0;
     known.avoidUntil = {};
-    known.limit.reset();
+    known.limit = target_limit();
+    known.nextStart = {};
   }
   if (aEntry.draining && !known.entry.draining) {
     known.drainingSince = aNow;
@@ -75,7 +79,7 @@
                     std::uint64_t aSalt,
                     time_point aNow) const
 {
-  using rank = std::tuple<bool, bool, bool, bool, int, std::uint64_t>;
+  using rank = std::tuple<bool, bool, bool, bool, bool, int, std::uint64_t>;
   std::optional<rank> best;
   std::string chosen;
   for (const auto& [id, known] : mTargets) {
@@ -87,13 +91,16 @@
     }
     const bool tried =
       std::find(aTried.begin(), aTried.end(), id) != aTried.end();
-    const rank candidate{ known.removedSince.has_value(),
-                          tried,
-                          known.avoidUntil > aNow,
-                          entry.zone != aZone ||
-                            known.outstanding >= entry.slots,
-                          known.outstanding,
-                          Hash64(id, aSalt) };
+    const auto& limit = known.limit.Named();
+    const rank candidate{
+      known.removedSince.has_value(),
+      tried,
+      known.avoidUntil > aNow || (limit && known.nextStart > aNow),
+      limit && aNow - limit->namedAt < kLimitRecheck,
+      entry.zone != aZone || known.outstanding >= entry.slots,
+      known.outstanding,
+      Hash64(id, aSalt)
+    };
     if (!best || candidate < *best) {
       best = candidate;
       chosen = id;
@@ -102,6 +109,14 @@
   return chosen;
 }
 
+void
+target_view::SpendLimitBursts(time_point aNow)
+{
+  for (auto& [id, known] : mTargets) {
+    known.limit.SpendBurst(aNow);
+  }
+}
+
 void
 target_view::NoteSuccess(const std::string& aId)
 {
@@ -138,25 +153,16 @@
                        time_point aNow)
 {
   known_target* known = Find(aId);
-  if (!known) {
+  if (!known || !known->limit.Note(aNotice, aGenuine, aSentAt, aNow)) {
     return;
   }
-  std::optional<request_limit>& limit = known->limit;
-  if (aNotice.perSecond) {
-    if (!limit || limit->perSecond != *aNotice.perSecond) {
-      Log(log_level::Info,
-          "target_limit",
-          { { "target", aId },
-            { "per_second", std::to_string(*aNotice.perSecond) },
-            { "before", limit ? std::to_string(limit->perSecond) : "" } });
-    }
-    limit = { *aNotice.perSecond, aNow };
-  } else if (limit && !aNotice.present && aGenuine &&
-             aSentAt >= limit->namedAt) {
+  if (const auto& named = known->limit.Named()) {
     Log(log_level::Info,
-        "target_limit_ended",
-        { { "target", aId }, { "before", std::to_string(limit->perSecond) } });
-    limit.reset();
+        "target_limit",
+        { { "target", aId },
+          { "per_second", std::to_string(named->perSecond) } });
+  } else {
+    Log(log_level::Info, "target_limit_ended", { { "target", aId } });
   }
 }
 
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -304,7 +304,7 @@
   explicit relay_node(leader_test& aTest, std::uint64_t aFence = 1)
     : relay({ aTest.loop,
               aTest.client,
-              aTest.protocol.EchoHeader(),
+              aTest.protocol,
               [aFence] { return aFence; },
               [] {},
               other })
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -63,8 +63,11 @@
   run_counts runs;
   metrics_registry metrics;
   int calls = 0;
+  limit_coordinator limits{
+    { loop, client, targets, [] { return true; }, [] { return std::nullopt; } }
+  };
   call_forwarder forwarder{
-    { loop, client, targets, protocol, callers, runs, metrics, "home" }
+    { loop, client, targets, protocol, callers, limits, runs, metrics, "home" }
   };
 };
 
--- a/tests/unit/run_relay_test.cpp
+++ b/tests/unit/run_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "arbutusferry/node/run_relay.hpp"
 
+#include "http_protocols.hpp"
 #include "support/node_fakes.hpp"
 
 #include <catch2/catch.hpp>
@@ -47,12 +48,13 @@
 
   manual_loop loop;
   scripted_client client;
+  platform::http_target_protocol protocol;
   counting_handler fallback;
   std::uint64_t highest = 5;
   int disconnects = 0;
   run_relay relay{ { loop,
                      client,
-                     "Id",
+                     protocol,
                      [this] { return highest; },
                      [this] { ++disconnects; },
                      fallback } };
--- a/tests/unit/target_limit_test.cpp
+++ b/tests/unit/target_limit_test.cpp
@@ -48,22 +48,22 @@
   target_view targets;
   time_point now{ std::chrono::hours(1) };
   targets.Update(Target(), now);
-  const auto& limit = targets.Find("t0")->limit;
+  const target_limit& known = targets.Find("t0")->limit;
   targets.NoteLimit("t0", { true, 2.0 }, true, now, now + milliseconds(10));
-  REQUIRE(limit);
-  CHECK(limit->perSecond == 2.0);
+  REQUIRE(known.Named());
+  CHECK(known.Named()->perSecond == 2.0);
 
   targets.NoteLimit("t0", {}, true, now, now + milliseconds(20));
-  CHECK(limit); // Sent before the limit was named.
+  CHECK(known.Named()); // Sent before the limit was named.
   now += milliseconds(30);
   targets.NoteLimit("t0", {}, false, now, now);
-  CHECK(limit); // Not run, or failed.
+  CHECK(known.Named()); // Not run, or failed.
   targets.NoteLimit("t0", { true, std::nullopt }, true, now, now);
-  CHECK(limit); // Unreadable.
+  CHECK(known.Named()); // Unreadable.
   targets.NoteLimit("t0", {}, true, now, now);
-  CHECK_FALSE(limit);
+  CHECK_FALSE(known.Named());
 
   targets.NoteLimit("t0", { true, 1.0 }, true, now, now);
   targets.Update(Target(2), now);
-  CHECK_FALSE(limit); // A new process under the same id.
+  CHECK_FALSE(known.Named()); // A new process under the same id.
 }
