--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -45,6 +45,8 @@
 ProgressKey(const std::string& aBatch, std::size_t aItem);
 [[nodiscard]] std::string
 UsageKey(std::int64_t aWindow);
+[[nodiscard]] std::string
+LimitKey(const std::string& aTarget);
 
 /// Contents of a journal without texts, read at the start of a term.
 struct journal_contents
@@ -56,6 +58,8 @@
   /// By batch and item index.
   std::map<std::string, std::map<std::size_t, item_progress>> progress;
   std::map<std::int64_t, std::string> usage; ///< By window.
+  /// Limits that targets have named, in requests per second.
+  std::map<std::string, double> limits;
 };
 
 /// Decodes the records of a journal.
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/node/environment_view.hpp"
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
+#include "arbutusferry/node/limit_records.hpp"
 #include "arbutusferry/node/node_directory.hpp"
 #include "arbutusferry/node/result_wait.hpp"
 #include "arbutusferry/node/sampler_pool.hpp"
@@ -120,6 +121,8 @@
 
   void Restore(journal_contents aContents);
   void SchedulePlacement();
+  /// Saves limits of targets that have changed.
+  void SaveLimits();
   void Tick();
   void PlaceItems();
   void MoveSlowRuns();
@@ -161,6 +164,7 @@
   batch_table mBatches;
   batch_journal mJournal;
   sampler_pool mPool;
+  limit_records mLimitRecords;
   std::function<void(const std::map<std::int64_t, std::string>&)> mOnReady;
   bool mReady = false;
   bool mHandedOver = false;
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -232,6 +232,12 @@
   return "c/" + std::to_string(aWindow);
 }
 
+std::string
+LimitKey(const std::string& aTarget)
+{
+  return "l/" + aTarget;
+}
+
 void
 journal_reader::Add(const log_entry& aEntry)
 {
@@ -246,6 +252,10 @@
     if (const auto window = ParseInteger(rest)) {
       mContents.usage[*window] = value;
     }
+  } else if (key.starts_with("l/")) {
+    if (const auto perSecond = ParseDecimal(value)) {
+      mContents.limits[rest] = *perSecond;
+    }
   } else if (rest.size() > kNumberDigits + 1) {
     const auto number = ParseInteger(rest.substr(0, kNumberDigits));
     const std::string id = rest.substr(kNumberDigits + 1);
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -100,6 +100,8 @@
       "journal_read",
       { { "batches", std::to_string(mBatches.All().size()) },
         { "results", std::to_string(results) } });
+  mLimitRecords.Restore(aContents.limits, mParts.loop.Now());
+  SaveLimits();
   mReady = true;
   mTicker = std::make_unique<periodic_timer>(
     mParts.loop, kTickInterval, [this] { Tick(); });
@@ -107,6 +109,15 @@
   mOnReady(aContents.usage);
 }
 
+void
+batch_leader::SaveLimits()
+{
+  auto changes = mLimitRecords.Synchronize(mParts.targets, mParts.loop.Now());
+  if (!changes.empty()) {
+    mJournal.Append(std::move(changes), {});
+  }
+}
+
 void
 batch_leader::SchedulePlacement()
 {
@@ -373,6 +384,7 @@
   if (mHandedOver) {
     return;
   }
+  SaveLimits();
   MoveSlowRuns();
   PlaceItems();
   const time_point now = mParts.loop.Now();
--- a/tests/unit/request_limit_test.cpp
+++ b/tests/unit/request_limit_test.cpp
@@ -185,12 +185,16 @@
   CHECK(limited.limit.Peak() > 0); // The sampler is still used.
 }
 
-// Guards against a new leader that knows no limit and fills the sampler again.
+// Guards against a new leader that knows no limit and fills the sampler again,
+// through the same relaying node or directly.
 TEST_CASE("items keep to the rate through changes of leader")
 {
   leader_test test;
   test.log.pageEntries = 1'000;
-  const relay_node relayNode(test);
+  std::optional<relay_node> relayNode;
+  if (GENERATE(true, false)) {
+    relayNode.emplace(test);
+  }
   auto& limited = test.samplers.samplers["10.0.0.1"];
   limited.limit.SetLimit(1.0, test.loop.Now());
   for (std::uint64_t fence = 1; fence <= 12; ++fence) {
