Check limits of targets in the soak

Cause: no stand-in named a limit, so no soak run could show a target that gets more than it takes. Nodes that were restarted, frozen or cut off are excused for contact-ms.

--- a/include/arbutusferry/node/http_listener.hpp
+++ b/include/arbutusferry/node/http_listener.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/time.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -31,6 +32,8 @@
   [[nodiscard]] virtual bool Closed() const = 0;
   /// @return Buffered bytes that are not written to the connection yet.
   [[nodiscard]] virtual std::size_t UnsentBytes() const = 0;
+  /// @return Port of the client's end of the connection; 0 if it is closed.
+  [[nodiscard]] virtual std::uint16_t PeerPort() const = 0;
   /// Sets a function that is called once if the caller disconnects before the
   /// response is complete.
   virtual void OnDisconnect(std::function<void()> aFunction) = 0;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Runs the soak test of the node processes for each seed in a range:
 # scripts/soak.sh FIRST LAST. Keeps the logs of failed seeds and prints their
-# directory. Seed 7201 has failed: the soak test chose one port twice while other
-# load ran on the machine.
+# directory. SOAK_FLAGS=--limits lets targets name limits on their requests.
+# Seed 7201 has failed: the soak test chose one port twice while other load ran
+# on the machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -14,7 +15,7 @@
   logs="$log_root/$seed"
   mkdir "$logs"
   if "$build/bin/node-soak" --node_program "$build/bin/arbutusferry-node" \
-    --seed "$seed" --seconds "${SOAK_SECONDS:-8}" --nodes "${SOAK_NODES:-4}" --logs "$logs"; then
+    --seed "$seed" --seconds "${SOAK_SECONDS:-8}" --nodes "${SOAK_NODES:-4}" --logs "$logs" ${SOAK_FLAGS:-}; then
     rm -r "$logs"
   else
     failed=$((failed + 1))
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -88,11 +88,8 @@
 ParseDecimal(std::string_view aText) noexcept
 {
   double value = 0;
-  const auto [end, error] =
-    std::from_chars(aText.data(),
-                    aText.data() + aText.size(),
-                    value,
-                    std::chars_format::fixed);
+  const auto [end, error] = std::from_chars(
+    aText.data(), aText.data() + aText.size(), value, std::chars_format::fixed);
   if (error != std::errc() || end != aText.data() + aText.size() ||
       !std::isfinite(value) || std::signbit(value)) {
     return std::nullopt;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -56,6 +56,10 @@
   {
     return mConnection->UnsentBytes();
   }
+  [[nodiscard]] std::uint16_t PeerPort() const override
+  {
+    return mConnection->PeerPort();
+  }
   void OnDisconnect(std::function<void()> aFunction) override
   {
     mConnection->OnDisconnect(mRequestNumber, std::move(aFunction));
@@ -370,6 +374,14 @@
   }
 }
 
+std::uint16_t
+server_connection::PeerPort() const
+{
+  net_error failed;
+  const auto peer = mSocket.remote_endpoint(failed);
+  return failed ? 0 : peer.port();
+}
+
 void
 server_connection::OnDisconnect(std::uint64_t aRequestNumber,
                                 std::function<void()> aFunction)
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -61,6 +61,7 @@
   {
     return mClosed || aRequestNumber != mRequestNumber || !mHandling;
   }
+  [[nodiscard]] std::uint16_t PeerPort() const;
   [[nodiscard]] std::size_t UnsentBytes() const
   {
     return mWriting.size() + mOutput.size();
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -17,6 +17,11 @@
 /// Maximum time after the last fault until every accepted batch has been read
 /// and ended; only a hanging deployment takes this long.
 constexpr std::chrono::seconds kRecoveryTimeout{ 40 };
+/// Last of the kinds of faults that disturb one node.
+constexpr std::uint64_t kLastNodeFault = 8;
+/// Time after the end of a fault for which a node is excused from rules that
+/// hold for undisturbed nodes only (`contact-ms` of the platform).
+constexpr std::chrono::seconds kContactTime{ 3 };
 
 } // namespace
 
@@ -48,7 +53,7 @@
     mSamplers.push_back(std::move(sampler));
   }
   for (int index = 0; index < 2; ++index) {
-    auto service = std::make_unique<fake_plain_service>(mLoop);
+    auto service = std::make_unique<fake_plain_service>(mLoop, mFindings);
     service->id = "d" + std::to_string(index);
     service->runCounts = &mServiceRunCounts;
     service->abortedRepliesPer20 = 1;
@@ -64,6 +69,39 @@
   }
 }
 
+void
+soak_test::NameLimits()
+{
+  const auto findSender = [this](const node::responder& aResponder) {
+    std::vector<pid_t> processes;
+    for (const auto& process : mNodes) {
+      processes.push_back(process->pid);
+    }
+    const auto owner = FindSocketOwner(aResponder.PeerPort(), processes);
+    return owner ? std::to_string(*owner) : std::string();
+  };
+  const auto start = [&](limited_requests& aLimit) {
+    aLimit.findSender = findSender;
+    aLimit.SetLimit(0.5 + static_cast<double>(RandomBelow(20)) / 10);
+    mLimits.push_back(&aLimit);
+  };
+  for (std::size_t index = 1; index < mSamplers.size(); ++index) {
+    start(mSamplers[index]->limit);
+  }
+  for (const auto& service : mServices) {
+    start(service->limit);
+  }
+}
+
+void
+soak_test::Excuse(const node_process& aProcess, duration aFor)
+{
+  for (limited_requests* limit : mLimits) {
+    limit->Excuse(std::to_string(aProcess.index),
+                  mLoop.Now() + aFor + kContactTime);
+  }
+}
+
 void
 soak_test::PutConfig()
 {
@@ -123,6 +161,7 @@
 {
   for (const auto& process : mNodes) {
     if (process->ReapIfExited()) {
+      Excuse(*process, duration::zero());
       process->Spawn(mOptions);
     }
   }
@@ -137,6 +176,10 @@
   ++mFaultCount;
   node_process& chosen = *mNodes[RandomBelow(mNodes.size())];
   const milliseconds faultDuration(200 + RandomBelow(2'300));
+  const std::uint64_t kind = RandomBelow(13);
+  if (kind <= kLastNodeFault) {
+    Excuse(chosen, faultDuration);
+  }
   const auto proxy = [&](fault_mode aMode) {
     standin::fault_setting setting;
     setting.mode = aMode;
@@ -144,7 +187,7 @@
     chosen.storeProxy.Set(setting);
     RunAfter(faultDuration, [&chosen] { chosen.storeProxy.Set({}); });
   };
-  switch (RandomBelow(13)) {
+  switch (kind) {
     case 0:
       chosen.Signal(SIGKILL);
       break;
@@ -190,6 +233,7 @@
     default:
       if (RandomBelow(3) == 0) {
         for (const auto& process : mNodes) {
+          Excuse(*process, duration::zero());
           process->Signal(SIGKILL);
         }
       } else {
@@ -198,7 +242,9 @@
       }
       break;
   }
-  RunAfter(milliseconds(100 + RandomBelow(700)), [this] { InjectFault(); });
+  // With limits, pauses leave time in which they bind the nodes.
+  const milliseconds pause(100 + RandomBelow(mOptions.limits ? 4'000 : 700));
+  RunAfter(pause, [this] { InjectFault(); });
 }
 
 void
@@ -210,6 +256,10 @@
   for (const auto& sampler : mSamplers) {
     sampler->SetOffline(false);
   }
+  for (limited_requests* limit : mLimits) {
+    mLargestPeak = std::max(mLargestPeak, limit->Peak());
+    limit->SetLimit(std::nullopt);
+  }
   for (const auto& process : mNodes) {
     process->storeProxy.Set({});
     process->Signal(SIGCONT);
@@ -227,6 +277,9 @@
   RunAfter(milliseconds(1'500), [this] {
     CallService();
     StartBatch();
+    if (mOptions.limits) {
+      NameLimits();
+    }
     InjectFault();
   });
   const auto runFor = [this](duration aDuration, const auto& aDone) {
@@ -264,7 +317,8 @@
   }
   std::printf(
     "seed %llu: %llu faults, %zu batches of %zu accepted, %zu results "
-    "read, %llu of %llu calls answered, %zu findings\n",
+    "read, %llu of %llu calls answered, at most %zu requests in 4 s at a "
+    "limited target, %zu findings\n",
     static_cast<unsigned long long>(mOptions.seed),
     static_cast<unsigned long long>(mFaultCount),
     accepted,
@@ -272,6 +326,7 @@
     results,
     static_cast<unsigned long long>(mAnsweredCount),
     static_cast<unsigned long long>(mCallCount),
+    mLargestPeak,
     mFindings.size());
   for (const std::string& text : mFindings) {
     std::printf("finding: %s\n", text.c_str());
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -2,6 +2,7 @@
 
 #include "common/tcp_proxy.hpp"
 #include "soak_servers.hpp"
+#include "socket_owner.hpp"
 
 #include <csignal>
 #include <map>
@@ -20,6 +21,7 @@
   std::uint64_t seed = 1; ///< Seeds faults and load.
   std::chrono::seconds loadDuration{ 8 };
   int nodes = 4;
+  bool limits = false; ///< Whether targets name limits.
   std::string nodeProgram;
   std::string logDirectory; ///< Existing directory; empty discards the logs.
 };
@@ -102,6 +104,10 @@
   void StartTargets();
   void StartNodes();
   void PutConfig();
+  /// Makes most targets name limits below the load.
+  void NameLimits();
+  /// Excuses a node from limits during a fault and for some time after it.
+  void Excuse(const node_process& aProcess, duration aFor);
   void InjectFault();
   void ClearFaults();
   void RunAfter(duration aDelay, std::function<void()> aFunction);
@@ -128,6 +134,8 @@
   std::vector<std::unique_ptr<fake_sampler>> mSamplers;
   std::vector<std::string> mSamplerAddresses;
   std::vector<std::unique_ptr<fake_plain_service>> mServices;
+  std::vector<limited_requests*> mLimits; ///< Of targets that name one.
+  std::size_t mLargestPeak = 0;
   std::vector<std::unique_ptr<node::http_listener>> mListeners;
   std::vector<std::unique_ptr<node_process>> mNodes;
   std::vector<std::unique_ptr<trainer_batch>> mBatches;
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -298,6 +298,27 @@
   aResponder->Send(MakeResponse(200));
 }
 
+void
+limited_requests::Apply(const std::string& aTarget,
+                        const node::responder& aResponder,
+                        node::header_list& aHeaders)
+{
+  if (!mRule.Limit()) {
+    return;
+  }
+  aHeaders.Add("Server-Limit", std::to_string(*mRule.Limit()));
+  const std::string sender = findSender(aResponder);
+  if (sender.empty()) {
+    return; // The node has ended meanwhile.
+  }
+  if (const auto count = mRule.NoteRequest(sender, mLoop.Now())) {
+    mFindings.push_back(aTarget + ": " + std::to_string(*count) +
+                        " requests in 4 s, allowed " +
+                        std::to_string(mRule.Allowed()));
+  }
+  mRule.NoteResponse(sender, mLoop.Now());
+}
+
 std::size_t
 EventCount(const std::string& aItem)
 {
@@ -308,7 +329,8 @@
 fake_sampler::fake_sampler(node::event_loop& aLoop,
                            finding_list& aFindings,
                            std::string aId)
-  : mLoop(aLoop)
+  : limit(aLoop, aFindings)
+  , mLoop(aLoop)
   , mFindings(aFindings)
   , mId(std::move(aId))
 {
@@ -397,6 +419,8 @@
     aResponder->Send(MakeResponse(200, WriteJson(report)));
     return;
   }
+  node::header_list limitHeaders;
+  limit.Apply(mId, *aResponder, limitHeaders);
   const std::string item(aRequest.headers.Get("Arbutusferry-Request-Id"));
   const std::string model(aRequest.headers.Get("Arbutusferry-Model"));
   const std::int64_t version = mVersions[model];
@@ -409,17 +433,23 @@
   if (mOpenResponses.size() >= 8) {
     node::http_response full = MakeResponse(503);
     full.headers.Add("Arbutusferry-Not-Run", "1");
+    for (const auto& [name, value] : limitHeaders) {
+      full.headers.Add(name, value);
+    }
     aResponder->Send(std::move(full));
     return;
   }
   onItemStarted(item, version);
   mOpenResponses.push_back(aResponder);
-  aResponder->Begin(
-    200,
-    { { "Content-Type", "text/event-stream" },
-      { "Arbutusferry-Request-Id", item },
-      { "Arbutusferry-Server-Stamp", "stamp" },
-      { "Arbutusferry-Weight-Versions", std::to_string(version) } });
+  node::header_list headers{ { "Content-Type", "text/event-stream" },
+                             { "Arbutusferry-Request-Id", item },
+                             { "Arbutusferry-Server-Stamp", "stamp" },
+                             { "Arbutusferry-Weight-Versions",
+                               std::to_string(version) } };
+  for (const auto& [name, value] : limitHeaders) {
+    headers.Add(name, value);
+  }
+  aResponder->Begin(200, headers);
   SendNextEvent(
     aResponder,
     item,
@@ -472,19 +502,26 @@
   const bool abortReply =
     Hash64(request, 3) % 20 < static_cast<unsigned>(abortedRepliesPer20) &&
     run == 1;
+  node::header_list limitHeaders;
+  limit.Apply(id, *aResponder, limitHeaders);
   const std::uint64_t timerId = mNextTimerId++;
-  mTimers[timerId] = mLoop.After(
-    kServiceDelay, [this, timerId, request, abortReply, aResponder] {
-      const auto ownTimer = mTimers.extract(timerId);
-      if (abortReply) {
-        aResponder->Abort();
-        return;
-      }
-      node::http_response response = MakeResponse(200, "done " + request);
-      response.headers.Add("Arbutusferry-Request-Id", request);
-      response.headers.Add("Arbutusferry-Server-Stamp", "stamp");
-      aResponder->Send(std::move(response));
-    });
+  mTimers[timerId] =
+    mLoop.After(kServiceDelay,
+                [this, timerId, request, abortReply, aResponder, limitHeaders] {
+                  const auto ownTimer = mTimers.extract(timerId);
+                  if (abortReply) {
+                    aResponder->Abort();
+                    return;
+                  }
+                  node::http_response response =
+                    MakeResponse(200, "done " + request);
+                  response.headers.Add("Arbutusferry-Request-Id", request);
+                  response.headers.Add("Arbutusferry-Server-Stamp", "stamp");
+                  for (const auto& [name, value] : limitHeaders) {
+                    response.headers.Add(name, value);
+                  }
+                  aResponder->Send(std::move(response));
+                });
 }
 
 } // namespace arbutusferry::node_soak
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/node/asio_net.hpp"
+#include "common/limit_rule.hpp"
 
 #include <functional>
 #include <json/value.h>
@@ -102,6 +103,40 @@
   std::map<std::uint64_t, std::string> mHolderByFence;
 };
 
+/// A target's limit on requests, and its check of the requests that it gets.
+class limited_requests
+{
+public:
+  /// Finds the node that sent a request.
+  using sender_lookup = std::function<std::string(const node::responder&)>;
+
+  limited_requests(node::event_loop& aLoop, finding_list& aFindings)
+    : mLoop(aLoop)
+    , mFindings(aFindings)
+  {
+  }
+  void SetLimit(std::optional<double> aPerSecond)
+  {
+    mRule.SetLimit(aPerSecond, mLoop.Now());
+  }
+  /// Counts a request, and adds the limit to the headers of its response.
+  void Apply(const std::string& aTarget,
+             const node::responder& aResponder,
+             node::header_list& aHeaders);
+  void Excuse(const std::string& aSender, time_point aUntil)
+  {
+    mRule.Excuse(aSender, aUntil);
+  }
+  [[nodiscard]] std::size_t Peak() const noexcept { return mRule.Peak(); }
+
+  sender_lookup findSender;
+
+private:
+  node::event_loop& mLoop;
+  finding_list& mFindings;
+  standin::limit_rule mRule;
+};
+
 /// A model sampler. Each event contains the item, the event number and the
 /// model version, so that the texts and versions of a result can be checked.
 class fake_sampler final : public node::request_handler
@@ -120,6 +155,7 @@
   void SetOffline(bool aOffline);
 
   std::chrono::milliseconds eventInterval{ 15 };
+  limited_requests limit;
   /// Called when an item starts, with its id and model version.
   std::function<void(const std::string&, std::int64_t)> onItemStarted;
 
@@ -152,14 +188,16 @@
 class fake_plain_service final : public node::request_handler
 {
 public:
-  explicit fake_plain_service(node::event_loop& aLoop)
-    : mLoop(aLoop)
+  fake_plain_service(node::event_loop& aLoop, finding_list& aFindings)
+    : limit(aLoop, aFindings)
+    , mLoop(aLoop)
   {
   }
   void Handle(node::http_request aRequest,
               std::shared_ptr<node::responder> aResponder) override;
 
   std::string id;
+  limited_requests limit;
   /// Executions by request id; shared by all services, not owned.
   std::map<std::string, int>* runCounts = nullptr;
   /// Replies per twenty that are aborted after execution.
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -50,6 +50,7 @@
   void Abort() override { mSent->Fail(exchange_failure::Broken); }
   [[nodiscard]] bool Closed() const override { return !mSent->sink; }
   [[nodiscard]] std::size_t UnsentBytes() const override { return 0; }
+  [[nodiscard]] std::uint16_t PeerPort() const override { return 0; }
   void OnDisconnect(std::function<void()> aFunction) override
   {
     mSent->onCancel = std::move(aFunction);
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -389,6 +389,7 @@
   void Abort() override { aborted = true; }
   [[nodiscard]] bool Closed() const override { return gone; }
   [[nodiscard]] std::size_t UnsentBytes() const override { return 0; }
+  [[nodiscard]] std::uint16_t PeerPort() const override { return 0; }
   void OnDisconnect(std::function<void()> aFunction) override
   {
     mOnGone = std::move(aFunction);
