Read the software version of targets, and log it

Cause: the registry's version was not read, so logs could not show at which software an item began and went on. Nothing acts on the version yet. Evidence: platform_wire_test reads versions as text, as numbers and missing.

--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -19,6 +19,9 @@
   std::string service;
   socket_address address;
   std::string zone;
+  /// Version of the target's software, not of its weights; empty if it names
+  /// none.
+  std::string software;
   int slots = 1;
   bool draining = false;
   bool reclaimable = false; ///< May be taken away at short notice.
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -159,6 +159,7 @@
       { { "item", run->Call().id },
         { "batch", aItem.batch },
         { "target", aSampler },
+        { "software", target->entry.software },
         { "limit", limit ? std::to_string(limit->perSecond) : "" },
         { "relay", relay ? FormatAddress(relay->address) : "" },
         { "events", std::to_string(item.progress.events.size()) } });
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -173,12 +173,14 @@
 ferry_node::UpdateTarget(const target_entry& aTarget)
 {
   const auto* before = mTargets.Find(aTarget.id);
-  if (!before || before->entry.draining != aTarget.draining) {
+  if (!before || before->entry.draining != aTarget.draining ||
+      before->entry.software != aTarget.software) {
     Log(log_level::Info,
         "target_changed",
         { { "target", aTarget.id },
           { "service", aTarget.service },
           { "zone", aTarget.zone },
+          { "software", aTarget.software },
           { "state", aTarget.draining ? "draining" : "ready" } });
   }
   mTargets.Update(aTarget, mParts.loop.Now());
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -124,6 +124,27 @@
   }
 }
 
+// Guards against versions of targets' software that are lost or confused with
+// those of their weights.
+TEST_CASE("a target's software version is decoded")
+{
+  const auto software = [](const std::string& aVersion) {
+    const auto target = Value(Capture([&] {
+      return DecodeTarget(
+        "t",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,)"
+        R"("state":"ready","models":[{"name":"m","version":7}])" +
+          aVersion + "}");
+    }));
+    REQUIRE(target);
+    return target->software;
+  };
+  CHECK(software(R"(,"version":"v2")") == "v2");
+  CHECK(software(R"(,"version":3)") == "3");
+  CHECK(software(R"(,"version":null)").empty());
+  CHECK(software("").empty());
+}
+
 TEST_CASE("a submitted batch is decoded, and an invalid one is rejected")
 {
   const std::string text =
