Resume a stream only at the software version that began it

Change: the node that passes on a stream's first event keeps its software version and copies it to three nodes chosen by the request's id (shared_stream_origins); a node that gets the stream again asks them and uses only targets of that version. Without an answer the request is refused at once, so nodes that can't reach each other never guess. All nodes follow the addresses of nodes for this.

--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/node/http_client.hpp"
 #include "arbutusferry/node/http_listener.hpp"
 #include "arbutusferry/node/limit_coordinator.hpp"
+#include "arbutusferry/node/stream_origins.hpp"
 #include "arbutusferry/node/target_protocol.hpp"
 
 #include <functional>
@@ -24,6 +25,10 @@
   http_request request; ///< Without hop-by-hop headers.
   time_point deadline;  ///< When the caller stops waiting.
   time_point timeout;   ///< End of the route's configured timeout.
+  /// Whether the caller has events of the stream and wants the following ones.
+  bool resumesStream = false;
+  /// Request that brought the stream's first event, if the caller names it.
+  std::string streamOrigin;
 };
 
 /// Writes the responses to requests that the node itself refuses or fails.
@@ -63,6 +68,7 @@
     const target_protocol& protocol;
     const caller_protocol& callers;
     target_admission& admission;
+    stream_origins& origins;
     run_counter& runs;
     metrics_registry& metrics;
     std::string zone;
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -71,6 +71,7 @@
     return mEnvironment;
   }
   [[nodiscard]] call_forwarder& Forwarder() noexcept { return mForwarder; }
+  [[nodiscard]] shared_stream_origins& Origins() noexcept { return mOrigins; }
   [[nodiscard]] limit_coordinator& Limits() noexcept { return mLimits; }
   [[nodiscard]] event_loop& Loop() noexcept { return mParts.loop; }
   /// @return The leader of batches, or null unless this node leads and has read
@@ -127,9 +128,12 @@
   node_directory mNodes;
   std::map<std::string, std::int64_t> mNewestVersions;
   limit_coordinator mLimits;
+  shared_stream_origins mOrigins;
   call_forwarder mForwarder;
   usage_meter mUsageMeter;
   bool mSavingUsage = false;
+  std::unique_ptr<node_observer> mNodeObserver;
+  std::unique_ptr<keyed_follower> mNodeFollower;
   std::unique_ptr<leader_observer> mLeaderObserver;
   std::unique_ptr<keyed_follower> mLeaderFollower;
   leader_election mElection;
@@ -139,8 +143,6 @@
   std::unique_ptr<usage_observer> mUsageObserver;
   std::unique_ptr<keyed_follower> mUsageFollower;
   std::unique_ptr<usage_reporter> mUsageReporter;
-  std::unique_ptr<node_observer> mNodeObserver;
-  std::unique_ptr<keyed_follower> mNodeFollower;
   std::unique_ptr<timer> mNodeRecordTimer;
   time_point mLastLeaderProbe;
   scale_plan mScalePlan;
--- a/include/arbutusferry/node/limit_coordinator.hpp
+++ b/include/arbutusferry/node/limit_coordinator.hpp
@@ -80,21 +80,4 @@
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
-/// Passes requests for admission to the coordinator and all others on.
-class admission_handler final : public request_handler
-{
-public:
-  admission_handler(limit_coordinator& aCoordinator, request_handler& aFallback)
-    : mCoordinator(aCoordinator)
-    , mFallback(aFallback)
-  {
-  }
-  void Handle(http_request aRequest,
-              std::shared_ptr<responder> aResponder) override;
-
-private:
-  limit_coordinator& mCoordinator;
-  request_handler& mFallback;
-};
-
 } // namespace arbutusferry::node
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace arbutusferry::node {
 
@@ -48,6 +49,13 @@
     const std::string& aZone,
     time_point aNow) const;
 
+  /// Chooses the nodes that keep something by its key: the same ones at every
+  /// node that knows the same nodes.
+  /// @param aOwnVm This node's VM, which is left out if it is chosen.
+  [[nodiscard]] std::vector<node_entry> ChooseKeepers(const std::string& aKey,
+                                                      const std::string& aOwnVm,
+                                                      std::size_t aCount) const;
+
   /// Notes that bytes arrived from a node.
   void NoteAlive(const socket_address& aAddress, time_point aNow);
   /// Notes a node's clock as reported in its response.
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -70,14 +70,25 @@
   /// slots, with the fewest outstanding requests. One that has named a limit
   /// recently is chosen only if the others failed recently or were tried; one
   /// that failed recently or was tried only if no other is left.
+  /// @param aSoftware The only software version that may serve it, if any.
   /// @param aTried Targets that this request was already sent to.
   /// @param aSalt Breaks ties differently for each request.
   /// @return The target's id, or empty.
   [[nodiscard]] std::string Choose(const std::string& aService,
+                                   const std::optional<std::string>& aSoftware,
                                    const std::string& aZone,
                                    const std::vector<std::string>& aTried,
                                    std::uint64_t aSalt,
                                    time_point aNow) const;
+  /// @return The number of targets of a service, with a software version if
+  /// one is given, that neither drain nor are gone.
+  [[nodiscard]] std::size_t CountReady(
+    const std::string& aService,
+    const std::optional<std::string>& aSoftware) const;
+  /// @return The software version of all known targets of a service; nothing if
+  /// there are several or no targets.
+  [[nodiscard]] std::optional<std::string> OnlySoftware(
+    const std::string& aService) const;
   /// Takes the bursts of all limits as used, when this process begins to share
   /// out the rates of targets.
   void SpendLimitBursts(time_point aNow);
--- a/scripts/mixed-streams.py
+++ b/scripts/mixed-streams.py
@@ -22,7 +22,7 @@
             match = re.match(r"\s*(-?[\d.]+) \S+ (\{.*\})\s*$", line)
             if match:
                 entry = json.loads(match.group(2))
-                if entry["event"] == "item_run_started":
+                if entry["event"] in ("item_run_started", "item_restarted"):
                     runs.append((float(match.group(1)), entry))
     return sorted(runs, key=lambda run: run[0])
 
@@ -35,6 +35,11 @@
         mixed = {}
         for time, run in read_runs(path):
             item = run["item"]
+            if run["event"] == "item_restarted":
+                # The line of the next run may be among those that are dropped
+                # when a node writes too many.
+                began.pop(item, None)
+                continue
             if int(run["events"]) == 0 or item not in began:
                 began[item] = run["software"]
                 continue
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -64,6 +64,8 @@
   {
     return std::min(mCall.deadline - kAnswerMargin, mCall.timeout);
   }
+  void ResumeStream();
+  void OnStreamOrigin(const std::optional<std::string>& aSoftware);
   void TryNextTarget();
   void RequestAdmission(const std::string& aTarget);
   void OnAdmission(const std::string& aTarget, const admission& aAdmission);
@@ -100,6 +102,9 @@
   std::size_t mNotAdmitted = 0;
   milliseconds mShortestWait = milliseconds::max();
   bool mAwaitingAdmission = false;
+  /// The only software version that may serve the call, if it goes on with a
+  /// stream.
+  std::optional<std::string> mSoftware;
   bool mMayHaveRun = false;
   bool mEnded = false;
   bool mRunCounted = false;
@@ -113,10 +118,11 @@
 {
 public:
   attempt(std::shared_ptr<forwarded_call> aCall,
-          std::string aTarget,
+          const target_entry& aTarget,
           const event_loop& aLoop)
     : mCall(std::move(aCall))
-    , mTarget(std::move(aTarget))
+    , mTarget(aTarget.id)
+    , mSoftware(aTarget.software)
     , mSentAt(aLoop.Now())
     , mSentUnixMs(aLoop.UnixMilliseconds())
   {
@@ -139,9 +145,11 @@
 private:
   std::shared_ptr<forwarded_call> mCall;
   std::string mTarget;
+  std::string mSoftware; ///< Of the target.
   time_point mSentAt;
   std::int64_t mSentUnixMs;
   bool mStreaming = false;
+  bool mOriginNoted = false;
   bool mReleased = false;
 };
 
@@ -196,6 +204,9 @@
     return;
   }
   const auto call = mCall;
+  if (!std::exchange(mOriginNoted, true) && !call->mCall.resumesStream) {
+    call->mParts.origins.Note(call->mCall.id, mSoftware);
+  }
   call->mResponder->Write(aPart);
   if (call->mResponder->UnsentBytes() > kMaxUnreadBytes) {
     Log(log_level::Warning,
@@ -267,6 +278,43 @@
   }
   mTimeoutTimer =
     mParts.loop.After(left, [self = shared_from_this()] { self->OnTimeout(); });
+  if (mCall.resumesStream) {
+    ResumeStream();
+  } else {
+    TryNextTarget();
+  }
+}
+
+void
+forwarded_call::ResumeStream()
+{
+  if (mCall.streamOrigin.empty()) {
+    OnStreamOrigin(mParts.targets.OnlySoftware(mCall.service));
+    return;
+  }
+  mParts.origins.Find(
+    mCall.streamOrigin,
+    [self = shared_from_this()](const std::optional<std::string>& aSoftware) {
+      self->OnStreamOrigin(aSoftware);
+    });
+}
+
+void
+forwarded_call::OnStreamOrigin(const std::optional<std::string>& aSoftware)
+{
+  if (mEnded) {
+    return;
+  }
+  Log(log_level::Info,
+      "stream_resumed",
+      { { "request", mCall.id },
+        { "origin", mCall.streamOrigin },
+        { "software", aSoftware.value_or("unknown") } });
+  if (!aSoftware) {
+    Refuse("stream_origin_unknown");
+    return;
+  }
+  mSoftware = aSoftware;
   TryNextTarget();
 }
 
@@ -278,8 +326,12 @@
     return;
   }
   const time_point now = mParts.loop.Now();
-  const std::string chosen = mParts.targets.Choose(
-    mCall.service, mParts.zone, mTriedTargets, Hash64(mCall.id), now);
+  const std::string chosen = mParts.targets.Choose(mCall.service,
+                                                   mSoftware,
+                                                   mParts.zone,
+                                                   mTriedTargets,
+                                                   Hash64(mCall.id),
+                                                   now);
   auto* known = mParts.targets.Find(chosen);
   if (!known) {
     if (mAttempts.empty()) {
@@ -379,7 +431,8 @@
 {
   const time_point now = mParts.loop.Now();
   auto* known = mParts.targets.Find(aTarget);
-  if (!known || known->entry.draining) {
+  if (!known || known->entry.draining ||
+      (mSoftware && known->entry.software != *mSoftware)) {
     TryNextTarget();
     return;
   }
@@ -397,7 +450,7 @@
   options.readTimeout = std::max(left, milliseconds(1'000));
   options.echoHeader = mParts.protocol.EchoHeader();
   auto sink =
-    std::make_shared<attempt>(shared_from_this(), aTarget, mParts.loop);
+    std::make_shared<attempt>(shared_from_this(), known->entry, mParts.loop);
   mAttempts.push_back(sink);
   sink->exchange =
     mParts.client.Send(known->entry.address, std::move(request), options, sink);
@@ -477,12 +530,8 @@
 bool
 forwarded_call::MoreTargets() const
 {
-  std::size_t ready = 0;
-  for (const auto& [id, target] : mParts.targets.All()) {
-    ready += target.entry.service == mCall.service && !target.entry.draining &&
-             !target.removedSince;
-  }
-  return mTriedTargets.size() < ready;
+  return mTriedTargets.size() <
+         mParts.targets.CountReady(mCall.service, mSoftware);
 }
 
 void
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -28,8 +28,10 @@
 
 const log_partition kLeaderPartition{ "af.leader", 0, true };
 const log_partition kUsagePartition{ "af.usage", 0, true };
-/// Addresses of running nodes, by VM; read by the leader.
+/// Addresses of running nodes, by VM.
 const log_partition kNodePartition{ "af.nodes", 0, true };
+/// Longest wait of a read of the nodes, which change seldom.
+constexpr milliseconds kNodePollWait{ 3'000 };
 constexpr milliseconds kNodeRecordRetryDelay{ 1'000 };
 /// Shortest interval between probes of the leader's process, and time limit of
 /// a probe.
@@ -89,16 +91,25 @@
                 const auto leader = OtherLeader();
                 return leader ? std::optional(leader->address) : std::nullopt;
               } })
+  , mOrigins({ mParts.loop, mParts.client, mNodes, mSettings.vm })
   , mForwarder({ mParts.loop,
                  mParts.client,
                  mTargets,
                  mParts.protocol,
                  mParts.callers,
                  mLimits,
+                 mOrigins,
                  *this,
                  mMetrics,
                  mSettings.zone })
   , mUsageMeter(mSettings.usageWindow.count())
+  , mNodeObserver(std::make_unique<node_observer>(*this))
+  , mNodeFollower(
+      std::make_unique<keyed_follower>(mParts.loop,
+                                       mParts.log,
+                                       kNodePartition,
+                                       keyed_follower::timing{ kNodePollWait },
+                                       *mNodeObserver))
   , mLeaderObserver(std::make_unique<leader_observer>(*this))
   , mLeaderFollower(std::make_unique<keyed_follower>(
       mParts.loop,
@@ -123,6 +134,7 @@
 ferry_node::Start()
 {
   WriteNodeRecord(true);
+  mNodeFollower->Start();
   mLeaderFollower->Start();
   mElectionTicker = std::make_unique<periodic_timer>(
     mParts.loop, kElectionTick, [this] { StepElection(); });
@@ -418,13 +430,6 @@
   for (const auto& [model, version] : mNewestVersions) {
     mLeader->SetNewestVersion(model, version);
   }
-  mNodeObserver = std::make_unique<node_observer>(*this);
-  mNodeFollower = std::make_unique<keyed_follower>(mParts.loop,
-                                                   mParts.log,
-                                                   kNodePartition,
-                                                   keyed_follower::timing{},
-                                                   *mNodeObserver);
-  mNodeFollower->Start();
   mLeader->Start([this, superseded, mayAct](
                    const std::map<std::int64_t, std::string>& aPersisted) {
     usage_reporter::parts reporterParts{ mParts.loop,
@@ -465,8 +470,6 @@
     log_level::Warning,
     "leadership_ended",
     { { "reason", aReason }, { "fence", std::to_string(mElection.Fence()) } });
-  mNodeFollower.reset();
-  mNodeObserver.reset();
   mUsageFollower.reset();
   mUsageObserver.reset();
   mUsageReporter.reset();
--- a/src/node/ferry_node_observers.hpp
+++ b/src/node/ferry_node_observers.hpp
@@ -88,7 +88,7 @@
   ferry_node& mNode;
 };
 
-/// Reads the addresses of the other nodes, while this node leads.
+/// Reads the addresses of the other nodes.
 class ferry_node::node_observer final : public record_observer
 {
 public:
--- a/src/node/limit_coordinator.cpp
+++ b/src/node/limit_coordinator.cpp
@@ -134,15 +134,4 @@
   aResponder.Send(std::move(response));
 }
 
-void
-admission_handler::Handle(http_request aRequest,
-                          std::shared_ptr<responder> aResponder)
-{
-  if (limit_coordinator::IsAdmissionPath(aRequest.target)) {
-    mCoordinator.Serve(aRequest, *aResponder);
-  } else {
-    mFallback.Handle(std::move(aRequest), std::move(aResponder));
-  }
-}
-
 } // namespace arbutusferry::node
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/json.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace arbutusferry::node {
 
@@ -57,6 +58,7 @@
 node_directory::Update(node_entry aNode)
 {
   if (aNode.instance == mOwnInstance) {
+    mNodes.erase(aNode.vm); // An earlier incarnation of this node.
     return;
   }
   known_node& known = mNodes[aNode.vm];
@@ -87,6 +89,31 @@
   return best ? std::optional(best->entry) : std::nullopt;
 }
 
+std::vector<node_entry>
+node_directory::ChooseKeepers(const std::string& aKey,
+                              const std::string& aOwnVm,
+                              std::size_t aCount) const
+{
+  std::vector<std::pair<std::uint64_t, const node_entry*>> ranked;
+  // Null stands for this node.
+  ranked.emplace_back(RendezvousWeight(aKey, aOwnVm), nullptr);
+  for (const auto& [vm, known] : mNodes) {
+    if (vm != aOwnVm) {
+      ranked.emplace_back(RendezvousWeight(aKey, vm), &known.entry);
+    }
+  }
+  const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(
+                                       std::min(aCount, ranked.size()));
+  std::partial_sort(ranked.begin(), last, ranked.end(), std::greater<>());
+  std::vector<node_entry> keepers;
+  for (auto entry = ranked.begin(); entry != last; ++entry) {
+    if (entry->second) {
+      keepers.push_back(*entry->second);
+    }
+  }
+  return keepers;
+}
+
 node_directory::known_node*
 node_directory::Find(const socket_address& aAddress)
 {
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -74,6 +74,7 @@
 
 std::string
 target_view::Choose(const std::string& aService,
+                    const std::optional<std::string>& aSoftware,
                     const std::string& aZone,
                     const std::vector<std::string>& aTried,
                     std::uint64_t aSalt,
@@ -85,6 +86,7 @@
   for (const auto& [id, known] : mTargets) {
     const target_entry& entry = known.entry;
     if (entry.service != aService || entry.draining ||
+        (aSoftware && entry.software != *aSoftware) ||
         (known.removedSince &&
          aNow - *known.removedSince >= kRemovedTargetRetention)) {
       continue;
@@ -109,6 +111,35 @@
   return chosen;
 }
 
+std::size_t
+target_view::CountReady(const std::string& aService,
+                        const std::optional<std::string>& aSoftware) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mTargets.begin(), mTargets.end(), [&](const auto& aEntry) {
+      const known_target& known = aEntry.second;
+      return known.entry.service == aService && !known.entry.draining &&
+             !known.removedSince &&
+             (!aSoftware || known.entry.software == *aSoftware);
+    }));
+}
+
+std::optional<std::string>
+target_view::OnlySoftware(const std::string& aService) const
+{
+  std::optional<std::string> only;
+  for (const auto& [id, known] : mTargets) {
+    if (known.entry.service != aService) {
+      continue;
+    }
+    if (only && *only != known.entry.software) {
+      return std::nullopt;
+    }
+    only = known.entry.software;
+  }
+  return only;
+}
+
 void
 target_view::SpendLimitBursts(time_point aNow)
 {
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -63,12 +63,21 @@
   run_counts runs;
   metrics_registry metrics;
   int calls = 0;
+  node_directory nodes{ "vm/1" };
+  shared_stream_origins origins{ { loop, client, nodes, "vm" } };
   limit_coordinator limits{
     { loop, client, targets, [] { return true; }, [] { return std::nullopt; } }
   };
-  call_forwarder forwarder{
-    { loop, client, targets, protocol, callers, limits, runs, metrics, "home" }
-  };
+  call_forwarder forwarder{ { loop,
+                              client,
+                              targets,
+                              protocol,
+                              callers,
+                              limits,
+                              origins,
+                              runs,
+                              metrics,
+                              "home" } };
 };
 
 } // namespace
--- a/tests/unit/request_limit_test.cpp
+++ b/tests/unit/request_limit_test.cpp
@@ -69,6 +69,8 @@
     scripted_client client;
     target_view targets;
     bool reachesLeader = true;
+    node_directory directory{ name + "/1" };
+    shared_stream_origins origins{ { service.loop, client, directory, name } };
     limit_coordinator limits{
       { service.loop,
         client,
@@ -86,6 +88,7 @@
                                 service.protocol,
                                 service.callers,
                                 limits,
+                                origins,
                                 service.runs,
                                 service.metrics,
                                 "z" } };
--- a/tests/unit/software_version_test.cpp
+++ b/tests/unit/software_version_test.cpp
@@ -1,3 +1,6 @@
+#include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/peer_handler.hpp"
+
 #include "support/leader_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -56,6 +59,143 @@
   }
 }
 
+struct ignored_runs final : run_counter
+{
+  void CountRun(const std::string&, std::int64_t) override {}
+};
+
+constexpr const char* kNodeIp = "10.0.1.1";
+
+/// Nodes that forward streams to targets t0 and t1 of software v1 and v2.
+struct stream_service
+{
+  explicit stream_service(int aNodes)
+  {
+    for (int index = 0; index < aNodes; ++index) {
+      nodes.push_back(std::make_unique<stream_node>(*this, index));
+    }
+    for (const auto& node : nodes) {
+      for (const auto& other : nodes) {
+        node->directory.Update(
+          { other->vm,
+            other->vm + "/1",
+            "z",
+            { kNodeIp, static_cast<std::uint16_t>(other->index + 1) } });
+      }
+    }
+    SetTarget("t0", "v1");
+    SetTarget("t1", "v2");
+  }
+
+  struct stream_node
+  {
+    stream_node(stream_service& aService, int aIndex)
+      : index(aIndex)
+      , service(aService)
+    {
+      client.onSend = [this](const auto& aSent) {
+        service.OnSend(*this, aSent);
+      };
+    }
+    int index;
+    stream_service& service;
+    std::string vm = "vm" + std::to_string(index);
+    bool reachable = true; ///< By other nodes.
+    scripted_client client;
+    target_view targets;
+    node_directory directory{ vm + "/1" };
+    shared_stream_origins origins{ { service.loop, client, directory, vm } };
+    limit_coordinator limits{ { service.loop,
+                                client,
+                                targets,
+                                [] { return false; },
+                                [] { return std::nullopt; } } };
+    ignoring_handler other;
+    peer_handler peers{ limits, origins, other };
+    call_forwarder forwarder{ { service.loop,
+                                client,
+                                targets,
+                                service.protocol,
+                                service.callers,
+                                limits,
+                                origins,
+                                service.runs,
+                                service.metrics,
+                                "z" } };
+  };
+
+  void SetTarget(const std::string& aId,
+                 const std::string& aSoftware,
+                 bool aDraining = false)
+  {
+    target_entry entry;
+    entry.id = aId;
+    entry.service = "models";
+    entry.address = { "10.0.0." + aId.substr(1), 80 };
+    entry.zone = "z";
+    entry.slots = 8;
+    entry.software = aSoftware;
+    entry.draining = aDraining;
+    software[entry.address.ip] = aSoftware;
+    for (const auto& node : nodes) {
+      node->targets.Update(entry, loop.Now());
+    }
+  }
+
+  void OnSend(stream_node& aNode,
+              const std::shared_ptr<scripted_client::sent>& aSent)
+  {
+    loop.Post(milliseconds(1), [this, &aNode, aSent] {
+      if (aSent->peer.ip != kNodeIp) {
+        sentTo.push_back(software[aSent->peer.ip]);
+        aSent->sink->OnHead(200, { { "Arbutusferry-Server-Stamp", "s" } });
+        aSent->sink->OnBody("id: 1\ndata: x\n\n");
+        return;
+      }
+      stream_node& peer = *nodes[aSent->peer.port - 1U];
+      if (aNode.reachable && peer.reachable) {
+        peer.peers.Handle(aSent->request,
+                          std::make_shared<sink_responder>(aSent));
+      } else {
+        aSent->Fail(exchange_failure::Timeout);
+      }
+    });
+  }
+
+  /// Sends a call to a node, and its caller's later request to another.
+  std::shared_ptr<recording_responder> Call(std::size_t aNode,
+                                            const std::string& aId,
+                                            const std::string& aOrigin = {},
+                                            bool aResumes = false)
+  {
+    admitted_call call;
+    call.id = aId;
+    call.service = "models";
+    call.route.kind = route_kind::Stream;
+    call.route.resumable = true;
+    call.route.maxAttempts = 2;
+    call.request.method = "POST";
+    call.request.target = "/x";
+    call.deadline = loop.Now() + milliseconds(12'000);
+    call.timeout = loop.Now() + milliseconds(10'000);
+    call.streamOrigin = aOrigin;
+    call.resumesStream = aResumes || !aOrigin.empty();
+    auto response = std::make_shared<recording_responder>();
+    nodes[aNode]->forwarder.Forward(std::move(call), response);
+    loop.Advance(milliseconds(50));
+    return response;
+  }
+
+  manual_loop loop;
+  platform::http_target_protocol protocol;
+  platform::http_caller_protocol callers;
+  ignored_runs runs;
+  metrics_registry metrics;
+  std::vector<std::unique_ptr<stream_node>> nodes;
+  std::map<std::string, std::string> software; ///< By IP of the target.
+  std::vector<std::string> sentTo;             ///< Software by request.
+};
+
 } // namespace
 
 // Guards against texts joined of two software versions when a sampler is lost
@@ -126,3 +266,73 @@
   CHECK(test.samplers.mixedItems.empty());
   CheckComplete(*leader, 20);
 }
+
+// Guards against a stream that its caller takes up at another node and that
+// goes on at the other software version, also when the first node is lost.
+TEST_CASE("a resumed stream goes on at the software that began it")
+{
+  stream_service test(6);
+  for (int stream = 0; stream < 20; ++stream) {
+    const std::string id = "a" + std::to_string(stream);
+    const auto first = static_cast<std::size_t>(stream) % 6;
+    const auto second = (first + 1) % 6;
+    (void)test.Call(first, id);
+    REQUIRE(test.sentTo.size() == 1);
+    const std::string began = test.sentTo.back();
+    test.nodes[first]->reachable = stream % 2 == 0;
+    const auto response = test.Call(second, id + "-2", id);
+    CHECK(response->response.status == 200);
+    REQUIRE(test.sentTo.size() == 2);
+    CHECK(test.sentTo.back() == began);
+    // A third attempt still names the first.
+    (void)test.Call((first + 2) % 6, id + "-3", id);
+    REQUIRE(test.sentTo.size() == 3);
+    CHECK(test.sentTo.back() == began);
+    test.nodes[first]->reachable = true;
+    test.sentTo.clear();
+  }
+}
+
+// Guards against a node that guesses when it is cut off from all that know.
+TEST_CASE("a stream of unknown origin is refused and not sent")
+{
+  stream_service test(6);
+  (void)test.Call(0, "a");
+  test.sentTo.clear();
+  for (const auto& node : test.nodes) {
+    node->reachable = false;
+  }
+  std::size_t refused = 0;
+  for (std::size_t node = 1; node < 6; ++node) {
+    const auto response = test.Call(node, "b" + std::to_string(node), "a");
+    refused += response->response.status == 503 ? 1 : 0;
+  }
+  // The nodes that keep the stream's origin can still continue it.
+  CHECK(refused + test.sentTo.size() == 5);
+  CHECK(refused >= 2);
+  CHECK(test.Call(1, "c", "unheard-of")->response.status == 503);
+}
+
+// Guards against a caller that waits for a software version that is gone.
+TEST_CASE("a stream is refused at once if no target has its software")
+{
+  stream_service test(3);
+  (void)test.Call(0, "a");
+  const std::string began = test.sentTo.back();
+  test.SetTarget(began == "v1" ? "t0" : "t1", began, true);
+  test.sentTo.clear();
+  const auto response = test.Call(1, "b", "a");
+  CHECK(response->response.status == 503);
+  CHECK(response->response.headers.Find("Retry-After"));
+  CHECK(test.sentTo.empty());
+}
+
+// Guards against a guess for callers that don't name the stream's origin.
+TEST_CASE("a stream without an origin goes on only if there is one software")
+{
+  stream_service test(2);
+  CHECK(test.Call(0, "a", {}, true)->response.status == 503);
+  CHECK(test.sentTo.empty());
+  test.SetTarget("t1", "v1");
+  CHECK(test.Call(0, "b", {}, true)->response.status == 200);
+}
