Check software versions of targets in the soak

Cause: all stand-ins had one software version and no stream route, so no soak run could show texts or streams of two. Change: samplers run two software versions and write theirs into each event; a route of resumable streams has callers that take a broken stream up at any node. Findings: a text or stream of two versions, a missing or repeated event, and fewer than half as many resumed streams that go on as new ones that begin, at nodes that were undisturbed and with two samplers of the version online.

--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -39,9 +39,12 @@
 void
 soak_test::StartTargets()
 {
-  for (int index = 0; index < 4; ++index) {
+  // Four samplers of items, then six of streams; two software versions.
+  for (int index = 0; index < 10; ++index) {
     const std::string id = "s" + std::to_string(index);
     auto sampler = std::make_unique<fake_sampler>(mLoop, mFindings, id);
+    sampler->service = index < 4 ? "models" : "streams";
+    sampler->software = index % 2 == 0 ? "s1" : "s2";
     sampler->onItemStarted = [this](const std::string& aItem, std::int64_t) {
       mStartedItems.insert(aItem);
     };
@@ -85,7 +88,7 @@
     aLimit.SetLimit(0.5 + static_cast<double>(RandomBelow(20)) / 10);
     mLimits.push_back(&aLimit);
   };
-  for (std::size_t index = 1; index < mSamplers.size(); ++index) {
+  for (std::size_t index = 1; index < 4; ++index) {
     start(mSamplers[index]->limit);
   }
   for (const auto& service : mServices) {
@@ -94,8 +97,10 @@
 }
 
 void
-soak_test::Excuse(const node_process& aProcess, duration aFor)
+soak_test::Excuse(node_process& aProcess, duration aFor)
 {
+  aProcess.excusedUntil =
+    std::max(aProcess.excusedUntil, mLoop.Now() + aFor + kContactTime);
   for (limited_requests* limit : mLimits) {
     limit->Excuse(std::to_string(aProcess.index),
                   mLoop.Now() + aFor + kContactTime);
@@ -108,12 +113,14 @@
   mStore.PutRecord("keyed.op", "config", R"({"version":5,"routes":[
     {"name":"b","host":"lab.example","path-prefix":"/b/","kind":"rollout",
      "service":"models","max-attempts":3,"retention-s":60,"timeout-ms":5000},
+    {"name":"s","host":"lab.example","path-prefix":"/s/","kind":"stream",
+     "service":"streams","resumable":true,"max-attempts":2,"timeout-ms":4000},
     {"name":"i","host":"lab.example","path-prefix":"/i/","kind":"idempotent",
      "service":"desk","max-attempts":2,"timeout-ms":2000},
     {"name":"n","host":"lab.example","path-prefix":"/n/","kind":"non_idempotent",
      "service":"desk","max-attempts":2,"timeout-ms":2000}],
     "services":[{"name":"models","engine":{"models":[{"name":"m0"},{"name":"m1"}]}},
-     {"name":"desk"}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
+     {"name":"streams"},{"name":"desk"}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
 }
 
 void
@@ -276,6 +283,7 @@
     mLoop, milliseconds(150), [this] { RestartExitedNodes(); });
   RunAfter(milliseconds(1'500), [this] {
     CallService();
+    StartStream();
     StartBatch();
     if (mOptions.limits) {
       NameLimits();
@@ -309,6 +317,7 @@
       AddFinding(request + ": rejected as not run, but it ran");
     }
   }
+  CheckResumedStreams();
   std::size_t accepted = 0;
   std::size_t results = 0;
   for (const auto& batch : mBatches) {
@@ -317,7 +326,8 @@
   }
   std::printf(
     "seed %llu: %llu faults, %zu batches of %zu accepted, %zu results "
-    "read, %llu of %llu calls answered, at most %zu requests in 4 s at a "
+    "read, %llu of %llu calls answered, %llu streams, %zu of %zu resumptions "
+    "at undisturbed nodes went on, at most %zu requests in 4 s at a "
     "limited target, %zu findings\n",
     static_cast<unsigned long long>(mOptions.seed),
     static_cast<unsigned long long>(mFaultCount),
@@ -326,6 +336,9 @@
     results,
     static_cast<unsigned long long>(mAnsweredCount),
     static_cast<unsigned long long>(mCallCount),
+    static_cast<unsigned long long>(mStreamCount),
+    mResumedStreams.served,
+    mResumedStreams.sent,
     mLargestPeak,
     mFindings.size());
   for (const std::string& text : mFindings) {
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/node/batch_table.hpp"
 #include "common/tcp_proxy.hpp"
 #include "soak_servers.hpp"
 #include "socket_owner.hpp"
@@ -47,6 +48,8 @@
   standin::tcp_proxy storeProxy;
   std::string settingsPath;
   pid_t pid = -1;
+  /// The node is disturbed, or was a short time ago.
+  time_point excusedUntil;
   bool paused = false;
 
   void Spawn(const soak_options& aOptions);
@@ -71,6 +74,23 @@
   std::vector<std::string> results; ///< As first read, by position.
 };
 
+/// A stream from the point of view of its caller, who takes it up again after a
+/// break.
+struct caller_stream
+{
+  std::string origin; ///< Request that brought the first event.
+  std::string software;
+  std::size_t events = 0;
+  int attempts = 0;
+};
+
+/// How often streams began, or went on, of those that undisturbed nodes got.
+struct stream_counts
+{
+  std::size_t sent = 0;
+  std::size_t served = 0;
+};
+
 /// Runs node processes under load and random faults, and checks the responses
 /// to callers and the requests to targets.
 class soak_test
@@ -106,8 +126,8 @@
   void PutConfig();
   /// Makes most targets name limits below the load.
   void NameLimits();
-  /// Excuses a node from limits during a fault and for some time after it.
-  void Excuse(const node_process& aProcess, duration aFor);
+  /// Excuses a node from some checks during a fault and for some time after it.
+  void Excuse(node_process& aProcess, duration aFor);
   void InjectFault();
   void ClearFaults();
   void RunAfter(duration aDelay, std::function<void()> aFunction);
@@ -119,6 +139,18 @@
   void EndBatch(trainer_batch& aBatch);
   void CheckResult(const trainer_batch& aBatch, const Json::Value& aResult);
   void CallService();
+  void StartStream();
+  void SendStream(const std::shared_ptr<caller_stream>& aStream);
+  void OnStreamEvent(caller_stream& aStream,
+                     const std::string& aRequest,
+                     const node::event_stream_parser::event& aEvent);
+  void OnStreamEnd(const std::shared_ptr<caller_stream>& aStream,
+                   stream_counts* aCounts,
+                   bool aServed,
+                   bool aComplete);
+  void CheckResumedStreams();
+  /// @return Online samplers of the streams' service with a software version.
+  [[nodiscard]] std::size_t StreamSamplers(const std::string& aSoftware) const;
   void SendToNode(node::http_request aRequest,
                   node::response_collector::callback aDone);
   void AddFinding(std::string aText) { mFindings.push_back(std::move(aText)); }
@@ -136,6 +168,9 @@
   std::vector<std::unique_ptr<fake_plain_service>> mServices;
   std::vector<limited_requests*> mLimits; ///< Of targets that name one.
   std::size_t mLargestPeak = 0;
+  stream_counts mNewStreams;
+  stream_counts mResumedStreams;
+  std::uint64_t mStreamCount = 0;
   std::vector<std::unique_ptr<node::http_listener>> mListeners;
   std::vector<std::unique_ptr<node_process>> mNodes;
   std::vector<std::unique_ptr<trainer_batch>> mBatches;
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -167,6 +167,7 @@
     return;
   }
   std::set<std::int64_t> generated;
+  std::set<std::string> software;
   std::string text = aResult["text"].asString() + "\n";
   std::size_t events = 0;
   while (!text.empty()) {
@@ -183,6 +184,7 @@
       return;
     }
     generated.insert(std::stoll(line.substr(version + 2)));
+    software.insert(line.substr(line.rfind('.') + 1));
   }
   std::set<std::int64_t> listed;
   for (const Json::Value& version : aResult["versions"]) {
@@ -192,6 +194,9 @@
     AddFinding(item + ": " + std::to_string(events) + " events, expected " +
                std::to_string(EventCount(item)));
   }
+  if (software.size() > 1) {
+    AddFinding(item + ": text of two software versions");
+  }
   if (generated != listed) {
     AddFinding(item + ": listed versions differ from those of the events");
   }
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -342,7 +342,8 @@
                      bool aDraining) const
 {
   Json::Value record(Json::objectValue);
-  record["service"] = "models";
+  record["service"] = service;
+  record["version"] = software;
   record["address"] = aAddress;
   record["zone"] = aZone;
   record["slots"] = 8;
@@ -424,9 +425,10 @@
   const std::string item(aRequest.headers.Get("Arbutusferry-Request-Id"));
   const std::string model(aRequest.headers.Get("Arbutusferry-Model"));
   const std::int64_t version = mVersions[model];
+  // Only items name the weights that they need.
+  const auto weights = aRequest.headers.Find("Arbutusferry-Expect-Version");
   if (aRequest.headers.Get("Arbutusferry-Expect-Instance") != mId ||
-      aRequest.headers.Get("Arbutusferry-Expect-Version") !=
-        std::to_string(version)) {
+      (weights && *weights != std::to_string(version))) {
     aResponder->Send(MakeResponse(421));
     return;
   }
@@ -439,7 +441,9 @@
     aResponder->Send(std::move(full));
     return;
   }
-  onItemStarted(item, version);
+  if (weights) {
+    onItemStarted(item, version);
+  }
   mOpenResponses.push_back(aResponder);
   node::header_list headers{ { "Content-Type", "text/event-stream" },
                              { "Arbutusferry-Request-Id", item },
@@ -479,7 +483,7 @@
       }
       event += "id: " + std::to_string(aEventNumber) + "\ndata: " + aItem +
                "." + std::to_string(aEventNumber) + ".v" +
-               std::to_string(currentVersion) + "\n\n";
+               std::to_string(currentVersion) + "." + software + "\n\n";
       aResponder->Write(event);
       if (aEventNumber >= EventCount(aItem)) {
         aResponder->End();
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -137,8 +137,8 @@
   standin::limit_rule mRule;
 };
 
-/// A model sampler. Each event contains the item, the event number and the
-/// model version, so that the texts and versions of a result can be checked.
+/// A model sampler. Each event contains the item, the event number, the model
+/// version and the sampler's software, so that texts can be checked.
 class fake_sampler final : public node::request_handler
 {
 public:
@@ -151,9 +151,12 @@
   [[nodiscard]] std::string Record(const std::string& aAddress,
                                    const std::string& aZone,
                                    bool aDraining) const;
+  [[nodiscard]] bool Offline() const noexcept { return mOffline; }
   /// While offline, aborts all responses and answers no requests.
   void SetOffline(bool aOffline);
 
+  std::string service = "models";
+  std::string software = "s1";
   std::chrono::milliseconds eventInterval{ 15 };
   limited_requests limit;
   /// Called when an item starts, with its id and model version.
