Break streams of the soak more often

Cause: in runs with limits, streams of undisturbed nodes hardly ever broke, so the share of resumed streams that go on was not judged. Change: a sampler of streams resets its connections from time to time.

--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -284,6 +284,7 @@
   RunAfter(milliseconds(1'500), [this] {
     CallService();
     StartStream();
+    BreakStreams();
     StartBatch();
     if (mOptions.limits) {
       NameLimits();
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -140,6 +140,8 @@
   void CheckResult(const trainer_batch& aBatch, const Json::Value& aResult);
   void CallService();
   void StartStream();
+  /// Resets the connections of a sampler of streams from time to time.
+  void BreakStreams();
   void SendStream(const std::shared_ptr<caller_stream>& aStream);
   void OnStreamEvent(caller_stream& aStream,
                      const std::string& aRequest,
--- a/standins/node-soak/soak_streams.cpp
+++ b/standins/node-soak/soak_streams.cpp
@@ -75,6 +75,20 @@
   RunAfter(milliseconds(60 + RandomBelow(120)), [this] { StartStream(); });
 }
 
+void
+soak_test::BreakStreams()
+{
+  if (mFaultsCleared) {
+    return;
+  }
+  fake_sampler& sampler = *mSamplers[RandomBelow(mSamplers.size())];
+  if (sampler.service == "streams" && !sampler.Offline()) {
+    sampler.SetOffline(true);
+    sampler.SetOffline(false);
+  }
+  RunAfter(milliseconds(50 + RandomBelow(250)), [this] { BreakStreams(); });
+}
+
 void
 soak_test::SendStream(const std::shared_ptr<caller_stream>& aStream)
 {
