Divide samplers among models by the capacity that limits leave

Cause: samplers were divided by count, so most samplers of a model could be limited ones. Change: version_plan divides capacity: the slots of a sampler, or the items that its limit lets run at once. Evidence: a new test of version_plan_test.

--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -114,6 +114,8 @@
   /// @return Whether a load may have ended, so that an item may be sent.
   [[nodiscard]] bool ProbeDue(const sampler& aSampler) const;
   void EndLoad(const std::string& aId, sampler& aSampler, const char* aSeenBy);
+  /// @return Items that a sampler can run at once, given its limit.
+  [[nodiscard]] int Capacity(const sampler& aSampler) const;
   void SendOrder(const version_plan::order& aOrder, bool aKeepRuns);
   void OnOrderAnswer(const std::string& aId, const http_response* aResponse);
   void RequestReport(const std::string& aId);
--- a/include/arbutusferry/node/version_plan.hpp
+++ b/include/arbutusferry/node/version_plan.hpp
@@ -24,6 +24,8 @@
     int running = 0;
     time_point notBefore; ///< Pause after a refused order.
     int slots = 1;
+    /// Items it can run at once: its slots, or fewer under a limit. At least 1.
+    int capacity = 1;
   };
 
   /// Items of a model that no sampler can take at present.
@@ -47,8 +49,8 @@
   bool SetNewestVersion(const std::string& aModel, std::int64_t aVersion);
   [[nodiscard]] std::int64_t NewestVersion(const std::string& aModel) const;
 
-  /// Divides the samplers evenly among the models in use and moves as few as
-  /// possible.
+  /// Divides the capacity of the samplers evenly among the models in use and
+  /// moves as few samplers as possible.
   void Assign(const std::vector<sampler>& aSamplers,
               const std::set<std::string>& aModels);
   /// @return The model whose new versions a sampler gets, or empty.
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -35,6 +35,9 @@
 constexpr milliseconds kProbeInterval{ 100 };
 /// An order whose load has not ended after this time is sent again.
 constexpr milliseconds kLoadTimeout{ 5'000 };
+/// Typical duration of a run, by which a rate of requests is turned into items
+/// that run at once: most runs of the reference deployments take 0.2 to 2 s.
+constexpr double kTypicalRunSeconds = 1.0;
 /// Delay of the next order after one that was refused or unanswered.
 constexpr milliseconds kOrderRetryDelay{ 500 };
 
@@ -309,6 +312,18 @@
   entry.intervalMeasuredAt = now;
 }
 
+int
+sampler_pool::Capacity(const sampler& aSampler) const
+{
+  const auto* known = mParts.targets.Find(aSampler.target.id);
+  if (!known || !known->limit.Named()) {
+    return aSampler.target.slots;
+  }
+  const double running = known->limit.Named()->perSecond * kTypicalRunSeconds;
+  return static_cast<int>(std::clamp(
+    running, 1.0, static_cast<double>(std::max(1, aSampler.target.slots))));
+}
+
 void
 sampler_pool::SendWeightOrders(
   const std::set<std::string>& aModels,
@@ -344,7 +359,8 @@
         entry.order.has_value(),
         entry.running,
         entry.orderNotBefore,
-        entry.target.slots });
+        entry.target.slots,
+        Capacity(entry) });
     if (entry.order) {
       demands[entry.order->load.model].slots +=
         std::max(0, entry.target.slots - entry.running);
--- a/src/node/version_plan.cpp
+++ b/src/node/version_plan.cpp
@@ -73,23 +73,27 @@
     return NewestVersion(aModel) -
            (version == aSampler.versions.end() ? 0 : version->second);
   };
-  const auto smallest = [&] {
-    return std::min_element(members.begin(),
-                            members.end(),
-                            [](const auto& aLeft, const auto& aRight) {
-                              return aLeft.second.size() < aRight.second.size();
-                            });
+  const auto capacityOf = [](const auto& aMember) {
+    int capacity = 0;
+    for (const sampler* entry : aMember.second) {
+      capacity += entry->capacity;
+    }
+    return capacity;
+  };
+  const auto byCapacity = [&](const auto& aLeft, const auto& aRight) {
+    return capacityOf(aLeft) < capacityOf(aRight);
   };
-  // A new sampler goes to a model with the fewest samplers; among these, to the
+  // A new sampler goes to a model with the least capacity; among these, to the
   // one whose weights it is least behind.
   for (const sampler* entry : unassigned) {
     if (members.empty()) {
       break;
     }
-    const std::size_t size = smallest()->second.size();
+    const int capacity =
+      capacityOf(*std::min_element(members.begin(), members.end(), byCapacity));
     auto best = members.end();
     for (auto at = members.begin(); at != members.end(); ++at) {
-      if (at->second.size() == size &&
+      if (capacityOf(*at) == capacity &&
           (best == members.end() || versionsBehind(*entry, at->first) <
                                       versionsBehind(*entry, best->first))) {
         best = at;
@@ -98,23 +102,27 @@
     best->second.push_back(entry);
   }
   while (!members.empty()) {
-    const auto small = smallest();
+    const auto small =
+      std::min_element(members.begin(), members.end(), byCapacity);
     const auto large =
-      std::max_element(members.begin(),
-                       members.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second.size() < aRight.second.size();
-                       });
-    if (large->second.size() < small->second.size() + 2) {
-      break;
-    }
+      std::max_element(members.begin(), members.end(), byCapacity);
+    const int difference = capacityOf(*large) - capacityOf(*small);
+    // The largest sampler whose move leaves the smaller model no larger than
+    // the other; among these, the one whose weights are least behind.
+    const auto moveCost = [&](const sampler* aEntry) {
+      return std::make_tuple(2 * aEntry->capacity > difference,
+                             -aEntry->capacity,
+                             versionsBehind(*aEntry, small->first));
+    };
     const auto moved =
       std::min_element(large->second.begin(),
                        large->second.end(),
                        [&](const sampler* aLeft, const sampler* aRight) {
-                         return versionsBehind(*aLeft, small->first) <
-                                versionsBehind(*aRight, small->first);
+                         return moveCost(aLeft) < moveCost(aRight);
                        });
+    if (moved == large->second.end() || 2 * (*moved)->capacity > difference) {
+      break;
+    }
     small->second.push_back(*moved);
     large->second.erase(moved);
   }
--- a/tests/unit/version_plan_test.cpp
+++ b/tests/unit/version_plan_test.cpp
@@ -177,3 +177,36 @@
   REQUIRE(orders.size() == 2);
   CHECK(orders[0].model == "b");
 }
+
+// Load pattern: most samplers name limits. Guards against a model whose items
+// wait because all of its samplers are limited.
+TEST_CASE("samplers are divided by capacity when some are limited")
+{
+  version_plan plan;
+  auto samplers = Samplers(12);
+  for (auto& entry : samplers) {
+    entry.capacity = 16;
+  }
+  plan.Assign(samplers, kModels);
+  std::map<std::string, int> capacities;
+  for (auto& entry : samplers) {
+    entry.capacity = plan.AssignedModel(entry.id) == "a" ? 2 : 16;
+  }
+  plan.Assign(samplers, kModels);
+  for (const auto& entry : samplers) {
+    capacities[plan.AssignedModel(entry.id)] += entry.capacity;
+  }
+  for (const auto& [model, capacity] : capacities) {
+    CAPTURE(model);
+    CHECK(capacity >= 34);
+  }
+  // Repeated divisions move nothing.
+  std::map<std::string, std::string> before;
+  for (const auto& entry : samplers) {
+    before[entry.id] = plan.AssignedModel(entry.id);
+  }
+  plan.Assign(samplers, kModels);
+  for (const auto& entry : samplers) {
+    CHECK(before[entry.id] == plan.AssignedModel(entry.id));
+  }
+}
