Never ask for an admission with a negative wait

Cause: found by reading the change: a call whose deadline has passed while it waited asked with a negative wait, which the leader answers 400; the node then took the leader for unreachable and refused other calls for 200 ms. Change: the wait is clamped at zero.

--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -365,9 +365,10 @@
   const time_point now = mParts.loop.Now();
   const auto* known = mParts.targets.Find(aTarget);
   // A longer wait would leave too little time for a response on time.
-  const milliseconds maxWait = std::min(
-    mCall.route.latencyTarget / 2,
-    std::chrono::duration_cast<milliseconds>(mCall.deadline - now) / 2);
+  const milliseconds maxWait = std::clamp(
+    std::chrono::duration_cast<milliseconds>(mCall.deadline - now) / 2,
+    milliseconds(0),
+    mCall.route.latencyTarget / 2);
   if (known->nextStart > now + maxWait) {
     OnNotAdmitted(std::chrono::ceil<milliseconds>(known->nextStart - now));
     return;
