Drop events that a sampler may have written with other software

Cause: requests name a target's id, which a new process may take over with other software. Until its registry entry is read, items were continued there and new ones were labelled with the old version. Change: when the entry tells of other software under a known id, the leader drops the events of open items whose last run was there, also saved ones. Test doubles of the run counter are one type now.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -104,6 +104,9 @@
   void HandOver(std::function<void()> aDone);
   void SetNewestVersion(const std::string& aModel, std::int64_t aVersion);
   void OnTargetsChanged() { SchedulePlacement(); }
+  /// Drops the events of open items whose last run is at a sampler that has
+  /// started again with other software: they may come from either.
+  void OnSoftwareChanged(const std::string& aSampler);
   [[nodiscard]] std::size_t ActiveRuns() const;
 
 private:
@@ -126,6 +129,8 @@
   void Tick();
   void PlaceItems();
   void MoveSlowRuns();
+  /// Logs that an item's events are dropped.
+  static void LogRestart(const batch& aBatch, std::size_t aIndex);
   /// Saves the progress of items with at least `aMinNewEvents` new events.
   void SaveProgress(std::size_t aMinNewEvents, std::function<void()> aDone);
   void ExpireItems();
--- a/include/arbutusferry/node/stream_origins.hpp
+++ b/include/arbutusferry/node/stream_origins.hpp
@@ -55,7 +55,6 @@
   [[nodiscard]] static bool IsOriginPath(std::string_view aPath);
   /// Answers another node that notes an origin or asks for one.
   void Serve(const http_request& aRequest, responder& aResponder);
-  [[nodiscard]] std::size_t Size() const noexcept { return mOrigins.size(); }
 
 private:
   struct origin
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -125,12 +125,7 @@
       item.onlySoftware.reset();
       chosen = ChooseSampler(item, at->second);
       if (chosen) {
-        Log(log_level::Info,
-            "item_restarted",
-            { { "item", request.id },
-              { "batch", item.batch },
-              { "events", std::to_string(state.progress.events.size()) },
-              { "software", *state.progress.software } });
+        LogRestart(owner, item.index);
         state.progress = {};
       }
     }
@@ -447,6 +442,52 @@
   }
 }
 
+void
+batch_leader::OnSoftwareChanged(const std::string& aSampler)
+{
+  const auto runs = mPool.Runs();
+  for (const auto& run : runs) {
+    if (run->Sampler() != aSampler) {
+      continue;
+    }
+    if (batch* owner = mBatches.Find(run->Batch())) {
+      owner->Items()[run->Index()].phase = item_phase::Waiting;
+    }
+    mPool.CancelRun(run);
+  }
+  std::vector<log_record> saved;
+  for (const auto& [id, entry] : mBatches.All()) {
+    for (std::size_t index = 0;
+         !entry->Closed() && index < entry->Items().size();
+         ++index) {
+      item_state& item = entry->Items()[index];
+      if (item.sampler == aSampler && item.phase == item_phase::Waiting) {
+        LogRestart(*entry, index);
+        item.progress = {};
+        if (std::exchange(item.savedEvents, 0) > 0) {
+          saved.push_back({ ProgressKey(id, index), {} });
+        }
+      }
+    }
+  }
+  if (!saved.empty()) {
+    mJournal.Append(std::move(saved), {});
+  }
+  SchedulePlacement();
+}
+
+void
+batch_leader::LogRestart(const batch& aBatch, std::size_t aIndex)
+{
+  const item_progress& progress = aBatch.Items()[aIndex].progress;
+  Log(log_level::Info,
+      "item_restarted",
+      { { "item", aBatch.Request().items[aIndex].id },
+        { "batch", aBatch.Request().id },
+        { "events", std::to_string(progress.events.size()) },
+        { "software", progress.software.value_or("") } });
+}
+
 void
 batch_leader::SaveProgress(std::size_t aMinNewEvents,
                            std::function<void()> aDone)
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -195,8 +195,13 @@
           { "software", aTarget.software },
           { "state", aTarget.draining ? "draining" : "ready" } });
   }
+  const bool softwareChanged =
+    before && before->entry.software != aTarget.software;
   mTargets.Update(aTarget, mParts.loop.Now());
   if (mLeader) {
+    if (softwareChanged) {
+      mLeader->OnSoftwareChanged(aTarget.id);
+    }
     mLeader->OnTargetsChanged();
   }
 }
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/node/call_forwarder.hpp"
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
 #include "arbutusferry/node/http_listener.hpp"
@@ -370,6 +371,12 @@
   };
 };
 
+/// Run counter for tests that don't look at usage.
+struct ignored_runs final : run_counter
+{
+  void CountRun(const std::string&, std::int64_t) override {}
+};
+
 /// Responder that records the response.
 class recording_responder final : public responder
 {
--- a/tests/unit/request_limit_test.cpp
+++ b/tests/unit/request_limit_test.cpp
@@ -26,11 +26,6 @@
 
 constexpr const char* kLeaderIp = "10.0.1.1";
 
-struct ignored_runs final : run_counter
-{
-  void CountRun(const std::string&, std::int64_t) override {}
-};
-
 /// Targets of a plain service, and nodes that forward calls to them.
 struct limited_service
 {
--- a/tests/unit/software_version_test.cpp
+++ b/tests/unit/software_version_test.cpp
@@ -59,11 +59,6 @@
   }
 }
 
-struct ignored_runs final : run_counter
-{
-  void CountRun(const std::string&, std::int64_t) override {}
-};
-
 constexpr const char* kNodeIp = "10.0.1.1";
 
 /// Nodes that forward streams to targets t0 and t1 of software v1 and v2.
@@ -336,3 +331,30 @@
   test.SetTarget("t1", "v1");
   CHECK(test.Call(0, "b", {}, true)->response.status == 200);
 }
+
+// Guards against events of a sampler that has started again with other software
+// under its id, which the registry tells only later.
+TEST_CASE("events of a sampler whose software has changed are dropped")
+{
+  two_versions test;
+  test.samplers.events = 40;
+  const auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 4), [] {});
+  test.loop.Advance(milliseconds(300));
+  // s2 starts again as v1; items of s1 go on there while it counts as v1.
+  test.SetSoftware("s2", "v1");
+  test.samplers.samplers["10.0.0.2"].software = "v3";
+  test.Drain("s1");
+  test.loop.Advance(milliseconds(200));
+  REQUIRE_FALSE(test.samplers.mixedItems.empty());
+  test.samplers.mixedItems.clear();
+  test.SetSoftware("s2", "v3");
+  leader->OnSoftwareChanged("s2");
+  test.samplers.starts.clear();
+  test.samplers.resumedAfter.clear();
+  test.loop.Advance(milliseconds(4'000));
+  CHECK(test.samplers.starts.size() == 4);
+  CHECK(test.samplers.resumedAfter.empty());
+  CHECK(test.samplers.mixedItems.empty());
+  CheckComplete(*leader, 40);
+}
