--- a/scripts/mixed-streams.py
+++ b/scripts/mixed-streams.py
@@ -14,15 +14,18 @@
 import sys
 
 
+EVENTS = ("item_run_started", "item_run_ended", "item_restarted")
+
+
 def read_runs(path):
-    """Returns the starts of runs in order of time."""
+    """Returns the starts and ends of runs in order of time."""
     runs = []
     with open(path, encoding="utf-8", errors="replace") as file:
         for line in file:
             match = re.match(r"\s*(-?[\d.]+) \S+ (\{.*\})\s*$", line)
             if match:
                 entry = json.loads(match.group(2))
-                if entry["event"] in ("item_run_started", "item_restarted"):
+                if entry["event"] in EVENTS:
                     runs.append((float(match.group(1)), entry))
     return sorted(runs, key=lambda run: run[0])
 
@@ -35,10 +38,11 @@
         mixed = {}
         for time, run in read_runs(path):
             item = run["item"]
-            if run["event"] == "item_restarted":
-                # The line of the next run may be among those that are dropped
-                # when a node writes too many.
-                began.pop(item, None)
+            if run["event"] != "item_run_started":
+                # The item begins anew. The line of its next run may be among
+                # those that are dropped when a node writes too many.
+                if run["event"] == "item_restarted" or int(run["events"]) == 0:
+                    began.pop(item, None)
                 continue
             if int(run["events"]) == 0 or item not in began:
                 began[item] = run["software"]
