Move the attempts of a forwarded call to a file of their own

Cause: call_forwarder.cpp had grown to 681 lines with admissions and streams. Change: the class forwarded_call has a header, its attempts call_attempt.cpp; code is moved, and the default of Refuse's delay is written out. Progress that names no software is logged when it is dropped. Evidence: all 60 tests pass.

--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -104,6 +104,7 @@
     item_state& state = owner.Items()[item.index];
     if (!state.progress.events.empty() && !state.progress.software) {
       // Saved by a process that did not record the software.
+      LogRestart(owner, item.index);
       state.progress = {};
     }
     const bool begun = !state.progress.events.empty();
--- /dev/null
+++ b/src/node/call_attempt.cpp
@@ -0,0 +1,124 @@
+#include "forwarded_call.hpp"
+
+#include "arbutusferry/logging.hpp"
+
+namespace arbutusferry::node {
+
+namespace {
+
+/// Unread bytes of a stream above which a slow reader is disconnected.
+constexpr std::size_t kMaxUnreadBytes = std::size_t{ 1 } << 20;
+
+} // namespace
+
+void
+forwarded_call::attempt::ReleaseTarget()
+{
+  if (mReleased) {
+    return;
+  }
+  mReleased = true;
+  if (auto* known = mCall->mParts.targets.Find(mTarget)) {
+    --known->outstanding;
+  }
+}
+
+void
+forwarded_call::attempt::OnHead(int aStatus, const header_list& aHeaders)
+{
+  response.status = aStatus;
+  response.headers = aHeaders;
+  const call_forwarder::parts& parts = mCall->mParts;
+  verdict = parts.protocol.ClassifyResponse(aStatus, aHeaders);
+  if (verdict != response_class::WrongTarget) {
+    parts.targets.NoteLimit(mTarget,
+                            parts.protocol.ReadLimit(aHeaders),
+                            verdict == response_class::Genuine,
+                            mSentAt,
+                            parts.loop.Now());
+  }
+  if (verdict != response_class::Genuine) {
+    return;
+  }
+  if (mCall->mCall.route.kind == route_kind::Stream && !mCall->mEnded) {
+    // The first target that responds serves the stream; other attempts end.
+    const auto call = mCall;
+    call->StopAttempts(this);
+    header_list headers = aHeaders;
+    for (const char* name :
+         { "Connection", "Keep-Alive", "Transfer-Encoding" }) {
+      headers.Remove(name);
+    }
+    mStreaming = true;
+    call->mResponder->Begin(aStatus, headers);
+  }
+}
+
+void
+forwarded_call::attempt::OnBody(std::string_view aPart)
+{
+  if (!mStreaming) {
+    response.body += aPart;
+    return;
+  }
+  const auto call = mCall;
+  if (!std::exchange(mOriginNoted, true) && !call->mCall.resumesStream) {
+    call->mParts.origins.Note(call->mCall.id, mSoftware);
+  }
+  call->mResponder->Write(aPart);
+  if (call->mResponder->UnsentBytes() > kMaxUnreadBytes) {
+    Log(log_level::Warning,
+        "stream_reader_too_slow",
+        { { "request", call->mCall.id } });
+    call->mResponder->Abort();
+    call->OnCallerGone();
+  }
+}
+
+void
+forwarded_call::attempt::OnEnd()
+{
+  ReleaseTarget();
+  const auto call = mCall;
+  if (call->mEnded) {
+    return;
+  }
+  switch (verdict) {
+    case response_class::NotRun:
+    case response_class::WrongTarget:
+      call->OnNotRun(*this, verdict);
+      break;
+    case response_class::Genuine:
+    case response_class::Impossible:
+      call->OnAttemptDone(*this);
+      break;
+    case response_class::Failed:
+      call->OnAttemptFailed(*this, true);
+      break;
+  }
+}
+
+void
+forwarded_call::attempt::OnFailure(exchange_failure aFailure)
+{
+  ReleaseTarget();
+  const auto call = mCall;
+  if (call->mEnded) {
+    return;
+  }
+  Log(log_level::Info,
+      "attempt_failed",
+      { { "request", call->mCall.id },
+        { "target", mTarget },
+        { "reason", std::string(FailureName(aFailure)) } });
+  if (mStreaming) {
+    call->mEnded = true;
+    call->StopAttempts(this);
+    call->mResponder->Abort();
+    call->RecordOutcome("stream_broken", mTarget);
+    return;
+  }
+  call->OnAttemptFailed(*this, !NothingSent(aFailure));
+}
+
+} // namespace arbutusferry::node
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -1,11 +1,9 @@
-#include "arbutusferry/node/call_forwarder.hpp"
+#include "forwarded_call.hpp"
 
 #include "arbutusferry/hash.hpp"
 #include "arbutusferry/logging.hpp"
 
 #include <algorithm>
-#include <deque>
-#include <set>
 
 namespace arbutusferry::node {
 
@@ -28,239 +26,13 @@
 /// Delay after which a refused caller should retry: time for a full or failed
 /// target to recover.
 constexpr milliseconds kRetryAfter{ 200 };
-/// Unread bytes of a stream above which a slow reader is disconnected.
-constexpr std::size_t kMaxUnreadBytes = std::size_t{ 1 } << 20;
 
-/// A call in progress; its exchanges and timers keep it alive.
-class forwarded_call final : public std::enable_shared_from_this<forwarded_call>
-{
-public:
-  forwarded_call(const call_forwarder::parts& aParts,
-                 admitted_call aCall,
-                 std::shared_ptr<responder> aResponder,
-                 std::shared_ptr<std::size_t> aActiveCalls)
-    : mParts(aParts)
-    , mCall(std::move(aCall))
-    , mResponder(std::move(aResponder))
-    , mActiveCalls(std::move(aActiveCalls))
-    , mStarted(aParts.loop.Now())
-  {
-    ++*mActiveCalls;
-  }
-  ~forwarded_call() { --*mActiveCalls; }
-  forwarded_call(const forwarded_call&) = delete;
-  forwarded_call& operator=(const forwarded_call&) = delete;
-
-  void Start();
-
-private:
-  class attempt;
-
-  [[nodiscard]] bool MayRepeat() const
-  {
-    return mCall.route.kind == route_kind::Idempotent;
-  }
-  [[nodiscard]] time_point AnswerDeadline() const
-  {
-    return std::min(mCall.deadline - kAnswerMargin, mCall.timeout);
-  }
-  void ResumeStream();
-  void OnStreamOrigin(const std::optional<std::string>& aSoftware);
-  void TryNextTarget();
-  void RequestAdmission(const std::string& aTarget);
-  void OnAdmission(const std::string& aTarget, const admission& aAdmission);
-  void OnNotAdmitted(milliseconds aWait);
-  void SendTo(const std::string& aTarget);
-  /// @return Whether a ready target has not been tried.
-  [[nodiscard]] bool MoreTargets() const;
-  /// Tries another target at once, or all again after a delay.
-  void TryAfterRefusal();
-  void Hedge();
-  void OnTimeout();
-  void OnCallerGone();
-  void OnAttemptFailed(attempt& aAttempt, bool aMayHaveRun);
-  void OnNotRun(attempt& aAttempt, response_class aVerdict);
-  void OnAttemptDone(attempt& aAttempt);
-  void Conclude(http_response aResponse, const char* aOutcome);
-  void Refuse(const char* aReason, milliseconds aRetryAfter = kRetryAfter);
-  void Fail(bool aTimedOut, const char* aReason);
-  void StopAttempts(const attempt* aExcept);
-  void RecordOutcome(const char* aOutcome, const std::string& aTarget);
-
-  const call_forwarder::parts& mParts;
-  admitted_call mCall;
-  std::shared_ptr<responder> mResponder;
-  std::shared_ptr<std::size_t> mActiveCalls;
-  time_point mStarted;
-  std::vector<std::shared_ptr<attempt>> mAttempts;
-  /// Targets of the attempts; cleared when all have been tried and are full.
-  std::vector<std::string> mTriedTargets;
-  /// Targets that may have run the request; at most the route's `maxAttempts`.
-  std::set<std::string> mUsedTargets;
-  /// Tried targets that may not get a request now because of their limits, and
-  /// the shortest wait until one of them may.
-  std::size_t mNotAdmitted = 0;
-  milliseconds mShortestWait = milliseconds::max();
-  bool mAwaitingAdmission = false;
-  /// The only software version that may serve the call, if it goes on with a
-  /// stream.
-  std::optional<std::string> mSoftware;
-  bool mMayHaveRun = false;
-  bool mEnded = false;
-  bool mRunCounted = false;
-  std::unique_ptr<timer> mTimeoutTimer;
-  std::unique_ptr<timer> mRetryTimer;
-  std::unique_ptr<timer> mHedgeTimer;
-};
-
-/// One attempt at one target.
-class forwarded_call::attempt final : public response_sink
-{
-public:
-  attempt(std::shared_ptr<forwarded_call> aCall,
-          const target_entry& aTarget,
-          const event_loop& aLoop)
-    : mCall(std::move(aCall))
-    , mTarget(aTarget.id)
-    , mSoftware(aTarget.software)
-    , mSentAt(aLoop.Now())
-    , mSentUnixMs(aLoop.UnixMilliseconds())
-  {
-  }
-
-  void OnHead(int aStatus, const header_list& aHeaders) override;
-  void OnBody(std::string_view aPart) override;
-  void OnEnd() override;
-  void OnFailure(exchange_failure aFailure) override;
-  /// Subtracts the attempt from its target's outstanding requests, once.
-  void ReleaseTarget();
-
-  [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
-  [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
-  [[nodiscard]] std::int64_t SentUnixMs() const noexcept { return mSentUnixMs; }
-  http_response response;
-  std::shared_ptr<http_exchange> exchange;
-  response_class verdict = response_class::Failed;
-
-private:
-  std::shared_ptr<forwarded_call> mCall;
-  std::string mTarget;
-  std::string mSoftware; ///< Of the target.
-  time_point mSentAt;
-  std::int64_t mSentUnixMs;
-  bool mStreaming = false;
-  bool mOriginNoted = false;
-  bool mReleased = false;
-};
-
-void
-forwarded_call::attempt::ReleaseTarget()
-{
-  if (mReleased) {
-    return;
-  }
-  mReleased = true;
-  if (auto* known = mCall->mParts.targets.Find(mTarget)) {
-    --known->outstanding;
-  }
-}
-
-void
-forwarded_call::attempt::OnHead(int aStatus, const header_list& aHeaders)
-{
-  response.status = aStatus;
-  response.headers = aHeaders;
-  const call_forwarder::parts& parts = mCall->mParts;
-  verdict = parts.protocol.ClassifyResponse(aStatus, aHeaders);
-  if (verdict != response_class::WrongTarget) {
-    parts.targets.NoteLimit(mTarget,
-                            parts.protocol.ReadLimit(aHeaders),
-                            verdict == response_class::Genuine,
-                            mSentAt,
-                            parts.loop.Now());
-  }
-  if (verdict != response_class::Genuine) {
-    return;
-  }
-  if (mCall->mCall.route.kind == route_kind::Stream && !mCall->mEnded) {
-    // The first target that responds serves the stream; other attempts end.
-    const auto call = mCall;
-    call->StopAttempts(this);
-    header_list headers = aHeaders;
-    for (const char* name :
-         { "Connection", "Keep-Alive", "Transfer-Encoding" }) {
-      headers.Remove(name);
-    }
-    mStreaming = true;
-    call->mResponder->Begin(aStatus, headers);
-  }
-}
-
-void
-forwarded_call::attempt::OnBody(std::string_view aPart)
-{
-  if (!mStreaming) {
-    response.body += aPart;
-    return;
-  }
-  const auto call = mCall;
-  if (!std::exchange(mOriginNoted, true) && !call->mCall.resumesStream) {
-    call->mParts.origins.Note(call->mCall.id, mSoftware);
-  }
-  call->mResponder->Write(aPart);
-  if (call->mResponder->UnsentBytes() > kMaxUnreadBytes) {
-    Log(log_level::Warning,
-        "stream_reader_too_slow",
-        { { "request", call->mCall.id } });
-    call->mResponder->Abort();
-    call->OnCallerGone();
-  }
-}
-
-void
-forwarded_call::attempt::OnEnd()
-{
-  ReleaseTarget();
-  const auto call = mCall;
-  if (call->mEnded) {
-    return;
-  }
-  switch (verdict) {
-    case response_class::NotRun:
-    case response_class::WrongTarget:
-      call->OnNotRun(*this, verdict);
-      break;
-    case response_class::Genuine:
-    case response_class::Impossible:
-      call->OnAttemptDone(*this);
-      break;
-    case response_class::Failed:
-      call->OnAttemptFailed(*this, true);
-      break;
-  }
-}
+} // namespace
 
-void
-forwarded_call::attempt::OnFailure(exchange_failure aFailure)
+time_point
+forwarded_call::AnswerDeadline() const
 {
-  ReleaseTarget();
-  const auto call = mCall;
-  if (call->mEnded) {
-    return;
-  }
-  Log(log_level::Info,
-      "attempt_failed",
-      { { "request", call->mCall.id },
-        { "target", mTarget },
-        { "reason", std::string(FailureName(aFailure)) } });
-  if (mStreaming) {
-    call->mEnded = true;
-    call->StopAttempts(this);
-    call->mResponder->Abort();
-    call->RecordOutcome("stream_broken", mTarget);
-    return;
-  }
-  call->OnAttemptFailed(*this, !NothingSent(aFailure));
+  return std::min(mCall.deadline - kAnswerMargin, mCall.timeout);
 }
 
 void
@@ -273,7 +45,7 @@
   });
   const duration left = AnswerDeadline() - mStarted;
   if (left <= kMinTimeLeft) {
-    Refuse("no_time_left");
+    Refuse("no_time_left", kRetryAfter);
     return;
   }
   mTimeoutTimer =
@@ -311,7 +83,7 @@
         { "origin", mCall.streamOrigin },
         { "software", aSoftware.value_or("unknown") } });
   if (!aSoftware) {
-    Refuse("stream_origin_unknown");
+    Refuse("stream_origin_unknown", kRetryAfter);
     return;
   }
   mSoftware = aSoftware;
@@ -338,7 +110,7 @@
       if (mMayHaveRun) {
         Fail(false, "no_target");
       } else {
-        Refuse("no_target");
+        Refuse("no_target", kRetryAfter);
       }
     }
     return;
@@ -606,7 +378,7 @@
   if (mMayHaveRun || !mAttempts.empty()) {
     Fail(true, "timeout");
   } else {
-    Refuse("timeout_before_any_target");
+    Refuse("timeout_before_any_target", kRetryAfter);
   }
 }
 
@@ -667,8 +439,6 @@
         { "ms", std::to_string(ToMilliseconds(taken)) } });
 }
 
-} // namespace
-
 void
 call_forwarder::Forward(admitted_call aCall,
                         std::shared_ptr<responder> aResponder)
--- /dev/null
+++ b/src/node/forwarded_call.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "arbutusferry/node/call_forwarder.hpp"
+
+#include <set>
+#include <vector>
+
+namespace arbutusferry::node {
+
+/// A call in progress; its exchanges and timers keep it alive.
+class forwarded_call final : public std::enable_shared_from_this<forwarded_call>
+{
+public:
+  forwarded_call(const call_forwarder::parts& aParts,
+                 admitted_call aCall,
+                 std::shared_ptr<responder> aResponder,
+                 std::shared_ptr<std::size_t> aActiveCalls)
+    : mParts(aParts)
+    , mCall(std::move(aCall))
+    , mResponder(std::move(aResponder))
+    , mActiveCalls(std::move(aActiveCalls))
+    , mStarted(aParts.loop.Now())
+  {
+    ++*mActiveCalls;
+  }
+  ~forwarded_call() { --*mActiveCalls; }
+  forwarded_call(const forwarded_call&) = delete;
+  forwarded_call& operator=(const forwarded_call&) = delete;
+
+  void Start();
+
+private:
+  class attempt;
+
+  [[nodiscard]] bool MayRepeat() const
+  {
+    return mCall.route.kind == route_kind::Idempotent;
+  }
+  [[nodiscard]] time_point AnswerDeadline() const;
+  void ResumeStream();
+  void OnStreamOrigin(const std::optional<std::string>& aSoftware);
+  void TryNextTarget();
+  void RequestAdmission(const std::string& aTarget);
+  void OnAdmission(const std::string& aTarget, const admission& aAdmission);
+  void OnNotAdmitted(std::chrono::milliseconds aWait);
+  void SendTo(const std::string& aTarget);
+  /// @return Whether a ready target has not been tried.
+  [[nodiscard]] bool MoreTargets() const;
+  /// Tries another target at once, or all again after a delay.
+  void TryAfterRefusal();
+  void Hedge();
+  void OnTimeout();
+  void OnCallerGone();
+  void OnAttemptFailed(attempt& aAttempt, bool aMayHaveRun);
+  void OnNotRun(attempt& aAttempt, response_class aVerdict);
+  void OnAttemptDone(attempt& aAttempt);
+  void Conclude(http_response aResponse, const char* aOutcome);
+  void Refuse(const char* aReason, std::chrono::milliseconds aRetryAfter);
+  void Fail(bool aTimedOut, const char* aReason);
+  void StopAttempts(const attempt* aExcept);
+  void RecordOutcome(const char* aOutcome, const std::string& aTarget);
+
+  const call_forwarder::parts& mParts;
+  admitted_call mCall;
+  std::shared_ptr<responder> mResponder;
+  std::shared_ptr<std::size_t> mActiveCalls;
+  time_point mStarted;
+  std::vector<std::shared_ptr<attempt>> mAttempts;
+  /// Targets of the attempts; cleared when all have been tried and are full.
+  std::vector<std::string> mTriedTargets;
+  /// Targets that may have run the request; at most the route's `maxAttempts`.
+  std::set<std::string> mUsedTargets;
+  /// Tried targets that may not get a request now because of their limits, and
+  /// the shortest wait until one of them may.
+  std::size_t mNotAdmitted = 0;
+  std::chrono::milliseconds mShortestWait = std::chrono::milliseconds::max();
+  bool mAwaitingAdmission = false;
+  /// The only software version that may serve the call, if it goes on with a
+  /// stream.
+  std::optional<std::string> mSoftware;
+  bool mMayHaveRun = false;
+  bool mEnded = false;
+  bool mRunCounted = false;
+  std::unique_ptr<timer> mTimeoutTimer;
+  std::unique_ptr<timer> mRetryTimer;
+  std::unique_ptr<timer> mHedgeTimer;
+};
+
+/// One attempt at one target.
+class forwarded_call::attempt final : public response_sink
+{
+public:
+  attempt(std::shared_ptr<forwarded_call> aCall,
+          const target_entry& aTarget,
+          const event_loop& aLoop)
+    : mCall(std::move(aCall))
+    , mTarget(aTarget.id)
+    , mSoftware(aTarget.software)
+    , mSentAt(aLoop.Now())
+    , mSentUnixMs(aLoop.UnixMilliseconds())
+  {
+  }
+
+  void OnHead(int aStatus, const header_list& aHeaders) override;
+  void OnBody(std::string_view aPart) override;
+  void OnEnd() override;
+  void OnFailure(exchange_failure aFailure) override;
+  /// Subtracts the attempt from its target's outstanding requests, once.
+  void ReleaseTarget();
+
+  [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
+  [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
+  [[nodiscard]] std::int64_t SentUnixMs() const noexcept { return mSentUnixMs; }
+  http_response response;
+  std::shared_ptr<http_exchange> exchange;
+  response_class verdict = response_class::Failed;
+
+private:
+  std::shared_ptr<forwarded_call> mCall;
+  std::string mTarget;
+  std::string mSoftware; ///< Of the target.
+  time_point mSentAt;
+  std::int64_t mSentUnixMs;
+  bool mStreaming = false;
+  bool mOriginNoted = false;
+  bool mReleased = false;
+};
+
+} // namespace arbutusferry::node
