Log which requests are the same under other ids, and time failed attempts

In the incident of a crashing request the logs could not tell whether one request or many made targets end: they name ids only, and each attempt of a caller has a new one. request_ended and attempt_failed now carry a fingerprint of team, host, method, path and body, and attempt_failed the time since the request was sent; ferry_attempt_failures_total counts failures by reason, also when log lines are dropped. No decision changes.

--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -106,11 +106,17 @@
   if (call->mEnded) {
     return;
   }
+  const event_loop& loop = call->mParts.loop;
+  call->mParts.metrics.Count(
+    "ferry_attempt_failures_total",
+    { { "reason", std::string(FailureName(aFailure)) } });
   Log(log_level::Info,
       "attempt_failed",
       { { "request", call->mCall.id },
+        { "fingerprint", call->mFingerprint },
         { "target", mTarget },
-        { "reason", std::string(FailureName(aFailure)) } });
+        { "reason", std::string(FailureName(aFailure)) },
+        { "ms", std::to_string(ToMilliseconds(loop.Now() - mSentAt)) } });
   if (mStreaming) {
     call->mEnded = true;
     call->StopAttempts(this);
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -431,6 +431,7 @@
   Log(log_level::Info,
       "request_ended",
       { { "request", mCall.id },
+        { "fingerprint", mFingerprint },
         { "route", mCall.route.name },
         { "tenant", mCall.team },
         { "outcome", aOutcome },
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/request_fingerprint.hpp"
 
 #include <set>
 #include <vector>
@@ -17,6 +18,7 @@
                  std::shared_ptr<std::size_t> aActiveCalls)
     : mParts(aParts)
     , mCall(std::move(aCall))
+    , mFingerprint(FingerprintOf(mCall.team, mCall.request))
     , mResponder(std::move(aResponder))
     , mActiveCalls(std::move(aActiveCalls))
     , mStarted(aParts.loop.Now())
@@ -62,6 +64,7 @@
 
   const call_forwarder::parts& mParts;
   admitted_call mCall;
+  std::string mFingerprint;
   std::shared_ptr<responder> mResponder;
   std::shared_ptr<std::size_t> mActiveCalls;
   time_point mStarted;
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -1,4 +1,5 @@
 #include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/request_fingerprint.hpp"
 
 #include "http_protocols.hpp"
 #include "support/node_fakes.hpp"
@@ -236,3 +237,29 @@
   CHECK(answer->aborted);
   CHECK(answer->answers == 0);
 }
+
+// Guards against repeats of one request that logs can't connect, and against
+// two requests that are taken for the same.
+TEST_CASE("a fingerprint is the same for repeats and differs between requests")
+{
+  http_request request;
+  request.method = "POST";
+  request.target = "/x";
+  request.headers = { { "Host", "a.example" },
+                      { "Arbutusferry-Request-Id", "1" } };
+  request.body = "body";
+  const std::string fingerprint = FingerprintOf("acme", request);
+  CHECK(fingerprint.size() == 16);
+  http_request repeat = request;
+  repeat.headers = { { "Host", "a.example" },
+                     { "Arbutusferry-Request-Id", "2" } };
+  CHECK(FingerprintOf("acme", repeat) == fingerprint);
+  CHECK(FingerprintOf("other", request) != fingerprint);
+  http_request other = request;
+  other.body = "bod";
+  CHECK(FingerprintOf("acme", other) != fingerprint);
+  other = request;
+  other.target = "/xbody";
+  other.body.clear();
+  CHECK(FingerprintOf("acme", other) != fingerprint);
+}
