--- /dev/null
+++ b/tests/support/call_fleet.hpp
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/peer_handler.hpp"
+
+#include "http_protocols.hpp"
+#include "support/leader_fixture.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutusferry::node {
+
+/// Nodes that forward calls to the targets of one plain service, with targets
+/// that end and start again.
+class call_fleet
+{
+public:
+  static constexpr const char* kService = "desk";
+  static constexpr const char* kNodeIp = "10.0.1.1";
+  /// Body of a request that makes each target end that begins to run it.
+  static constexpr const char* kCrashingBody = "crash";
+  /// Time for which a target runs a request.
+  static constexpr std::chrono::milliseconds kRunTime{ 5 };
+  /// Interval at which targets write to the registry.
+  static constexpr std::chrono::milliseconds kHeartbeat{ 1'200 };
+
+  struct target
+  {
+    target_entry entry;
+    bool up = true;
+    int starts = 1;
+    std::vector<std::shared_ptr<scripted_client::sent>> running;
+  };
+
+  struct fleet_node
+  {
+    fleet_node(call_fleet& aFleet, int aIndex)
+      : index(aIndex)
+      , fleet(aFleet)
+    {
+      client.onSend = [this](const auto& aSent) { fleet.OnSend(*this, aSent); };
+    }
+    int index;
+    call_fleet& fleet;
+    std::string vm = "vm" + std::to_string(index);
+    scripted_client client;
+    target_view targets;
+    node_directory directory{ vm + "/1" };
+    shared_stream_origins origins{ { fleet.loop, client, directory, vm } };
+    limit_coordinator limits{ { fleet.loop,
+                                client,
+                                targets,
+                                [] { return true; },
+                                [] { return std::nullopt; } } };
+    ignoring_handler other;
+    peer_handler peers{ limits, origins, other };
+    call_forwarder forwarder{ { fleet.loop,
+                                client,
+                                targets,
+                                fleet.protocol,
+                                fleet.callers,
+                                limits,
+                                origins,
+                                fleet.runs,
+                                fleet.metrics,
+                                "z" } };
+  };
+
+  call_fleet(int aNodes, int aTargets)
+  {
+    for (int index = 0; index < aNodes; ++index) {
+      nodes.push_back(std::make_unique<fleet_node>(*this, index));
+    }
+    for (const auto& node : nodes) {
+      for (const auto& other : nodes) {
+        node->directory.Update(
+          { other->vm, other->vm + "/1", "z", NodeAddress(other->index) });
+      }
+    }
+    for (int index = 0; index < aTargets; ++index) {
+      target added;
+      added.entry.id = "t" + std::to_string(index);
+      added.entry.service = kService;
+      added.entry.address = { "10.0.0." + std::to_string(index + 1), 80 };
+      added.entry.zone = "z";
+      added.entry.slots = 8;
+      added.entry.bornUnixMs = loop.UnixMilliseconds();
+      targets.push_back(std::move(added));
+    }
+    WriteHeartbeats();
+  }
+
+  [[nodiscard]] static socket_address NodeAddress(int aNode)
+  {
+    return { kNodeIp, static_cast<std::uint16_t>(aNode + 1) };
+  }
+
+  std::shared_ptr<recording_responder> Call(
+    int aNode,
+    const std::string& aBody,
+    route_kind aKind = route_kind::Idempotent)
+  {
+    admitted_call call;
+    call.id = "r" + std::to_string(++mCalls);
+    call.team = "acme";
+    call.service = kService;
+    call.route.kind = aKind;
+    call.route.maxAttempts = 2;
+    call.route.latencyTarget = std::chrono::milliseconds(150);
+    call.request.method = "POST";
+    call.request.target = "/x";
+    call.request.headers.Add("Arbutusferry-Request-Id", call.id);
+    call.request.body = aBody;
+    call.deadline = loop.Now() + std::chrono::milliseconds(800);
+    call.timeout = call.deadline;
+    auto answer = std::make_shared<recording_responder>();
+    nodes[static_cast<std::size_t>(aNode)]->forwarder.Forward(std::move(call),
+                                                              answer);
+    return answer;
+  }
+
+  /// Ends a target's process: its connections break and new ones are refused.
+  /// The registry removes it 3 s later; it is back under another id after
+  /// `downTime`.
+  void EndTarget(std::size_t aIndex)
+  {
+    target& ended = targets[aIndex];
+    ended.up = false;
+    for (const auto& sent : std::exchange(ended.running, {})) {
+      sent->Fail(exchange_failure::Broken);
+    }
+    const std::string id = ended.entry.id;
+    loop.Post(std::chrono::seconds(3), [this, id] {
+      for (const auto& node : nodes) {
+        node->targets.Remove(id, loop.Now());
+      }
+    });
+    loop.Post(downTime, [this, aIndex] {
+      target& back = targets[aIndex];
+      back.up = true;
+      back.entry.id =
+        "t" + std::to_string(aIndex) + "-" + std::to_string(++back.starts);
+      back.entry.bornUnixMs = loop.UnixMilliseconds();
+      WriteEntry(back);
+    });
+  }
+
+  [[nodiscard]] std::size_t Ended() const
+  {
+    std::size_t ended = 0;
+    for (const target& entry : targets) {
+      ended += static_cast<std::size_t>(entry.starts - (entry.up ? 1 : 0));
+    }
+    return ended;
+  }
+
+  manual_loop loop;
+  platform::http_target_protocol protocol;
+  platform::http_caller_protocol callers;
+  ignored_runs runs;
+  metrics_registry metrics;
+  std::vector<std::unique_ptr<fleet_node>> nodes;
+  std::vector<target> targets;
+  duration downTime = std::chrono::milliseconds(2'900);
+  /// When each request with `kCrashingBody` began to run at a target.
+  std::vector<time_point> crashingRuns;
+  int served = 0; ///< Other requests that a target ran to their end.
+
+private:
+  void WriteEntry(const target& aTarget)
+  {
+    for (const auto& node : nodes) {
+      node->targets.Update(aTarget.entry, loop.Now());
+    }
+  }
+
+  void WriteHeartbeats()
+  {
+    for (const target& entry : targets) {
+      if (entry.up) {
+        WriteEntry(entry);
+      }
+    }
+    loop.Post(kHeartbeat, [this] { WriteHeartbeats(); });
+  }
+
+  void OnSend(fleet_node&, const std::shared_ptr<scripted_client::sent>& aSent)
+  {
+    if (aSent->peer.ip == kNodeIp) {
+      loop.Post(std::chrono::milliseconds(1), [this, aSent] {
+        nodes[aSent->peer.port - 1U]->peers.Handle(
+          aSent->request, std::make_shared<sink_responder>(aSent));
+      });
+      return;
+    }
+    loop.Post(std::chrono::milliseconds(1), [this, aSent] { Arrive(aSent); });
+  }
+
+  void Arrive(const std::shared_ptr<scripted_client::sent>& aSent)
+  {
+    const auto found =
+      std::find_if(targets.begin(), targets.end(), [&](const auto& aTarget) {
+        return aTarget.entry.address == aSent->peer;
+      });
+    if (!found->up) {
+      aSent->Fail(exchange_failure::Refused);
+      return;
+    }
+    if (aSent->request.headers.Get("Arbutusferry-Expect-Instance") !=
+        found->entry.id) {
+      aSent->Answer(421);
+      return;
+    }
+    if (!aSent->sink) {
+      return;
+    }
+    const bool crashes = aSent->request.body == kCrashingBody;
+    if (crashes) {
+      crashingRuns.push_back(loop.Now());
+    }
+    found->running.push_back(aSent);
+    const auto index = static_cast<std::size_t>(found - targets.begin());
+    loop.Post(kRunTime, [this, index, aSent, crashes] {
+      if (std::erase(targets[index].running, aSent) == 0) {
+        return; // The target has ended meanwhile.
+      }
+      if (crashes) {
+        targets[index].running.push_back(aSent);
+        EndTarget(index);
+        return;
+      }
+      ++served;
+      aSent->Answer(200, { { "Arbutusferry-Server-Stamp", "s" } }, "done");
+    });
+  }
+
+  int mCalls = 0;
+};
+
+} // namespace arbutusferry::node
