Never try a target again for a request after it refused the connection

Cause: an attempt that had sent nothing was forgotten and the next target was chosen at once, the same one if no other was left. Now such a target is excluded for the request; when none is left the caller is refused at once with Retry-After, since nothing has run. A query object holds what a choice of target depends on.

--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,18 @@
   std::map<std::string, std::int64_t> modelVersions;
 };
 
+/// Which targets may serve a plain request.
+struct target_query
+{
+  std::string service;
+  /// The only software version that may serve it, if any.
+  std::optional<std::string> software;
+  std::string zone;               ///< Zone of this node.
+  std::vector<std::string> tried; ///< Already sent there; chosen last.
+  std::set<std::string> excluded; ///< Never chosen.
+  std::uint64_t salt = 0;         ///< Breaks ties differently by request.
+};
+
 /// All known targets, with this process's observations of them.
 class target_view
 {
@@ -70,21 +83,12 @@
   /// slots, with the fewest outstanding requests. One that has named a limit
   /// recently is chosen only if the others failed recently or were tried; one
   /// that failed recently or was tried only if no other is left.
-  /// @param aSoftware The only software version that may serve it, if any.
-  /// @param aTried Targets that this request was already sent to.
-  /// @param aSalt Breaks ties differently for each request.
   /// @return The target's id, or empty.
-  [[nodiscard]] std::string Choose(const std::string& aService,
-                                   const std::optional<std::string>& aSoftware,
-                                   const std::string& aZone,
-                                   const std::vector<std::string>& aTried,
-                                   std::uint64_t aSalt,
+  [[nodiscard]] std::string Choose(const target_query& aQuery,
                                    time_point aNow) const;
-  /// @return The number of targets of a service, with a software version if
-  /// one is given, that neither drain nor are gone.
-  [[nodiscard]] std::size_t CountReady(
-    const std::string& aService,
-    const std::optional<std::string>& aSoftware) const;
+  /// @return The number of targets that neither drain nor are gone nor
+  /// excluded.
+  [[nodiscard]] std::size_t CountReady(const target_query& aQuery) const;
   /// @return The software version of all known targets of a service; nothing if
   /// there are several or no targets.
   [[nodiscard]] std::optional<std::string> OnlySoftware(
@@ -106,6 +110,9 @@
                  time_point aNow);
 
 private:
+  [[nodiscard]] static bool Fits(const known_target& aTarget,
+                                 const target_query& aQuery);
+
   std::map<std::string, known_target> mTargets;
 };
 
--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -93,7 +93,7 @@
       call->OnAttemptDone(*this);
       break;
     case response_class::Failed:
-      call->OnAttemptFailed(*this, true);
+      call->OnAttemptFailed(*this);
       break;
   }
 }
@@ -124,7 +124,11 @@
     call->RecordOutcome("stream_broken", mTarget);
     return;
   }
-  call->OnAttemptFailed(*this, !NothingSent(aFailure));
+  if (NothingSent(aFailure)) {
+    call->OnUnreachable(*this);
+  } else {
+    call->OnAttemptFailed(*this);
+  }
 }
 
 } // namespace arbutusferry::node
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -1,6 +1,5 @@
 #include "forwarded_call.hpp"
 
-#include "arbutusferry/hash.hpp"
 #include "arbutusferry/logging.hpp"
 
 #include <algorithm>
@@ -86,7 +85,7 @@
     Refuse("stream_origin_unknown", kRetryAfter);
     return;
   }
-  mSoftware = aSoftware;
+  mQuery.software = aSoftware;
   TryNextTarget();
 }
 
@@ -98,19 +97,16 @@
     return;
   }
   const time_point now = mParts.loop.Now();
-  const std::string chosen = mParts.targets.Choose(mCall.service,
-                                                   mSoftware,
-                                                   mParts.zone,
-                                                   mTriedTargets,
-                                                   Hash64(mCall.id),
-                                                   now);
+  const std::string chosen = mParts.targets.Choose(mQuery, now);
   auto* known = mParts.targets.Find(chosen);
   if (!known) {
     if (mAttempts.empty()) {
-      if (mMayHaveRun) {
-        Fail(false, "no_target");
+      const char* reason =
+        mQuery.excluded.empty() ? "no_target" : "targets_unreachable";
+      if (MayHaveRun()) {
+        Fail(false, reason);
       } else {
-        Refuse("no_target", kRetryAfter);
+        Refuse(reason, kRetryAfter);
       }
     }
     return;
@@ -123,7 +119,7 @@
     }
     return;
   }
-  mTriedTargets.push_back(chosen);
+  mQuery.tried.push_back(chosen);
   if (known->limit.Named()) {
     RequestAdmission(chosen);
   } else {
@@ -190,9 +186,9 @@
   if (!mAttempts.empty()) {
     return;
   }
-  if (mNotAdmitted < mTriedTargets.size() || MoreTargets()) {
+  if (mNotAdmitted < mQuery.tried.size() || MoreTargets()) {
     TryAfterRefusal();
-  } else if (mMayHaveRun) {
+  } else if (MayHaveRun()) {
     Fail(false, "target_limits");
   } else {
     Refuse("target_limits", std::max(mShortestWait, kRetryAfter));
@@ -205,7 +201,7 @@
   const time_point now = mParts.loop.Now();
   auto* known = mParts.targets.Find(aTarget);
   if (!known || known->entry.draining ||
-      (mSoftware && known->entry.software != *mSoftware)) {
+      (mQuery.software && known->entry.software != *mQuery.software)) {
     TryNextTarget();
     return;
   }
@@ -215,6 +211,8 @@
     return;
   }
   mUsedTargets.insert(aTarget);
+  mLastTarget = aTarget;
+  ++mAttemptCount;
   ++known->outstanding;
   http_request request = mCall.request;
   mParts.protocol.Prepare(request, known->entry, left);
@@ -289,7 +287,7 @@
   const time_point now = mParts.loop.Now();
   std::erase_if(mAttempts,
                 [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
-  if (!mMayHaveRun || mAttempts.empty()) {
+  if (!MayHaveRun() || mAttempts.empty()) {
     mUsedTargets.erase(aAttempt.Target());
   }
   if (aVerdict == response_class::WrongTarget) {
@@ -303,8 +301,7 @@
 bool
 forwarded_call::MoreTargets() const
 {
-  return mTriedTargets.size() <
-         mParts.targets.CountReady(mCall.service, mSoftware);
+  return mQuery.tried.size() < mParts.targets.CountReady(mQuery);
 }
 
 void
@@ -314,29 +311,42 @@
     TryNextTarget();
     return;
   }
-  mTriedTargets.clear();
+  mQuery.tried.clear();
   mNotAdmitted = 0;
   mRetryTimer = mParts.loop.After(
     kFullRetryDelay, [self = shared_from_this()] { self->TryNextTarget(); });
 }
 
 void
-forwarded_call::OnAttemptFailed(attempt& aAttempt, bool aMayHaveRun)
+forwarded_call::OnUnreachable(attempt& aAttempt)
 {
   const std::string target = aAttempt.Target();
   mParts.targets.NoteFailure(target, mParts.loop.Now());
   std::erase_if(mAttempts,
                 [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
-  if (aMayHaveRun) {
-    mMayHaveRun = true;
-    if (!mRunCounted && aAttempt.response.status != 0) {
-      mRunCounted = true;
-      mParts.runs.CountRun(mCall.team, aAttempt.SentUnixMs());
-    }
-  } else {
-    mUsedTargets.erase(target);
+  mUsedTargets.erase(target);
+  std::erase(mQuery.tried, target);
+  mQuery.excluded.insert(target);
+  if (MoreTargets() || mQuery.tried.empty()) {
+    TryNextTarget();
+  } else if (mAttempts.empty()) {
+    TryAfterRefusal();
+  }
+}
+
+void
+forwarded_call::OnAttemptFailed(attempt& aAttempt)
+{
+  const std::string target = aAttempt.Target();
+  mParts.targets.NoteFailure(target, mParts.loop.Now());
+  std::erase_if(mAttempts,
+                [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
+  ++mFailedRuns;
+  if (!mRunCounted && aAttempt.response.status != 0) {
+    mRunCounted = true;
+    mParts.runs.CountRun(mCall.team, aAttempt.SentUnixMs());
   }
-  if (aMayHaveRun && !MayRepeat()) {
+  if (!MayRepeat()) {
     if (aAttempt.response.status != 0) {
       // The target's own error response goes to the caller.
       http_response response = std::move(aAttempt.response);
@@ -375,7 +385,7 @@
       return;
     }
   }
-  if (mMayHaveRun || !mAttempts.empty()) {
+  if (MayHaveRun() || !mAttempts.empty()) {
     Fail(true, "timeout");
   } else {
     Refuse("timeout_before_any_target", kRetryAfter);
@@ -397,11 +407,9 @@
 forwarded_call::Conclude(http_response aResponse, const char* aOutcome)
 {
   mEnded = true;
-  const std::string target =
-    mTriedTargets.empty() ? std::string() : mTriedTargets.back();
   StopAttempts(nullptr);
   mResponder->Send(std::move(aResponse));
-  RecordOutcome(aOutcome, target);
+  RecordOutcome(aOutcome, mLastTarget);
 }
 
 void
@@ -436,7 +444,7 @@
         { "tenant", mCall.team },
         { "outcome", aOutcome },
         { "target", aTarget },
-        { "attempts", std::to_string(mTriedTargets.size()) },
+        { "attempts", std::to_string(mAttemptCount) },
         { "ms", std::to_string(ToMilliseconds(taken)) } });
 }
 
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/hash.hpp"
 #include "arbutusferry/node/call_forwarder.hpp"
 #include "arbutusferry/node/request_fingerprint.hpp"
 
@@ -22,6 +23,7 @@
     , mResponder(std::move(aResponder))
     , mActiveCalls(std::move(aActiveCalls))
     , mStarted(aParts.loop.Now())
+    , mQuery{ mCall.service, {}, aParts.zone, {}, {}, Hash64(mCall.id) }
   {
     ++*mActiveCalls;
   }
@@ -38,6 +40,7 @@
   {
     return mCall.route.kind == route_kind::Idempotent;
   }
+  [[nodiscard]] bool MayHaveRun() const noexcept { return mFailedRuns > 0; }
   [[nodiscard]] time_point AnswerDeadline() const;
   void ResumeStream();
   void OnStreamOrigin(const std::optional<std::string>& aSoftware);
@@ -53,7 +56,10 @@
   void Hedge();
   void OnTimeout();
   void OnCallerGone();
-  void OnAttemptFailed(attempt& aAttempt, bool aMayHaveRun);
+  /// Handles an attempt whose target has received nothing.
+  void OnUnreachable(attempt& aAttempt);
+  /// Handles an attempt that failed and may have run.
+  void OnAttemptFailed(attempt& aAttempt);
   void OnNotRun(attempt& aAttempt, response_class aVerdict);
   void OnAttemptDone(attempt& aAttempt);
   void Conclude(http_response aResponse, const char* aOutcome);
@@ -69,8 +75,13 @@
   std::shared_ptr<std::size_t> mActiveCalls;
   time_point mStarted;
   std::vector<std::shared_ptr<attempt>> mAttempts;
-  /// Targets of the attempts; cleared when all have been tried and are full.
-  std::vector<std::string> mTriedTargets;
+  /// Its `tried` is cleared when all targets were tried and are full; targets
+  /// that can't be reached are `excluded`.
+  target_query mQuery;
+  std::size_t mAttemptCount = 0;
+  std::string mLastTarget;
+  /// Attempts that failed and may have run the request.
+  int mFailedRuns = 0;
   /// Targets that may have run the request; at most the route's `maxAttempts`.
   std::set<std::string> mUsedTargets;
   /// Tried targets that may not get a request now because of their limits, and
@@ -78,10 +89,6 @@
   std::size_t mNotAdmitted = 0;
   std::chrono::milliseconds mShortestWait = std::chrono::milliseconds::max();
   bool mAwaitingAdmission = false;
-  /// The only software version that may serve the call, if it goes on with a
-  /// stream.
-  std::optional<std::string> mSoftware;
-  bool mMayHaveRun = false;
   bool mEnded = false;
   bool mRunCounted = false;
   std::unique_ptr<timer> mTimeoutTimer;
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -72,36 +72,40 @@
   return found == mTargets.end() ? nullptr : &found->second;
 }
 
+bool
+target_view::Fits(const known_target& aTarget, const target_query& aQuery)
+{
+  const target_entry& entry = aTarget.entry;
+  return entry.service == aQuery.service && !entry.draining &&
+         (!aQuery.software || entry.software == *aQuery.software) &&
+         !aQuery.excluded.contains(entry.id);
+}
+
 std::string
-target_view::Choose(const std::string& aService,
-                    const std::optional<std::string>& aSoftware,
-                    const std::string& aZone,
-                    const std::vector<std::string>& aTried,
-                    std::uint64_t aSalt,
-                    time_point aNow) const
+target_view::Choose(const target_query& aQuery, time_point aNow) const
 {
   using rank = std::tuple<bool, bool, bool, bool, bool, int, std::uint64_t>;
   std::optional<rank> best;
   std::string chosen;
   for (const auto& [id, known] : mTargets) {
     const target_entry& entry = known.entry;
-    if (entry.service != aService || entry.draining ||
-        (aSoftware && entry.software != *aSoftware) ||
+    if (!Fits(known, aQuery) ||
         (known.removedSince &&
          aNow - *known.removedSince >= kRemovedTargetRetention)) {
       continue;
     }
     const bool tried =
-      std::find(aTried.begin(), aTried.end(), id) != aTried.end();
+      std::find(aQuery.tried.begin(), aQuery.tried.end(), id) !=
+      aQuery.tried.end();
     const auto& limit = known.limit.Named();
     const rank candidate{
       known.removedSince.has_value(),
       tried,
       known.avoidUntil > aNow || (limit && known.nextStart > aNow),
       limit && aNow - limit->namedAt < kLimitRecheck,
-      entry.zone != aZone || known.outstanding >= entry.slots,
+      entry.zone != aQuery.zone || known.outstanding >= entry.slots,
       known.outstanding,
-      Hash64(id, aSalt)
+      Hash64(id, aQuery.salt)
     };
     if (!best || candidate < *best) {
       best = candidate;
@@ -112,15 +116,11 @@
 }
 
 std::size_t
-target_view::CountReady(const std::string& aService,
-                        const std::optional<std::string>& aSoftware) const
+target_view::CountReady(const target_query& aQuery) const
 {
   return static_cast<std::size_t>(
     std::count_if(mTargets.begin(), mTargets.end(), [&](const auto& aEntry) {
-      const known_target& known = aEntry.second;
-      return known.entry.service == aService && !known.entry.draining &&
-             !known.removedSince &&
-             (!aSoftware || known.entry.software == *aSoftware);
+      return Fits(aEntry.second, aQuery) && !aEntry.second.removedSince;
     }));
 }
 
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -263,3 +263,45 @@
   other.body.clear();
   CHECK(FingerprintOf("acme", other) != fingerprint);
 }
+
+// Guards against a node that opens thousands of connections a second to targets
+// that have ended, while the caller waits for its time limit.
+TEST_CASE("a request is refused at once when all targets refuse connections")
+{
+  forwarder_fixture test;
+  test.client.onSend = [&](const auto& aSent) {
+    test.loop.Post(milliseconds(1),
+                   [aSent] { aSent->Fail(exchange_failure::Refused); });
+  };
+  const auto answer = test.Call(route_kind::NonIdempotent, 1);
+  test.loop.Advance(milliseconds(100));
+  CHECK(test.client.requests.size() == 3);
+  CHECK(answer->response.status == 503);
+  CHECK(answer->response.headers.Find("Retry-After"));
+}
+
+// Guards against requests to a target that has ended while another is only
+// full for a moment.
+TEST_CASE("a target that refuses connections isn't tried again for a request")
+{
+  forwarder_fixture test(2);
+  int toFull = 0;
+  int toEnded = 0;
+  test.client.onSend = [&](const auto& aSent) {
+    const bool ended = aSent->peer.ip == "10.0.0.1";
+    ++(ended ? toEnded : toFull);
+    test.loop.Post(milliseconds(1), [&, aSent, ended] {
+      if (ended) {
+        aSent->Fail(exchange_failure::Refused);
+      } else if (toFull < 4) {
+        aSent->Answer(503, kNotRun);
+      } else {
+        aSent->Answer(200, kStamped);
+      }
+    });
+  };
+  const auto answer = test.Call(route_kind::NonIdempotent, 1);
+  test.loop.Advance(milliseconds(300));
+  CHECK(answer->response.status == 200);
+  CHECK(toEnded == 1);
+}
