Bound the runs of a request, not only the targets that it uses

A request whose connections break ran at the only target of its service again and again until its time limit: 301 times in 300 ms in the new case of call_forwarder_test, where the route allows 2 attempts. Cause: max-attempts bounded the number of different targets, and a target that was used before didn't count again. Attempts that failed and may have run now count too.

--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -111,9 +111,10 @@
     }
     return;
   }
-  if (!mUsedTargets.contains(chosen) &&
-      static_cast<int>(mUsedTargets.size()) >= mCall.route.maxAttempts) {
-    // The route's attempts are used up: no further target may be used.
+  const int maxAttempts = mCall.route.maxAttempts;
+  if (mFailedRuns >= maxAttempts ||
+      (!mUsedTargets.contains(chosen) &&
+       static_cast<int>(mUsedTargets.size()) >= maxAttempts)) {
     if (mAttempts.empty()) {
       Fail(false, "attempts_used_up");
     }
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -305,3 +305,18 @@
   CHECK(answer->response.status == 200);
   CHECK(toEnded == 1);
 }
+
+// Guards against a request that runs at the only target again and again while
+// its connections break.
+TEST_CASE("a broken request runs no more often than its route allows")
+{
+  forwarder_fixture test(1);
+  test.client.onSend = [&](const auto& aSent) {
+    test.loop.Post(milliseconds(1),
+                   [aSent] { aSent->Fail(exchange_failure::Broken); });
+  };
+  const auto answer = test.Call(route_kind::Idempotent, 2);
+  test.loop.Advance(milliseconds(300));
+  CHECK(test.client.requests.size() == 2);
+  CHECK(answer->response.status == 502);
+}
