Stop sending a request under which targets end

Cause: a bound that belongs to all repeats of a request at all nodes was kept for one attempt of a caller at one node (max-attempts); nothing told that repeats are the same request, or that a target had ended under it.

Now a node whose connection breaks while the target has the request probes the target with a new connection. Refused means that its process has ended; the node reports that with the request's fingerprint in a keyed topic that all nodes follow, and three such targets block the request at all nodes. It is refused at once with the time until it may be sent again; an attempt that has already run elsewhere is answered 502. Reports are dropped when the request is served or the target turns out to live, and count half from a node that had served the request before, so that requests that ran beside the one to blame stay served. Reports are bounded and outlive the nodes. Items of batches are not affected.

New cases cover reads that miss records, a node that starts again, reset connections, requests beside ended targets and reports of a cut-off node. Cost: one long poll of 2 s a node, one write for each request that was under way at an ended target, one more when it is served.

--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/metrics.hpp"
+#include "arbutusferry/node/crash_guard.hpp"
 #include "arbutusferry/node/environment_view.hpp"
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/http_client.hpp"
@@ -69,6 +70,7 @@
     const caller_protocol& callers;
     target_admission& admission;
     stream_origins& origins;
+    crash_guard& crashes;
     run_counter& runs;
     metrics_registry& metrics;
     std::string zone;
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/node/batch_leader.hpp"
 #include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/crash_watch.hpp"
 #include "arbutusferry/node/keyed_follower.hpp"
 #include "arbutusferry/node/leader_election.hpp"
 #include "arbutusferry/node/platform_duties.hpp"
@@ -129,6 +130,7 @@
   std::map<std::string, std::int64_t> mNewestVersions;
   limit_coordinator mLimits;
   shared_stream_origins mOrigins;
+  crash_watch mCrashes;
   call_forwarder mForwarder;
   usage_meter mUsageMeter;
   bool mSavingUsage = false;
--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace arbutusferry::node {
 
@@ -93,6 +94,14 @@
     http_request aRequest,
     const exchange_options& aOptions,
     std::shared_ptr<response_sink> aSink) = 0;
+  /// Opens a connection and closes it again, to find out whether a process
+  /// listens.
+  /// @param aDone Receives nothing if one listens, or why no connection was
+  /// made; called from the event loop, never from within this call.
+  virtual void Probe(
+    const socket_address& aPeer,
+    std::chrono::milliseconds aTimeout,
+    std::function<void(std::optional<exchange_failure>)> aDone) = 0;
 };
 
 /// Collects a whole response and calls a function with it.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -31,6 +31,17 @@
 
 class asio_client;
 
+/// @return Why a connection wasn't made, or nothing if it was.
+std::optional<exchange_failure>
+ConnectFailure(const net_error& aError)
+{
+  if (!aError) {
+    return std::nullopt;
+  }
+  return aError == asio::error::connection_refused ? exchange_failure::Refused
+                                                   : exchange_failure::NotSent;
+}
+
 /// One connection to a peer, which carries one exchange at a time.
 class client_connection final
   : public std::enable_shared_from_this<client_connection>
@@ -108,6 +119,56 @@
   std::weak_ptr<response_sink> mSink;
 };
 
+/// A connection attempt that carries no request.
+class probe_connection final
+  : public std::enable_shared_from_this<probe_connection>
+{
+public:
+  using callback = std::function<void(std::optional<exchange_failure>)>;
+
+  probe_connection(asio_loop& aLoop, callback aDone)
+    : mLoop(aLoop)
+    , mSocket(aLoop.Context())
+    , mDone(std::move(aDone))
+  {
+  }
+
+  void Start(const socket_address& aPeer, milliseconds aTimeout)
+  {
+    net_error error;
+    const auto address = asio::ip::make_address(aPeer.ip, error);
+    auto self = shared_from_this();
+    if (error) {
+      asio::post(mLoop.Context(),
+                 [self] { self->Finish(exchange_failure::NotSent); });
+      return;
+    }
+    mTimer = mLoop.After(aTimeout,
+                         [self] { self->Finish(exchange_failure::NotSent); });
+    mSocket.async_connect({ address, aPeer.port },
+                          [self](const net_error& aError) {
+                            self->Finish(ConnectFailure(aError));
+                          });
+  }
+
+private:
+  void Finish(std::optional<exchange_failure> aFailure)
+  {
+    const auto self = shared_from_this();
+    mTimer.reset();
+    net_error ignored;
+    mSocket.close(ignored);
+    if (const auto done = std::exchange(mDone, nullptr)) {
+      done(aFailure);
+    }
+  }
+
+  asio_loop& mLoop;
+  tcp::socket mSocket;
+  callback mDone;
+  std::unique_ptr<timer> mTimer;
+};
+
 class asio_client final : public http_client
 {
 public:
@@ -148,6 +209,15 @@
     return exchange;
   }
 
+  void Probe(
+    const socket_address& aPeer,
+    milliseconds aTimeout,
+    std::function<void(std::optional<exchange_failure>)> aDone) override
+  {
+    std::make_shared<probe_connection>(mLoop, std::move(aDone))
+      ->Start(aPeer, aTimeout);
+  }
+
   void AddIdle(const std::shared_ptr<client_connection>& aConnection)
   {
     auto& list = mIdle[aConnection->Peer()];
@@ -227,10 +297,8 @@
       if (self->mClosed) {
         return;
       }
-      if (aError) {
-        self->Fail(aError == asio::error::connection_refused
-                     ? exchange_failure::Refused
-                     : exchange_failure::NotSent);
+      if (const auto failure = ConnectFailure(aError)) {
+        self->Fail(*failure);
         return;
       }
       net_error ignored;
--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -18,7 +18,7 @@
     return;
   }
   mReleased = true;
-  if (auto* known = mCall->mParts.targets.Find(mTarget)) {
+  if (auto* known = mCall->mParts.targets.Find(mTarget.id)) {
     --known->outstanding;
   }
 }
@@ -31,7 +31,7 @@
   const call_forwarder::parts& parts = mCall->mParts;
   verdict = parts.protocol.ClassifyResponse(aStatus, aHeaders);
   if (verdict != response_class::WrongTarget) {
-    parts.targets.NoteLimit(mTarget,
+    parts.targets.NoteLimit(mTarget.id,
                             parts.protocol.ReadLimit(aHeaders),
                             verdict == response_class::Genuine,
                             mSentAt,
@@ -63,7 +63,7 @@
   }
   const auto call = mCall;
   if (!std::exchange(mOriginNoted, true) && !call->mCall.resumesStream) {
-    call->mParts.origins.Note(call->mCall.id, mSoftware);
+    call->mParts.origins.Note(call->mCall.id, mTarget.software);
   }
   call->mResponder->Write(aPart);
   if (call->mResponder->UnsentBytes() > kMaxUnreadBytes) {
@@ -114,14 +114,17 @@
       "attempt_failed",
       { { "request", call->mCall.id },
         { "fingerprint", call->mFingerprint },
-        { "target", mTarget },
+        { "target", mTarget.id },
         { "reason", std::string(FailureName(aFailure)) },
         { "ms", std::to_string(ToMilliseconds(loop.Now() - mSentAt)) } });
+  if (aFailure == exchange_failure::Broken) {
+    call->mParts.crashes.NoteBroken(call->mFingerprint, mTarget);
+  }
   if (mStreaming) {
     call->mEnded = true;
     call->StopAttempts(this);
     call->mResponder->Abort();
-    call->RecordOutcome("stream_broken", mTarget);
+    call->RecordOutcome("stream_broken", mTarget.id);
     return;
   }
   if (NothingSent(aFailure)) {
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -93,7 +93,7 @@
 forwarded_call::TryNextTarget()
 {
   mRetryTimer.reset();
-  if (mEnded) {
+  if (mEnded || RefuseIfBlocked()) {
     return;
   }
   const time_point now = mParts.loop.Now();
@@ -263,6 +263,7 @@
 forwarded_call::OnAttemptDone(attempt& aAttempt)
 {
   mParts.targets.NoteSuccess(aAttempt.Target());
+  mParts.crashes.NoteServed(mFingerprint);
   if (!mRunCounted) {
     mRunCounted = true;
     mParts.runs.CountRun(mCall.team, aAttempt.SentUnixMs());
@@ -413,6 +414,24 @@
   RecordOutcome(aOutcome, mLastTarget);
 }
 
+bool
+forwarded_call::RefuseIfBlocked()
+{
+  const auto blocked = mParts.crashes.BlockedFor(mFingerprint);
+  if (!blocked) {
+    return false;
+  }
+  if (!mAttempts.empty()) {
+    return true; // Their outcome decides.
+  }
+  if (MayHaveRun()) {
+    Fail(false, "targets_end_under_it");
+  } else {
+    Refuse("targets_end_under_it", *blocked);
+  }
+  return true;
+}
+
 void
 forwarded_call::Refuse(const char* aReason, milliseconds aRetryAfter)
 {
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -92,6 +92,7 @@
                 return leader ? std::optional(leader->address) : std::nullopt;
               } })
   , mOrigins({ mParts.loop, mParts.client, mNodes, mSettings.vm })
+  , mCrashes({ mParts.loop, mParts.client, mParts.log })
   , mForwarder({ mParts.loop,
                  mParts.client,
                  mTargets,
@@ -99,6 +100,7 @@
                  mParts.callers,
                  mLimits,
                  mOrigins,
+                 mCrashes,
                  *this,
                  mMetrics,
                  mSettings.zone })
@@ -136,15 +138,20 @@
   WriteNodeRecord(true);
   mNodeFollower->Start();
   mLeaderFollower->Start();
+  mCrashes.Start();
   mElectionTicker = std::make_unique<periodic_timer>(
     mParts.loop, kElectionTick, [this] { StepElection(); });
   mSlowTicker =
     std::make_unique<periodic_timer>(mParts.loop, kSlowTick, [this] {
       SaveUsage();
       mTargets.Expire(mParts.loop.Now());
+      mCrashes.Expire(Leader() != nullptr);
       mMetrics.SetGauge("ferry_leads", {}, Leader() ? 1.0 : 0.0);
       mMetrics.SetGauge(
         "ferry_targets", {}, static_cast<double>(mTargets.All().size()));
+      mMetrics.SetGauge("ferry_blocked_requests",
+                        {},
+                        static_cast<double>(mCrashes.CountBlocked()));
       mMetrics.SetGauge("ferry_environment_version",
                         {},
                         static_cast<double>(mEnvironment.Version()));
@@ -198,6 +205,7 @@
   const bool softwareChanged =
     before && before->entry.software != aTarget.software;
   mTargets.Update(aTarget, mParts.loop.Now());
+  mCrashes.NoteRecord(aTarget);
   if (mLeader) {
     if (softwareChanged) {
       mLeader->OnSoftwareChanged(aTarget.id);
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -63,6 +63,9 @@
   void OnNotRun(attempt& aAttempt, response_class aVerdict);
   void OnAttemptDone(attempt& aAttempt);
   void Conclude(http_response aResponse, const char* aOutcome);
+  /// Refuses the call if the targets end that run it.
+  /// @return Whether the call has ended.
+  bool RefuseIfBlocked();
   void Refuse(const char* aReason, std::chrono::milliseconds aRetryAfter);
   void Fail(bool aTimedOut, const char* aReason);
   void StopAttempts(const attempt* aExcept);
@@ -104,8 +107,7 @@
           const target_entry& aTarget,
           const event_loop& aLoop)
     : mCall(std::move(aCall))
-    , mTarget(aTarget.id)
-    , mSoftware(aTarget.software)
+    , mTarget(aTarget)
     , mSentAt(aLoop.Now())
     , mSentUnixMs(aLoop.UnixMilliseconds())
   {
@@ -118,7 +120,10 @@
   /// Subtracts the attempt from its target's outstanding requests, once.
   void ReleaseTarget();
 
-  [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
+  [[nodiscard]] const std::string& Target() const noexcept
+  {
+    return mTarget.id;
+  }
   [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
   [[nodiscard]] std::int64_t SentUnixMs() const noexcept { return mSentUnixMs; }
   http_response response;
@@ -127,8 +132,7 @@
 
 private:
   std::shared_ptr<forwarded_call> mCall;
-  std::string mTarget;
-  std::string mSoftware; ///< Of the target.
+  target_entry mTarget; ///< As of the time of sending.
   time_point mSentAt;
   std::int64_t mSentUnixMs;
   bool mStreaming = false;
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/node/call_forwarder.hpp"
+#include "arbutusferry/node/crash_watch.hpp"
 #include "arbutusferry/node/peer_handler.hpp"
 
 #include "http_protocols.hpp"
@@ -42,10 +43,15 @@
       , fleet(aFleet)
     {
       client.onSend = [this](const auto& aSent) { fleet.OnSend(*this, aSent); };
+      client.onProbe = [this](const auto& aProbe) {
+        fleet.OnProbe(*this, aProbe);
+      };
+      crashes.Start();
     }
     int index;
     call_fleet& fleet;
     std::string vm = "vm" + std::to_string(index);
+    bool cutOff = false; ///< Its connections to targets are refused.
     scripted_client client;
     target_view targets;
     node_directory directory{ vm + "/1" };
@@ -55,6 +61,8 @@
                                 targets,
                                 [] { return true; },
                                 [] { return std::nullopt; } } };
+    memory_log log{ fleet.loop, fleet.store };
+    crash_watch crashes{ { fleet.loop, client, log } };
     ignoring_handler other;
     peer_handler peers{ limits, origins, other };
     call_forwarder forwarder{ { fleet.loop,
@@ -64,6 +72,7 @@
                                 fleet.callers,
                                 limits,
                                 origins,
+                                crashes,
                                 fleet.runs,
                                 fleet.metrics,
                                 "z" } };
@@ -72,13 +81,7 @@
   call_fleet(int aNodes, int aTargets)
   {
     for (int index = 0; index < aNodes; ++index) {
-      nodes.push_back(std::make_unique<fleet_node>(*this, index));
-    }
-    for (const auto& node : nodes) {
-      for (const auto& other : nodes) {
-        node->directory.Update(
-          { other->vm, other->vm + "/1", "z", NodeAddress(other->index) });
-      }
+      AddNode();
     }
     for (int index = 0; index < aTargets; ++index) {
       target added;
@@ -93,11 +96,33 @@
     WriteHeartbeats();
   }
 
+  /// Adds a node that knows all others, as they know it.
+  void AddNode()
+  {
+    nodes.push_back(
+      std::make_unique<fleet_node>(*this, static_cast<int>(nodes.size())));
+    for (const auto& node : nodes) {
+      for (const auto& other : nodes) {
+        node->directory.Update(
+          { other->vm, other->vm + "/1", "z", NodeAddress(other->index) });
+      }
+    }
+  }
+
   [[nodiscard]] static socket_address NodeAddress(int aNode)
   {
     return { kNodeIp, static_cast<std::uint16_t>(aNode + 1) };
   }
 
+  [[nodiscard]] static http_request Request(const std::string& aBody)
+  {
+    http_request request;
+    request.method = "POST";
+    request.target = "/x";
+    request.body = aBody;
+    return request;
+  }
+
   std::shared_ptr<recording_responder> Call(
     int aNode,
     const std::string& aBody,
@@ -110,10 +135,8 @@
     call.route.kind = aKind;
     call.route.maxAttempts = 2;
     call.route.latencyTarget = std::chrono::milliseconds(150);
-    call.request.method = "POST";
-    call.request.target = "/x";
+    call.request = Request(aBody);
     call.request.headers.Add("Arbutusferry-Request-Id", call.id);
-    call.request.body = aBody;
     call.deadline = loop.Now() + std::chrono::milliseconds(800);
     call.timeout = call.deadline;
     auto answer = std::make_shared<recording_responder>();
@@ -122,6 +145,16 @@
     return answer;
   }
 
+  /// Resets the connections of all targets; their processes live on.
+  void ResetConnections()
+  {
+    for (target& entry : targets) {
+      for (const auto& sent : std::exchange(entry.running, {})) {
+        sent->Fail(exchange_failure::Broken);
+      }
+    }
+  }
+
   /// Ends a target's process: its connections break and new ones are refused.
   /// The registry removes it 3 s later; it is back under another id after
   /// `downTime`.
@@ -158,6 +191,7 @@
   }
 
   manual_loop loop;
+  memory_store store;
   platform::http_target_protocol protocol;
   platform::http_caller_protocol callers;
   ignored_runs runs;
@@ -174,6 +208,7 @@
   {
     for (const auto& node : nodes) {
       node->targets.Update(aTarget.entry, loop.Now());
+      node->crashes.NoteRecord(aTarget.entry);
     }
   }
 
@@ -187,7 +222,8 @@
     loop.Post(kHeartbeat, [this] { WriteHeartbeats(); });
   }
 
-  void OnSend(fleet_node&, const std::shared_ptr<scripted_client::sent>& aSent)
+  void OnSend(fleet_node& aNode,
+              const std::shared_ptr<scripted_client::sent>& aSent)
   {
     if (aSent->peer.ip == kNodeIp) {
       loop.Post(std::chrono::milliseconds(1), [this, aSent] {
@@ -196,21 +232,41 @@
       });
       return;
     }
-    loop.Post(std::chrono::milliseconds(1), [this, aSent] { Arrive(aSent); });
+    loop.Post(std::chrono::milliseconds(1), [this, &aNode, aSent] {
+      if (aNode.cutOff) {
+        aSent->Fail(exchange_failure::Refused);
+      } else {
+        Arrive(aSent);
+      }
+    });
   }
 
-  void Arrive(const std::shared_ptr<scripted_client::sent>& aSent)
+  void OnProbe(fleet_node& aNode, const scripted_client::probe& aProbe)
   {
-    const auto found =
-      std::find_if(targets.begin(), targets.end(), [&](const auto& aTarget) {
-        return aTarget.entry.address == aSent->peer;
+    loop.Post(std::chrono::milliseconds(1), [this, &aNode, aProbe] {
+      aProbe.done(TargetAt(aProbe.peer).up && !aNode.cutOff
+                    ? std::nullopt
+                    : std::optional(exchange_failure::Refused));
+    });
+  }
+
+  [[nodiscard]] target& TargetAt(const socket_address& aAddress)
+  {
+    return *std::find_if(
+      targets.begin(), targets.end(), [&](const auto& aTarget) {
+        return aTarget.entry.address == aAddress;
       });
-    if (!found->up) {
+  }
+
+  void Arrive(const std::shared_ptr<scripted_client::sent>& aSent)
+  {
+    target& found = TargetAt(aSent->peer);
+    if (!found.up) {
       aSent->Fail(exchange_failure::Refused);
       return;
     }
     if (aSent->request.headers.Get("Arbutusferry-Expect-Instance") !=
-        found->entry.id) {
+        found.entry.id) {
       aSent->Answer(421);
       return;
     }
@@ -221,8 +277,8 @@
     if (crashes) {
       crashingRuns.push_back(loop.Now());
     }
-    found->running.push_back(aSent);
-    const auto index = static_cast<std::size_t>(found - targets.begin());
+    found.running.push_back(aSent);
+    const auto index = static_cast<std::size_t>(&found - targets.data());
     loop.Post(kRunTime, [this, index, aSent, crashes] {
       if (std::erase(targets[index].running, aSent) == 0) {
         return; // The target has ended meanwhile.
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -345,8 +345,27 @@
     return open;
   }
 
+  struct probe
+  {
+    socket_address peer;
+    std::function<void(std::optional<exchange_failure>)> done;
+  };
+
+  void Probe(
+    const socket_address& aPeer,
+    std::chrono::milliseconds,
+    std::function<void(std::optional<exchange_failure>)> aDone) override
+  {
+    probes.push_back({ aPeer, std::move(aDone) });
+    if (onProbe) {
+      onProbe(probes.back());
+    }
+  }
+
   std::vector<std::shared_ptr<sent>> requests;
+  std::vector<probe> probes;
   std::function<void(const std::shared_ptr<sent>&)> onSend;
+  std::function<void(const probe&)> onProbe;
 
 private:
   class scripted_exchange final : public http_exchange
@@ -377,6 +396,18 @@
   void CountRun(const std::string&, std::int64_t) override {}
 };
 
+/// Crash guard for tests in which no target ends.
+struct ignored_crashes final : crash_guard
+{
+  [[nodiscard]] std::optional<std::chrono::milliseconds> BlockedFor(
+    const std::string&) const override
+  {
+    return std::nullopt;
+  }
+  void NoteBroken(const std::string&, const target_entry&) override {}
+  void NoteServed(const std::string&) override {}
+};
+
 /// Responder that records the response.
 class recording_responder final : public responder
 {
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -307,3 +307,31 @@
   test.RunUntil([&] { return sent->failure.has_value(); });
   CHECK(*sent->failure == exchange_failure::Protocol);
 }
+
+// Guards against a living process that is taken to have ended, and the other
+// way round.
+TEST_CASE("a probe tells whether a process listens")
+{
+  asio_loop loop;
+  echo_handler handler;
+  const std::uint16_t port = FreePort();
+  auto listener = Capture([&] {
+    return Listen(loop, { "127.0.0.1", port }, handler);
+  });
+  const auto client = MakeHttpClient(loop);
+  const auto probe = [&](std::uint16_t aPort) {
+    std::optional<std::optional<exchange_failure>> outcome;
+    client->Probe(
+      { "127.0.0.1", aPort },
+      milliseconds(1'000),
+      [&](std::optional<exchange_failure> aFailure) { outcome = aFailure; });
+    CHECK_FALSE(outcome);
+    while (!outcome) {
+      loop.Context().run_one();
+    }
+    return *outcome;
+  };
+  CHECK(probe(port) == std::nullopt);
+  CHECK(probe(FreePort()) == exchange_failure::Refused);
+  CHECK(handler.handled == 0);
+}
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -66,6 +66,7 @@
   int calls = 0;
   node_directory nodes{ "vm/1" };
   shared_stream_origins origins{ { loop, client, nodes, "vm" } };
+  ignored_crashes crashes;
   limit_coordinator limits{
     { loop, client, targets, [] { return true; }, [] { return std::nullopt; } }
   };
@@ -76,6 +77,7 @@
                               callers,
                               limits,
                               origins,
+                              crashes,
                               runs,
                               metrics,
                               "home" } };
--- a/tests/unit/request_limit_test.cpp
+++ b/tests/unit/request_limit_test.cpp
@@ -84,6 +84,7 @@
                                 service.callers,
                                 limits,
                                 origins,
+                                service.crashes,
                                 service.runs,
                                 service.metrics,
                                 "z" } };
@@ -159,6 +160,7 @@
   platform::http_target_protocol protocol;
   platform::http_caller_protocol callers;
   ignored_runs runs;
+  ignored_crashes crashes;
   metrics_registry metrics;
   std::vector<std::unique_ptr<calling_node>> nodes;
   std::map<std::string, standin::limit_rule> rules;
--- a/tests/unit/software_version_test.cpp
+++ b/tests/unit/software_version_test.cpp
@@ -114,6 +114,7 @@
                                 service.callers,
                                 limits,
                                 origins,
+                                service.crashes,
                                 service.runs,
                                 service.metrics,
                                 "z" } };
@@ -185,6 +186,7 @@
   platform::http_target_protocol protocol;
   platform::http_caller_protocol callers;
   ignored_runs runs;
+  ignored_crashes crashes;
   metrics_registry metrics;
   std::vector<std::unique_ptr<stream_node>> nodes;
   std::map<std::string, std::string> software; ///< By IP of the target.
