--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -28,6 +28,14 @@
   /// Interval at which targets write to the registry.
   static constexpr std::chrono::milliseconds kHeartbeat{ 1'200 };
 
+  /// A node's links to all targets.
+  enum class link_state
+  {
+    Up,
+    Silent,  ///< Nothing arrives; connections are never made.
+    Refused, ///< New connections are refused.
+  };
+
   struct target
   {
     target_entry entry;
@@ -51,7 +59,7 @@
     int index;
     call_fleet& fleet;
     std::string vm = "vm" + std::to_string(index);
-    bool cutOff = false; ///< Its connections to targets are refused.
+    link_state link = link_state::Up; ///< To all targets.
     scripted_client client;
     target_view targets;
     node_directory directory{ vm + "/1" };
@@ -201,7 +209,8 @@
   duration downTime = std::chrono::milliseconds(2'900);
   /// When each request with `kCrashingBody` began to run at a target.
   std::vector<time_point> crashingRuns;
-  int served = 0; ///< Other requests that a target ran to their end.
+  int served = 0;  ///< Other requests that a target ran to their end.
+  int relayed = 0; ///< Requests between nodes that aren't about streams.
 
 private:
   void WriteEntry(const target& aTarget)
@@ -226,6 +235,8 @@
               const std::shared_ptr<scripted_client::sent>& aSent)
   {
     if (aSent->peer.ip == kNodeIp) {
+      relayed +=
+        shared_stream_origins::IsOriginPath(aSent->request.target) ? 0 : 1;
       loop.Post(std::chrono::milliseconds(1), [this, aSent] {
         nodes[aSent->peer.port - 1U]->peers.Handle(
           aSent->request, std::make_shared<sink_responder>(aSent));
@@ -233,10 +244,17 @@
       return;
     }
     loop.Post(std::chrono::milliseconds(1), [this, &aNode, aSent] {
-      if (aNode.cutOff) {
-        aSent->Fail(exchange_failure::Refused);
-      } else {
-        Arrive(aSent);
+      switch (aNode.link) {
+        case link_state::Up:
+          Arrive(aSent);
+          break;
+        case link_state::Silent:
+          loop.Post(aSent->options.connectTimeout,
+                    [aSent] { aSent->Fail(exchange_failure::NotSent); });
+          break;
+        case link_state::Refused:
+          aSent->Fail(exchange_failure::Refused);
+          break;
       }
     });
   }
@@ -244,7 +262,12 @@
   void OnProbe(fleet_node& aNode, const scripted_client::probe& aProbe)
   {
     loop.Post(std::chrono::milliseconds(1), [this, &aNode, aProbe] {
-      aProbe.done(TargetAt(aProbe.peer).up && !aNode.cutOff
+      if (aNode.link == link_state::Silent) {
+        loop.Post(aProbe.timeout,
+                  [aProbe] { aProbe.done(exchange_failure::NotSent); });
+        return;
+      }
+      aProbe.done(TargetAt(aProbe.peer).up && aNode.link == link_state::Up
                     ? std::nullopt
                     : std::optional(exchange_failure::Refused));
     });
--- a/tests/support/node_fakes.hpp
+++ b/tests/support/node_fakes.hpp
@@ -298,6 +298,7 @@
     std::shared_ptr<response_sink> sink;
     bool cancelled = false;
     std::function<void()> onCancel; ///< Called when the sender cancels.
+    exchange_options options;
 
     void Answer(int aStatus,
                 const header_list& aHeaders = {},
@@ -322,11 +323,11 @@
   std::shared_ptr<http_exchange> Send(
     const socket_address& aPeer,
     http_request aRequest,
-    const exchange_options&,
+    const exchange_options& aOptions,
     std::shared_ptr<response_sink> aSink) override
   {
-    auto entry = std::make_shared<sent>(
-      sent{ aPeer, std::move(aRequest), std::move(aSink), false, {} });
+    auto entry = std::make_shared<sent>(sent{
+      aPeer, std::move(aRequest), std::move(aSink), false, {}, aOptions });
     requests.push_back(entry);
     if (onSend) {
       onSend(entry);
@@ -349,14 +350,15 @@
   {
     socket_address peer;
     std::function<void(std::optional<exchange_failure>)> done;
+    std::chrono::milliseconds timeout;
   };
 
   void Probe(
     const socket_address& aPeer,
-    std::chrono::milliseconds,
+    std::chrono::milliseconds aTimeout,
     std::function<void(std::optional<exchange_failure>)> aDone) override
   {
-    probes.push_back({ aPeer, std::move(aDone) });
+    probes.push_back({ aPeer, std::move(aDone), aTimeout });
     if (onProbe) {
       onProbe(probes.back());
     }
--- a/tests/unit/crashing_request_test.cpp
+++ b/tests/unit/crashing_request_test.cpp
@@ -145,7 +145,7 @@
 TEST_CASE("reports that living targets have ended are dropped")
 {
   call_fleet fleet(2, 4);
-  fleet.nodes[1]->cutOff = true; // New connections are refused.
+  fleet.nodes[1]->link = call_fleet::link_state::Refused;
   for (std::size_t index = 0; index < 3; ++index) {
     fleet.nodes[1]->crashes.NoteBroken(
       FingerprintOf("acme", fleet.Request("same")), fleet.targets[index].entry);
