Send requests through other nodes while a node reaches no target

Cause: a node had no way to a target but its own connections. The class is a dependency on one path where the system has several. It is fixed where all requests to targets are sent, so plain requests, streams, relayed runs of items, reports and probes of ended targets are covered: target_client notices that no target accepts connections and asks another node to send the request; target_gateway does so over its own links only. Only attempts of which the target has received nothing go another way; the connect timeout bounds all ways together, and messages that were held up are refused.

New cases cover attempts, promises, time left, cancelling, refusal at once when all nodes are cut off, held-up messages, crashing requests at cut-off nodes and orders.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -42,7 +42,8 @@
   struct parts
   {
     event_loop& loop;
-    http_client& client;
+    http_client& client;       ///< For other nodes.
+    http_client& targetClient; ///< For targets.
     record_log& log;
     target_view& targets;
     /// Other nodes, which relay the streams of runs.
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/node/keyed_follower.hpp"
 #include "arbutusferry/node/leader_election.hpp"
 #include "arbutusferry/node/platform_duties.hpp"
+#include "arbutusferry/node/target_gateway.hpp"
 #include "arbutusferry/node/usage_windows.hpp"
 
 #include <memory>
@@ -74,6 +75,9 @@
   [[nodiscard]] call_forwarder& Forwarder() noexcept { return mForwarder; }
   [[nodiscard]] shared_stream_origins& Origins() noexcept { return mOrigins; }
   [[nodiscard]] limit_coordinator& Limits() noexcept { return mLimits; }
+  [[nodiscard]] target_gateway& Gateway() noexcept { return mGateway; }
+  /// @return The client for all requests to targets.
+  [[nodiscard]] http_client& TargetClient() noexcept { return mTargetClient; }
   [[nodiscard]] event_loop& Loop() noexcept { return mParts.loop; }
   /// @return The leader of batches, or null unless this node leads and has read
   /// the journal.
@@ -127,6 +131,8 @@
   std::function<void(const environment_view&)> mOnEnvironment;
   target_view mTargets;
   node_directory mNodes;
+  target_client mTargetClient;
+  target_gateway mGateway;
   std::map<std::string, std::int64_t> mNewestVersions;
   limit_coordinator mLimits;
   shared_stream_origins mOrigins;
--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -70,6 +70,9 @@
   /// Request header that the peer repeats in its response, or empty. A response
   /// with another value belongs to another request and is skipped.
   std::string echoHeader;
+  /// Never send through another node: the peer tells senders apart by where
+  /// they connect from.
+  bool directOnly = false;
 };
 
 /// A request whose response is not complete yet.
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,8 @@
 [[nodiscard]] std::optional<node_entry>
 DecodeNode(const std::string& aText);
 
-/// The leader's view of the other nodes, and its choice of the node that
-/// relays a sampler's streams.
+/// View of the other nodes, with the choice of the node that relays a sampler's
+/// streams, keeps a record, or gives access to targets.
 class node_directory
 {
 public:
@@ -56,6 +57,17 @@
                                                       const std::string& aOwnVm,
                                                       std::size_t aCount) const;
 
+  /// Chooses a node of any zone through which this one reaches a target: the
+  /// same one for a target while that works.
+  /// @param aTried VMs that were tried.
+  /// @return Nothing if all others are tried, backed off or cut off.
+  [[nodiscard]] std::optional<node_entry> ChooseGateway(
+    const std::string& aTarget,
+    const std::set<std::string>& aTried,
+    time_point aNow) const;
+  /// Notes that a node reaches no target itself.
+  void NoteCutOff(const socket_address& aAddress, time_point aNow);
+
   /// Notes that bytes arrived from a node.
   void NoteAlive(const socket_address& aAddress, time_point aNow);
   /// Notes a node's clock as reported in its response.
@@ -81,6 +93,7 @@
     time_point avoidUntil;
     time_point lastByteAt;
     int failures = 0;
+    time_point cutOffUntil; ///< It reaches no target until then.
     std::optional<std::int64_t> clockMs;
     time_point clockAt; ///< When its response arrived.
   };
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -31,7 +31,7 @@
              aFence,
              [this] { mParts.superseded(); })
   , mPool({ mParts.loop,
-            mParts.client,
+            mParts.targetClient,
             mParts.targets,
             mParts.protocol,
             mParts.holder,
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -178,7 +178,7 @@
         { "events", std::to_string(item.progress.events.size()) } });
   if (!relay) {
     item.progress.location.reset();
-    run->Start(mParts.client, target->entry);
+    run->Start(mParts.targetClient, target->entry);
     return true;
   }
   item.progress.location = { std::to_string(mFence) + "-" +
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -80,6 +80,8 @@
   , mSettings(std::move(aSettings))
   , mInstance(mSettings.vm + "/" + RandomHex(6))
   , mNodes(mInstance)
+  , mTargetClient({ mParts.loop, mParts.client, mNodes, mTargets })
+  , mGateway(mParts.loop, mTargetClient)
   , mLimits({ mParts.loop,
               mParts.client,
               mTargets,
@@ -92,9 +94,9 @@
                 return leader ? std::optional(leader->address) : std::nullopt;
               } })
   , mOrigins({ mParts.loop, mParts.client, mNodes, mSettings.vm })
-  , mCrashes({ mParts.loop, mParts.client, mParts.log })
+  , mCrashes({ mParts.loop, mTargetClient, mParts.log })
   , mForwarder({ mParts.loop,
-                 mParts.client,
+                 mTargetClient,
                  mTargets,
                  mParts.protocol,
                  mParts.callers,
@@ -149,6 +151,8 @@
       mMetrics.SetGauge("ferry_leads", {}, Leader() ? 1.0 : 0.0);
       mMetrics.SetGauge(
         "ferry_targets", {}, static_cast<double>(mTargets.All().size()));
+      mMetrics.SetGauge(
+        "ferry_targets_out_of_reach", {}, mTargetClient.CutOff() ? 1.0 : 0.0);
       mMetrics.SetGauge("ferry_blocked_requests",
                         {},
                         static_cast<double>(mCrashes.CountBlocked()));
@@ -428,6 +432,7 @@
   mLeader =
     std::make_unique<batch_leader>(batch_leader::parts{ mParts.loop,
                                                         mParts.client,
+                                                        mTargetClient,
                                                         mParts.log,
                                                         mTargets,
                                                         mNodes,
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kInitialBackoff{ 1'000 };
 constexpr milliseconds kMaxBackoff{ 30'000 };
 constexpr int kMaxDoublings = 5;
+/// Time after which a node that reached no target is asked again.
+constexpr milliseconds kCutOffRetry{ 1'000 };
 /// A node that sends no byte for this long is taken to be frozen or cut off:
 /// any of its streams would have sent several events.
 constexpr milliseconds kNodeTimeout{ 250 };
@@ -89,6 +91,35 @@
   return best ? std::optional(best->entry) : std::nullopt;
 }
 
+std::optional<node_entry>
+node_directory::ChooseGateway(const std::string& aTarget,
+                              const std::set<std::string>& aTried,
+                              time_point aNow) const
+{
+  const known_node* best = nullptr;
+  std::uint64_t bestWeight = 0;
+  for (const auto& [vm, known] : mNodes) {
+    if (known.avoidUntil > aNow || known.cutOffUntil > aNow ||
+        aTried.contains(vm)) {
+      continue;
+    }
+    const std::uint64_t weight = RendezvousWeight(aTarget, vm);
+    if (!best || weight > bestWeight) {
+      best = &known;
+      bestWeight = weight;
+    }
+  }
+  return best ? std::optional(best->entry) : std::nullopt;
+}
+
+void
+node_directory::NoteCutOff(const socket_address& aAddress, time_point aNow)
+{
+  if (known_node* node = Find(aAddress)) {
+    node->cutOffUntil = aNow + kCutOffRetry;
+  }
+}
+
 std::vector<node_entry>
 node_directory::ChooseKeepers(const std::string& aKey,
                               const std::string& aOwnVm,
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -402,6 +402,8 @@
   exchange_options options;
   options.connectTimeout = kRequestTimeout;
   options.readTimeout = kRequestTimeout;
+  // Orders from two VMs count as orders of two holders.
+  options.directOnly = true;
   mParts.client.Send(
     entry.target.address,
     mParts.protocol.MakeOrder(order, entry.target),
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -70,11 +70,13 @@
                                 [] { return true; },
                                 [] { return std::nullopt; } } };
     memory_log log{ fleet.loop, fleet.store };
-    crash_watch crashes{ { fleet.loop, client, log } };
+    target_client targetClient{ { fleet.loop, client, directory, targets } };
+    target_gateway gateway{ fleet.loop, targetClient };
+    crash_watch crashes{ { fleet.loop, targetClient, log } };
     ignoring_handler other;
-    peer_handler peers{ limits, origins, other };
+    peer_handler peers{ limits, origins, gateway, other };
     call_forwarder forwarder{ { fleet.loop,
-                                client,
+                                targetClient,
                                 targets,
                                 fleet.protocol,
                                 fleet.callers,
@@ -209,7 +211,9 @@
   duration downTime = std::chrono::milliseconds(2'900);
   /// When each request with `kCrashingBody` began to run at a target.
   std::vector<time_point> crashingRuns;
-  int served = 0;  ///< Other requests that a target ran to their end.
+  int served = 0; ///< Other requests that a target ran to their end.
+  std::map<std::string, int> runsOf; ///< By request id.
+  std::int64_t longestDeadline = 0;  ///< In ms, that a target was given.
   int relayed = 0; ///< Requests between nodes that aren't about streams.
 
 private:
@@ -300,6 +304,12 @@
     if (crashes) {
       crashingRuns.push_back(loop.Now());
     }
+    ++runsOf[std::string(
+      aSent->request.headers.Get("Arbutusferry-Request-Id"))];
+    longestDeadline = std::max(
+      longestDeadline,
+      ParseInteger(aSent->request.headers.Get("Arbutusferry-Deadline-Ms"))
+        .value_or(0));
     found.running.push_back(aSent);
     const auto index = static_cast<std::size_t>(&found - targets.data());
     loop.Post(kRunTime, [this, index, aSent, crashes] {
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -256,6 +256,7 @@
   {
     auto leader = std::make_unique<batch_leader>(
       batch_leader::parts{ loop,
+                           client,
                            client,
                            log,
                            targets,
--- a/tests/unit/software_version_test.cpp
+++ b/tests/unit/software_version_test.cpp
@@ -106,7 +106,9 @@
                                 [] { return false; },
                                 [] { return std::nullopt; } } };
     ignoring_handler other;
-    peer_handler peers{ limits, origins, other };
+    target_client targetClient{ { service.loop, client, directory, targets } };
+    target_gateway gateway{ service.loop, targetClient };
+    peer_handler peers{ limits, origins, gateway, other };
     call_forwarder forwarder{ { service.loop,
                                 client,
                                 targets,
--- a/tests/unit/stranded_node_test.cpp
+++ b/tests/unit/stranded_node_test.cpp
@@ -74,3 +74,145 @@
   CHECK(shares[false].served == shares[false].calls);
   CHECK(fleet.relayed == 0);
 }
+
+// Guards against a request that runs more often than its route allows, or is
+// refused although it has run, when it goes through another node; and against
+// targets that are given more time than the caller waits.
+TEST_CASE("requests through other nodes keep attempts, promises and time left")
+{
+  const auto link =
+    GENERATE(call_fleet::link_state::Silent, call_fleet::link_state::Refused);
+  call_fleet fleet(4, 3);
+  std::map<std::string, std::shared_ptr<recording_responder>> calls;
+  for (int round = 0; round < 120; ++round) {
+    const int node = round % 4;
+    // Links fail and return, and connections to targets are reset meanwhile.
+    fleet.nodes[static_cast<std::size_t>(round / 7 % 4)]->link =
+      round % 3 == 0 ? link : call_fleet::link_state::Up;
+    if (round % 5 == 0) {
+      fleet.ResetConnections();
+    }
+    calls["r" + std::to_string(round + 1)] =
+      fleet.Call(node, "x" + std::to_string(round), route_kind::NonIdempotent);
+    fleet.loop.Advance(milliseconds(60 + round % 9));
+  }
+  fleet.loop.Advance(milliseconds(1'000));
+  int served = 0;
+  for (const auto& [id, answer] : calls) {
+    CAPTURE(id, answer->response.status);
+    CHECK(answer->answers == 1);
+    CHECK(fleet.runsOf[id] <= 1);
+    if (answer->response.status == 503) {
+      CHECK(fleet.runsOf[id] == 0);
+    }
+    served += answer->response.status == 200 ? 1 : 0;
+  }
+  CHECK(served >= 80);
+  CHECK(fleet.longestDeadline <= 800);
+}
+
+// Guards against a target that works on for a caller who has left.
+TEST_CASE("a caller that leaves cancels its request behind another node")
+{
+  call_fleet fleet(2, 2);
+  fleet.nodes[0]->link = call_fleet::link_state::Refused;
+  (void)fleet.Call(0, "first");
+  fleet.loop.Advance(milliseconds(500));
+  REQUIRE(fleet.nodes[0]->targetClient.CutOff());
+  const auto answer = fleet.Call(0, "second");
+  fleet.loop.Advance(milliseconds(3));
+  std::size_t running = 0;
+  for (const auto& target : fleet.targets) {
+    running += target.running.size();
+  }
+  REQUIRE(running == 1);
+  answer->Leave();
+  fleet.loop.Advance(milliseconds(1));
+  for (const auto& target : fleet.targets) {
+    for (const auto& sent : target.running) {
+      CHECK(sent->cancelled);
+    }
+  }
+}
+
+// Guards against callers who wait for their time limit although no node can
+// serve them.
+TEST_CASE("a request is refused at once when all nodes are cut off")
+{
+  call_fleet fleet(3, 3);
+  for (const auto& node : fleet.nodes) {
+    node->link = call_fleet::link_state::Refused;
+  }
+  (void)CallSteadily(fleet, route_kind::Idempotent, milliseconds(1'500));
+  const auto answer = fleet.Call(0, "x");
+  fleet.loop.Advance(milliseconds(50));
+  CHECK(answer->response.status == 503);
+}
+
+// Guards against requests that other nodes send for callers who are long gone,
+// since the message was held up on its way.
+TEST_CASE("a message to another node that was under way for long is refused")
+{
+  call_fleet fleet(1, 1);
+  auto& node = *fleet.nodes[0];
+  gateway_call call;
+  call.target = fleet.targets[0].entry.address;
+  call.options.connectTimeout = milliseconds(400);
+  const auto serve = [&](std::optional<std::int64_t> aSentAt) {
+    call.sentAt = aSentAt;
+    auto answer = std::make_shared<recording_responder>();
+    node.gateway.Serve(MakeGatewaySend(call, call_fleet::Request("x")), answer);
+    return ReadGatewayError(answer->response.headers);
+  };
+  const std::int64_t now = ToMilliseconds(fleet.loop.Now().time_since_epoch());
+  CHECK(serve(std::nullopt) == gateway_error::Late);
+  CHECK(serve(now - 400) == gateway_error::Late);
+  CHECK(serve(now + 400) == gateway_error::Late);
+  CHECK(node.client.requests.empty());
+  CHECK_FALSE(serve(now - 300));
+  REQUIRE(node.client.requests.size() == 1);
+  CHECK(node.client.requests[0]->options.connectTimeout == milliseconds(100));
+}
+
+// Guards against a crashing request that stays unknown since the nodes that
+// send it reach targets only through others.
+TEST_CASE("nodes that are cut off block a crashing request too")
+{
+  call_fleet fleet(4, 4);
+  fleet.nodes[0]->link = call_fleet::link_state::Refused;
+  fleet.nodes[1]->link = call_fleet::link_state::Silent;
+  (void)fleet.Call(0, "x");
+  (void)fleet.Call(1, "x");
+  fleet.loop.Advance(milliseconds(1'000));
+  for (int round = 0; round < 60; ++round) {
+    (void)fleet.Call(round % 2, call_fleet::kCrashingBody);
+    fleet.loop.Advance(milliseconds(300));
+  }
+  CHECK(fleet.crashingRuns.size() >= 3);
+  CHECK(fleet.crashingRuns.size() <= 6);
+}
+
+// Guards against weight orders of one leader that reach a sampler from two VMs.
+TEST_CASE("what may come from one node only isn't sent through others")
+{
+  call_fleet fleet(2, 2);
+  fleet.nodes[0]->link = call_fleet::link_state::Refused;
+  (void)fleet.Call(0, "x");
+  fleet.loop.Advance(milliseconds(1'000));
+  REQUIRE(fleet.nodes[0]->targetClient.CutOff());
+  fleet.relayed = 0;
+  exchange_options options;
+  options.directOnly = true;
+  std::optional<exchange_failure> failure;
+  fleet.nodes[0]->targetClient.Send(
+    fleet.targets[0].entry.address,
+    call_fleet::Request("order"),
+    options,
+    std::make_shared<response_collector>(
+      [&](const http_response*, exchange_failure aFailure) {
+        failure = aFailure;
+      }));
+  fleet.loop.Advance(milliseconds(100));
+  CHECK(failure == exchange_failure::Refused);
+  CHECK(fleet.relayed == 0);
+}
