Hand over leadership when only other nodes reach targets

Now a leader that reaches no target asks for a node that does; if there is one it saves the progress of its items and releases leadership, as when it stops. Nodes that know that they are cut off claim leadership only after 5 s of silence. If no node reaches targets the leader stays.

The first case of cut_off_leader_test failed before (the cut-off leader stayed) and passes now.

--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -120,7 +120,12 @@
   void WriteLeaderRecord(leader_record aRecord);
   void ApplyElection();
   void EndTerm(const char* aReason);
-  void ReleaseLeadership();
+  /// Saves the state of the leader and releases leadership.
+  void HandOverLeadership(const char* aReason);
+  void ReleaseLeadership(const char* aReason);
+  /// Hands over leadership if only other nodes reach targets: orders must come
+  /// from the leader itself.
+  void HandOverIfCutOff();
   void RunLeaderDuties();
 
   parts mParts;
--- a/include/arbutusferry/node/target_client.hpp
+++ b/include/arbutusferry/node/target_client.hpp
@@ -7,6 +7,7 @@
 #include "arbutusferry/node/target_view.hpp"
 
 #include <memory>
+#include <vector>
 
 namespace arbutusferry::node {
 
@@ -45,12 +46,21 @@
     std::chrono::milliseconds aTimeout,
     std::function<void(std::optional<exchange_failure>)> aDone);
   [[nodiscard]] bool CutOff() const noexcept { return mMonitor.CutOff(); }
+  /// Checks whether targets can be reached, unless that is known.
+  void CheckReach();
+  /// Asks other nodes for access to some targets.
+  /// @param aReached Called if another node reaches one.
+  void FindReach(const std::function<void()>& aReached);
 
 private:
   class exchange;
 
-  /// Checks whether targets can be reached, unless that is known.
-  void CheckReach();
+  void ProbeThroughGateway(
+    const socket_address& aPeer,
+    std::chrono::milliseconds aTimeout,
+    std::function<void(std::optional<exchange_failure>)> aDone);
+  /// @return Addresses of a few targets, other ones for each check.
+  [[nodiscard]] std::vector<socket_address> ChooseTargets() const;
   void EndCheck(bool aReached);
 
   parts mParts;
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -23,6 +23,9 @@
 constexpr double kMaxClaimDelayMs = 800.0;
 /// Spreads the claims of equal nodes.
 constexpr double kClaimJitterMs = 60.0;
+/// Silence of the holder after which a node that reaches no target claims
+/// leadership: others claim after 3.9 s at the latest.
+constexpr milliseconds kCutOffClaimDelay{ 5'000 };
 /// Margin of a lease for differences between clocks.
 constexpr milliseconds kClockMargin{ 500 };
 
@@ -160,6 +163,7 @@
                         {},
                         static_cast<double>(mEnvironment.Version()));
       RunLeaderDuties();
+      HandOverIfCutOff();
     });
 }
 
@@ -398,6 +402,10 @@
       !mElection.ShouldWrite(mParts.loop.Now())) {
     return;
   }
+  if (!mElection.Leads() && mTargetClient.CutOff() &&
+      mElection.HolderSilence(mParts.loop.Now()) < kCutOffClaimDelay) {
+    return;
+  }
   WriteLeaderRecord(mElection.NextRecord(mLeaderFollower->NextOffset()));
 }
 
@@ -415,6 +423,7 @@
       "leadership_began",
       { { "fence", std::to_string(mElection.Fence()) } });
   mTargets.SpendLimitBursts(mParts.loop.Now());
+  mTargetClient.CheckReach();
   // The leader may learn in its own callbacks that its term is over, so it is
   // destroyed from the event loop.
   const auto superseded = [this] {
@@ -502,18 +511,38 @@
   }
   mResigned = true;
   WriteNodeRecord(false);
+  HandOverLeadership("resigned");
+}
+
+void
+ferry_node::HandOverLeadership(const char* aReason)
+{
   if (batch_leader* leader = Leader()) {
     // Hands over what was generated so far through the journal.
-    leader->HandOver([this] { ReleaseLeadership(); });
-    mReleaseTimer =
-      mParts.loop.After(kHandOverTimeout, [this] { ReleaseLeadership(); });
+    leader->HandOver([this, aReason] { ReleaseLeadership(aReason); });
+    mReleaseTimer = mParts.loop.After(
+      kHandOverTimeout, [this, aReason] { ReleaseLeadership(aReason); });
   } else if (mElection.Leads()) {
-    ReleaseLeadership();
+    ReleaseLeadership(aReason);
+  }
+}
+
+void
+ferry_node::HandOverIfCutOff()
+{
+  if (!Leader() || !mTargetClient.CutOff() || mReleaseTimer) {
+    return;
   }
+  mTargetClient.FindReach([this, fence = mElection.Fence()] {
+    if (Leader() && mElection.Fence() == fence && mTargetClient.CutOff() &&
+        !mReleaseTimer) {
+      HandOverLeadership("targets_out_of_reach");
+    }
+  });
 }
 
 void
-ferry_node::ReleaseLeadership()
+ferry_node::ReleaseLeadership(const char* aReason)
 {
   mReleaseTimer.reset();
   if (!mElection.Leads()) {
@@ -522,9 +551,9 @@
   leader_record record = mElection.NextRecord(mLeaderFollower->NextOffset());
   record.released = true;
   mElection.StepDown(mParts.loop.Now());
-  mEndTermTimer = mParts.loop.After(duration::zero(), [this] {
+  mEndTermTimer = mParts.loop.After(duration::zero(), [this, aReason] {
     mEndTermTimer.reset();
-    EndTerm("resigned");
+    EndTerm(aReason);
   });
   WriteLeaderRecord(std::move(record));
 }
--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds kCheckTimeout{ 150 };
 /// Longest time to connect to a gateway.
 constexpr milliseconds kGatewayConnectTimeout{ 100 };
+/// Time limit of the search for a node that reaches targets.
+constexpr milliseconds kFindTimeout{ 400 };
 /// Gateways that are tried for one request, and how many of them may report
 /// that the target can't be reached.
 constexpr std::size_t kMaxGateways = 8;
@@ -320,10 +322,19 @@
                      milliseconds aTimeout,
                      std::function<void(std::optional<exchange_failure>)> aDone)
 {
-  if (!CutOff()) {
+  if (CutOff()) {
+    ProbeThroughGateway(aPeer, aTimeout, std::move(aDone));
+  } else {
     ProbeDirectly(aPeer, aTimeout, std::move(aDone));
-    return;
   }
+}
+
+void
+target_client::ProbeThroughGateway(
+  const socket_address& aPeer,
+  milliseconds aTimeout,
+  std::function<void(std::optional<exchange_failure>)> aDone)
+{
   exchange_options options;
   options.connectTimeout = options.readTimeout = aTimeout;
   std::make_shared<exchange>(
@@ -349,24 +360,35 @@
   mParts.client.Probe(aPeer, aTimeout, std::move(aDone));
 }
 
-void
-target_client::CheckReach()
+std::vector<socket_address>
+target_client::ChooseTargets() const
 {
-  std::vector<std::pair<std::uint64_t, socket_address>> targets;
+  std::vector<std::pair<std::uint64_t, socket_address>> ranked;
   for (const auto& [id, known] : mParts.targets.All()) {
     if (!known.removedSince) {
-      targets.emplace_back(Hash64(id, mChecks), known.entry.address);
+      ranked.emplace_back(Hash64(id, mChecks), known.entry.address);
     }
   }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  ranked.resize(std::min(ranked.size(), kCheckedTargets));
+  std::vector<socket_address> chosen;
+  for (const auto& [salt, address] : ranked) {
+    chosen.push_back(address);
+  }
+  return chosen;
+}
+
+void
+target_client::CheckReach()
+{
+  const auto targets = ChooseTargets();
   if (targets.empty() || !mMonitor.BeginCheck(mParts.loop.Now())) {
     return;
   }
   ++mChecks;
-  std::sort(
-    targets.begin(), targets.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.first < aRight.first;
-    });
-  targets.resize(std::min(targets.size(), kCheckedTargets));
   struct check
   {
     std::size_t open = 0;
@@ -374,7 +396,7 @@
   };
   const auto state = std::make_shared<check>();
   state->open = targets.size();
-  for (const auto& [salt, address] : targets) {
+  for (const socket_address& address : targets) {
     mParts.client.Probe(address,
                         kCheckTimeout,
                         [this, state, alive = std::weak_ptr<bool>(mAlive)](
@@ -390,6 +412,19 @@
   }
 }
 
+void
+target_client::FindReach(const std::function<void()>& aReached)
+{
+  for (const socket_address& address : ChooseTargets()) {
+    ProbeThroughGateway(
+      address, kFindTimeout, [aReached](const auto& aFailure) {
+        if (!aFailure) {
+          aReached();
+        }
+      });
+  }
+}
+
 void
 target_client::EndCheck(bool aReached)
 {
