Let targets end under a request in the soak

The soak had no target that ends: its stand-ins only reset connections, so it could not show a request that crashes targets. Four targets of a service of their own now end when they begin to run one of the requests, refuse connections and start again at the same address under other ids; callers send that request and others beside it all the time. It checks that undisturbed nodes send it to at most three targets later than 3 s after the third has ended. Node processes no longer inherit the stand-ins' sockets, which kept the ports of ended stand-ins open.

--- a/standins/node-soak/node_process.cpp
+++ b/standins/node-soak/node_process.cpp
@@ -33,6 +33,8 @@
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
+    // The stand-ins' ports must close when a stand-in ends.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execl(aOptions.nodeProgram.c_str(),
           "arbutusferry-node",
           "--settings",
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::seconds kRecoveryTimeout{ 40 };
 /// Last of the kinds of faults that disturb one node.
 constexpr std::uint64_t kLastNodeFault = 8;
+/// First of the kinds of faults that disturb the store, or all nodes.
+constexpr std::uint64_t kFirstStoreFault = 10;
 /// Time after the end of a fault for which a node is excused from rules that
 /// hold for undisturbed nodes only (`contact-ms` of the platform).
 constexpr std::chrono::seconds kContactTime{ 3 };
@@ -70,6 +72,14 @@
         address + "\"}");
     mServices.push_back(std::move(service));
   }
+  for (int index = 0; index < 4; ++index) {
+    mFragile.push_back(std::make_unique<fragile_target>(
+      mLoop, mStore, "f" + std::to_string(index)));
+    mFragile.back()->onEnd = [this](std::uint16_t aSenderPort) {
+      OnFragileEnd(aSenderPort);
+    };
+    mFragile.back()->Start();
+  }
 }
 
 void
@@ -117,10 +127,12 @@
      "service":"streams","resumable":true,"max-attempts":2,"timeout-ms":4000},
     {"name":"i","host":"lab.example","path-prefix":"/i/","kind":"idempotent",
      "service":"desk","max-attempts":2,"timeout-ms":2000},
+    {"name":"c","host":"lab.example","path-prefix":"/c/","kind":"idempotent",
+     "service":"fragile","max-attempts":2,"timeout-ms":800},
     {"name":"n","host":"lab.example","path-prefix":"/n/","kind":"non_idempotent",
      "service":"desk","max-attempts":2,"timeout-ms":2000}],
     "services":[{"name":"models","engine":{"models":[{"name":"m0"},{"name":"m1"}]}},
-     {"name":"streams"},{"name":"desk"}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
+     {"name":"streams"},{"name":"desk"},{"name":"fragile"}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
 }
 
 void
@@ -187,6 +199,9 @@
   if (kind <= kLastNodeFault) {
     Excuse(chosen, faultDuration);
   }
+  if (kind >= kFirstStoreFault) {
+    mStoreExcusedUntil = mLoop.Now() + faultDuration + kContactTime;
+  }
   const auto proxy = [&](fault_mode aMode) {
     standin::fault_setting setting;
     setting.mode = aMode;
@@ -283,6 +298,7 @@
     mLoop, milliseconds(150), [this] { RestartExitedNodes(); });
   RunAfter(milliseconds(1'500), [this] {
     CallService();
+    CallFragileTargets();
     StartStream();
     BreakStreams();
     StartBatch();
@@ -319,6 +335,7 @@
     }
   }
   CheckResumedStreams();
+  CheckCrashes();
   std::size_t accepted = 0;
   std::size_t results = 0;
   for (const auto& batch : mBatches) {
@@ -329,7 +346,8 @@
     "seed %llu: %llu faults, %zu batches of %zu accepted, %zu results "
     "read, %llu of %llu calls answered, %llu streams, %zu of %zu resumptions "
     "at undisturbed nodes went on, at most %zu requests in 4 s at a "
-    "limited target, %zu findings\n",
+    "limited target, %zu ends of fragile targets (%zu late), %llu of %llu "
+    "calls beside them served, %zu findings\n",
     static_cast<unsigned long long>(mOptions.seed),
     static_cast<unsigned long long>(mFaultCount),
     accepted,
@@ -341,6 +359,10 @@
     mResumedStreams.served,
     mResumedStreams.sent,
     mLargestPeak,
+    mFragileEnds,
+    mLateEnds,
+    static_cast<unsigned long long>(mFragileServed),
+    static_cast<unsigned long long>(mFragileCalls),
     mFindings.size());
   for (const std::string& text : mFindings) {
     std::printf("finding: %s\n", text.c_str());
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -58,6 +58,41 @@
   bool ReapIfExited();
 };
 
+/// A target that ends when it begins to run a request with `kCrashingBody`, and
+/// starts again at the same address under another id.
+class fragile_target final : public node::request_handler
+{
+public:
+  static constexpr const char* kCrashingBody = "crash";
+
+  fragile_target(node::asio_loop& aLoop, fake_store& aStore, std::string aName)
+    : mLoop(aLoop)
+    , mStore(aStore)
+    , mName(std::move(aName))
+  {
+  }
+  void Start();
+  void Handle(node::http_request aRequest,
+              std::shared_ptr<node::responder> aResponder) override;
+  [[nodiscard]] std::size_t Ends() const noexcept { return mEnds; }
+
+  /// Called when the target ends, with the sender's port.
+  std::function<void(std::uint16_t)> onEnd;
+
+private:
+  void End();
+
+  node::asio_loop& mLoop;
+  fake_store& mStore;
+  std::string mName;
+  std::string mId; ///< Of the current process.
+  std::uint16_t mPort = FreePort();
+  std::size_t mEnds = 0;
+  std::unique_ptr<node::http_listener> mListener;
+  std::unique_ptr<node::timer> mTimer;
+  std::vector<std::unique_ptr<node::timer>> mResponses;
+};
+
 /// State of a batch from the trainer's point of view.
 struct trainer_batch
 {
@@ -139,6 +174,11 @@
   void EndBatch(trainer_batch& aBatch);
   void CheckResult(const trainer_batch& aBatch, const Json::Value& aResult);
   void CallService();
+  /// Sends the crashing request, and another one for the same targets.
+  void CallFragileTargets();
+  /// Counts a run of the crashing request, unless the sender is excused.
+  void OnFragileEnd(std::uint16_t aSenderPort);
+  void CheckCrashes();
   void StartStream();
   /// Resets the connections of a sampler of streams from time to time.
   void BreakStreams();
@@ -168,6 +208,14 @@
   std::vector<std::unique_ptr<fake_sampler>> mSamplers;
   std::vector<std::string> mSamplerAddresses;
   std::vector<std::unique_ptr<fake_plain_service>> mServices;
+  std::vector<std::unique_ptr<fragile_target>> mFragile;
+  std::optional<time_point> mThirdEnd; ///< Of a fragile target.
+  std::size_t mFragileEnds = 0;
+  std::size_t mLateEnds = 0; ///< That undisturbed nodes had to prevent.
+  std::uint64_t mFragileCalls = 0;
+  std::uint64_t mFragileServed = 0;
+  /// Nodes may not learn what others wrote to the store until then.
+  time_point mStoreExcusedUntil;
   std::vector<limited_requests*> mLimits; ///< Of targets that name one.
   std::size_t mLargestPeak = 0;
   stream_counts mNewStreams;
