Probe a target again that accepted the first probe after a break

Cause: the stand-in closed the connection 5 ms before its port, and the node probed in between, found the target listening and took it to live. A real process may close its connections before it ends too. The node now probes again after 150 ms; until then the report counts as unconfirmed, and a success drops it.

--- a/include/arbutusferry/node/crash_watch.hpp
+++ b/include/arbutusferry/node/crash_watch.hpp
@@ -51,6 +51,8 @@
                 const std::string* aValue,
                 std::uint64_t aOffset) override;
   void OnCaughtUp() override {}
+  void Probe(const target_entry& aTarget,
+             std::function<void(std::optional<exchange_failure>)> aDone);
   void OnProbed(const target_entry& aTarget,
                 std::optional<exchange_failure> aFailure);
   void Write(const std::string& aKey, std::string aValue);
@@ -61,6 +63,8 @@
   keyed_follower mFollower;
   /// Reports whose targets are being probed, by key.
   std::map<std::string, crash_report> mUnconfirmed;
+  /// By target that accepted the first probe.
+  std::map<std::string, std::unique_ptr<timer>> mSecondProbes;
   /// Records to append, by key; a report that ended is empty.
   std::map<std::string, std::string> mOutbox;
   bool mWriting = false;
--- a/src/node/crash_watch.cpp
+++ b/src/node/crash_watch.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds kPollWait{ 2'000 };
 /// Time limit of a probe: many times a round trip within a region.
 constexpr milliseconds kProbeTimeout{ 300 };
+/// Delay of the second probe of a target that accepted the first: enough for a
+/// process to end, and a fraction of the time for which it is down.
+constexpr milliseconds kSecondProbeDelay{ 150 };
 constexpr milliseconds kWriteRetryDelay{ 200 };
 /// Records that wait to be written. More are dropped: nodes then count fewer
 /// ended targets for the request.
@@ -61,14 +64,35 @@
   }
   // A target whose process has ended refuses connections; one that only closed
   // or reset a connection accepts them.
-  mParts.client.Probe(aTarget.address,
-                      kProbeTimeout,
-                      [this, aTarget, alive = std::weak_ptr<bool>(mAlive)](
-                        std::optional<exchange_failure> aFailure) {
-                        if (!alive.expired()) {
-                          OnProbed(aTarget, aFailure);
-                        }
-                      });
+  Probe(aTarget, [this, aTarget](std::optional<exchange_failure> aFailure) {
+    if (aFailure) {
+      OnProbed(aTarget, aFailure);
+      return;
+    }
+    // A process may close its connections some time before it ends.
+    auto& again = mSecondProbes[aTarget.id];
+    again = mParts.loop.After(kSecondProbeDelay, [this, aTarget] {
+      const auto ended = mSecondProbes.extract(aTarget.id);
+      Probe(aTarget, [this, aTarget](std::optional<exchange_failure> aSecond) {
+        OnProbed(aTarget, aSecond);
+      });
+    });
+  });
+}
+
+void
+crash_watch::Probe(const target_entry& aTarget,
+                   std::function<void(std::optional<exchange_failure>)> aDone)
+{
+  mParts.client.Probe(
+    aTarget.address,
+    kProbeTimeout,
+    [done = std::move(aDone), alive = std::weak_ptr<bool>(mAlive)](
+      std::optional<exchange_failure> aFailure) {
+      if (!alive.expired()) {
+        done(aFailure);
+      }
+    });
 }
 
 void
@@ -102,6 +126,9 @@
   if (mServed.size() >= kMaxServed) {
     mServedBefore = std::exchange(mServed, {});
   }
+  std::erase_if(mUnconfirmed, [&](const auto& aEntry) {
+    return aEntry.second.fingerprint == aFingerprint;
+  });
   for (const std::string& key : mLedger.NoteServed(aFingerprint)) {
     Write(key, {});
   }
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -171,6 +171,9 @@
   void EndTarget(std::size_t aIndex)
   {
     target& ended = targets[aIndex];
+    if (!ended.up) {
+      return;
+    }
     ended.up = false;
     for (const auto& sent : std::exchange(ended.running, {})) {
       sent->Fail(exchange_failure::Broken);
@@ -209,6 +212,8 @@
   std::vector<std::unique_ptr<fleet_node>> nodes;
   std::vector<target> targets;
   duration downTime = std::chrono::milliseconds(2'900);
+  /// Time by which a process that ends closes its connections first.
+  duration endDelay{};
   /// When each request with `kCrashingBody` began to run at a target.
   std::vector<time_point> crashingRuns;
   int served = 0; ///< Other requests that a target ran to their end.
@@ -318,7 +323,12 @@
       }
       if (crashes) {
         targets[index].running.push_back(aSent);
-        EndTarget(index);
+        if (endDelay > duration::zero()) {
+          for (const auto& sent : std::exchange(targets[index].running, {})) {
+            sent->Fail(exchange_failure::Broken);
+          }
+        }
+        loop.Post(endDelay, [this, index] { EndTarget(index); });
         return;
       }
       ++served;
--- a/tests/unit/crashing_request_test.cpp
+++ b/tests/unit/crashing_request_test.cpp
@@ -73,6 +73,16 @@
   CHECK(CallSteadily(fleet, milliseconds(10'000)) >= 0.9);
 }
 
+// Guards against targets that are taken to live since they closed their
+// connections some time before they ended.
+TEST_CASE("a request under which targets end slowly is blocked")
+{
+  call_fleet fleet(6, 4);
+  fleet.endDelay = milliseconds(100);
+  (void)CallSteadily(fleet, milliseconds(20'000));
+  CHECK(LateRuns(fleet) <= kLateRuns);
+}
+
 // Guards against nodes that learn of an ended target only from a later record,
 // since a waiting read at the store may miss one that is being written.
 TEST_CASE("nodes whose reads miss records block a crashing request in time")
