End a check of the links when no target is known

A node whose last known target is removed while it is cut off would never check its links again, and send requests through other nodes for good: the next check found no target and ended without planning another. Found by reading. Such a check now counts as successful, since nothing shows that the links are at fault. Lint also asked to reserve the list of chosen targets. The 9 cases of stranded_node_test and cut_off_leader_test pass.

--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -375,6 +375,7 @@
     });
   ranked.resize(std::min(ranked.size(), kCheckedTargets));
   std::vector<socket_address> chosen;
+  chosen.reserve(ranked.size());
   for (const auto& [salt, address] : ranked) {
     chosen.push_back(address);
   }
@@ -384,8 +385,12 @@
 void
 target_client::CheckReach()
 {
+  if (!mMonitor.BeginCheck(mParts.loop.Now())) {
+    return;
+  }
   const auto targets = ChooseTargets();
-  if (targets.empty() || !mMonitor.BeginCheck(mParts.loop.Now())) {
+  if (targets.empty()) {
+    EndCheck(true); // Nothing shows that the links are at fault.
     return;
   }
   ++mChecks;
