Reserve the ports of the soak for as long as it runs

Cause, by reading: a free port was found by binding and closed again, and another run could be given the same one before the node listened there; no run has shown the two that shared a port. The soak now keeps a bound socket for each port that it gives out.

--- a/standins/node-soak/node_process.cpp
+++ b/standins/node-soak/node_process.cpp
@@ -9,16 +9,18 @@
 std::uint16_t
 FreePort()
 {
-  static std::set<std::uint16_t> sGiven;
-  for (;;) {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(
-      context, { boost::asio::ip::address_v4::loopback(), 0 });
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    if (sGiven.insert(port).second) {
-      return port;
-    }
-  }
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  // Sockets that are bound and don't listen keep their ports from other
+  // processes, and let those listen that reuse addresses, as nodes do.
+  static asio::io_context sContext;
+  static std::vector<std::unique_ptr<tcp::acceptor>> sReserved;
+  auto reserved = std::make_unique<tcp::acceptor>(sContext, tcp::v4());
+  reserved->set_option(asio::socket_base::reuse_address(true));
+  reserved->bind({ asio::ip::address_v4::loopback(), 0 });
+  const std::uint16_t port = reserved->local_endpoint().port();
+  sReserved.push_back(std::move(reserved));
+  return port;
 }
 
 void
