End a stream of the soak that is resumed after its last event

Traced by the text itself: its 12th line is event 12 of the item, which only the stand-in of a sampler can have made, and only when it is asked to go on after event 11, the last one. A node does that when it has all events and has lost the end of the stream; a sampler then has nothing to add. The stand-in sent an event beyond the item's end instead. It now ends such a stream at once; the check of the number of events stays as it is.

--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -454,11 +454,14 @@
     headers.Add(name, value);
   }
   aResponder->Begin(200, headers);
-  SendNextEvent(
-    aResponder,
-    item,
-    ParseNumber(std::string(aRequest.headers.Get("Last-Event-Id"))) + 1,
-    version);
+  const std::uint64_t after =
+    ParseNumber(std::string(aRequest.headers.Get("Last-Event-Id")));
+  if (after >= EventCount(item)) {
+    // The sender has all events and has lost only the end of the stream.
+    aResponder->End();
+    return;
+  }
+  SendNextEvent(aResponder, item, after + 1, version);
 }
 
 void
