--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -456,7 +456,7 @@
   aResponder->Begin(200, headers);
   const std::uint64_t after =
     ParseNumber(std::string(aRequest.headers.Get("Last-Event-Id")));
-  if (after >= EventCount(item)) {
+  if (weights && after >= EventCount(item)) {
     // The sender has all events and has lost only the end of the stream.
     aResponder->End();
     return;
