Score items by reward calls of the leader

An item has the phases running, scoring and committed. The decisions (item_scoring: order, room, what follows on a call) know neither network nor clock; forwarded_rewards sends calls through the call forwarder, so limits, crash reports, gateways and hedging hold for them. A complete text is saved with the end of its run and never generated again; errors of calls are counted in its record, over leaders. Calls start only while the term is confirmed and end within a second; the end of a batch cancels them.

Ruled out: sending from the node that holds the stream, which knows neither the end of the batch nor the errors so far; one attempt a call, which needs hedging of its own.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -25,17 +25,10 @@
   Unavailable, ///< This process can't currently tell.
 };
 
-/// Provides the operator's current environment.
-class environment_source
-{
-public:
-  virtual ~environment_source() = default;
-  [[nodiscard]] virtual const environment_view& Environment() const = 0;
-};
-
 /// Owns all batches during one leadership term: accepts them, runs their items,
-/// stores their results and orders weight loads on samplers. batch_leader.cpp
-/// has the term and the calls on batches, batch_runs.cpp the runs of items.
+/// has their texts scored, stores their results and orders weight loads on
+/// samplers. batch_leader.cpp has the term and the calls on batches,
+/// batch_runs.cpp the runs of items, batch_rewards.cpp their scoring.
 class batch_leader final : private run_observer
 {
 public:
@@ -50,6 +43,7 @@
     node_directory& nodes;
     const target_protocol& protocol;
     const environment_source& environment;
+    reward_caller& rewards;
     metrics_registry& metrics;
     std::string holder;
     /// How long a closed batch stays readable after its submission.
@@ -143,7 +137,32 @@
     return std::chrono::milliseconds(mParts.loop.UnixMilliseconds() -
                                      aBatch.Request().submittedUnixMs);
   }
-  void FinishItem(batch& aBatch, std::size_t aIndex, result_state aState);
+  void FinishItem(batch& aBatch,
+                  std::size_t aIndex,
+                  result_state aState,
+                  std::string aScore = {});
+  /// Saves an item's complete text and has it scored, or commits it if it needs
+  /// no score.
+  void FinishText(batch& aBatch, std::size_t aIndex);
+  /// Finishes the items of a batch whose texts are complete already.
+  void FinishCompleteTexts(batch& aBatch);
+  /// Saves the progress of one item at once.
+  void SaveItem(batch& aBatch, std::size_t aIndex);
+  /// Sends the reward calls for which targets have room.
+  void SendRewardCalls();
+  [[nodiscard]] std::vector<waiting_reward> WaitingRewards();
+  void StartRewardCall(const waiting_reward& aReward);
+  void OnRewardCallEnded(const std::string& aBatch,
+                         std::size_t aIndex,
+                         const reward_result& aResult);
+  /// @return Error responses to an item's reward calls after which it may end
+  /// as errored.
+  [[nodiscard]] int MaxRewardErrors(const batch& aBatch,
+                                    std::size_t aIndex) const;
+  void ScheduleRewardCalls();
+  /// Ends the reward calls in progress of a batch, or of all.
+  static void CancelRewardCalls(batch& aBatch);
+  void CancelRewardCalls();
   [[nodiscard]] std::vector<waiting_item> WaitingItems();
   [[nodiscard]] bool StartRun(const waiting_item& aItem,
                               const std::string& aSampler);
@@ -183,6 +202,7 @@
   std::vector<waiter> mWaiters;
   std::map<std::string, std::vector<std::function<void()>>> mPendingSubmits;
   std::unique_ptr<timer> mPlacementTimer;
+  std::unique_ptr<timer> mRewardTimer;
   std::unique_ptr<periodic_timer> mTicker;
   /// Expires with the leader, so that late responses are ignored.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/include/arbutusferry/node/batch_table.hpp
+++ b/include/arbutusferry/node/batch_table.hpp
@@ -3,6 +3,8 @@
 #include "arbutusferry/address.hpp"
 #include "arbutusferry/error.hpp"
 #include "arbutusferry/node/http_message.hpp"
+#include "arbutusferry/node/item_scoring.hpp"
+#include "arbutusferry/node/reward_call.hpp"
 #include "arbutusferry/time.hpp"
 
 #include <cstdint>
@@ -25,6 +27,8 @@
   std::int64_t tokens = 0;     ///< Prompt plus maximum output.
   std::string group;           ///< Items of a group share a prompt.
   std::int64_t lengthHint = 0; ///< Estimated output tokens; 0 if unknown.
+  /// Call whose response scores the text, if the item completes with a score.
+  std::optional<reward_request> reward = std::nullopt;
 };
 
 /// An accepted batch. All fields are stored in the journal.
@@ -57,6 +61,7 @@
   bool loaded = true;
   std::string text;
   std::vector<std::int64_t> versions;
+  std::string score = {}; ///< Empty if the item has no reward call.
 };
 
 /// Where the run of an item is relayed, and its sampler.
@@ -78,6 +83,10 @@
   std::optional<std::string> software = std::nullopt;
   /// Relayed run that continues these events, if there is one.
   std::optional<run_location> location = std::nullopt;
+  /// Whether the text is complete, so that only its score is missing.
+  bool complete = false;
+  /// Error responses of targets to the item's reward calls.
+  int rewardErrors = 0;
 
   [[nodiscard]] bool MeetsMinimumVersion(std::int64_t aMinimum) const;
   [[nodiscard]] std::string Text() const;
@@ -89,7 +98,8 @@
 {
   Waiting,
   Running,
-  Saving, ///< Ended; its result is being written to the journal.
+  Scoring, ///< The text is complete; its reward call is due or in progress.
+  Saving,  ///< Ended; its result is being written to the journal.
   Committed,
 };
 
@@ -107,6 +117,7 @@
   std::chrono::milliseconds queueTime{ 0 };
   std::string sampler;  ///< Sampler of the last run.
   time_point notBefore; ///< End of the retry delay after a failure.
+  scoring_state scoring;
 };
 
 /// A batch with its items and results.
--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -30,6 +30,10 @@
   bool resumesStream = false;
   /// Request that brought the stream's first event, if the caller names it.
   std::string streamOrigin;
+  /// Whether to prefer targets with slots left for callers' own requests.
+  bool leavesSlots = false;
+  /// Called for each error response of a target, if set.
+  std::function<void()> onTargetError;
 };
 
 /// Writes the responses to requests that the node itself refuses or fails.
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -134,4 +134,18 @@
   std::unordered_map<std::string, std::size_t> mByKey;
 };
 
+/// Provides the operator's current environment.
+class environment_source
+{
+public:
+  virtual ~environment_source() = default;
+  [[nodiscard]] virtual const environment_view& Environment() const = 0;
+};
+
+/// Chooses a service of a route by weight and a hash of the request id, so that
+/// a retried request goes to the same service.
+/// @return Its name; empty if the route has none.
+[[nodiscard]] std::string
+ChooseService(const route_entry& aRoute, const std::string& aRequestId);
+
 } // namespace arbutusferry::node
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/node/batch_leader.hpp"
 #include "arbutusferry/node/call_forwarder.hpp"
 #include "arbutusferry/node/crash_watch.hpp"
+#include "arbutusferry/node/forwarded_rewards.hpp"
 #include "arbutusferry/node/keyed_follower.hpp"
 #include "arbutusferry/node/leader_election.hpp"
 #include "arbutusferry/node/platform_duties.hpp"
@@ -143,6 +144,7 @@
   shared_stream_origins mOrigins;
   crash_watch mCrashes;
   call_forwarder mForwarder;
+  forwarded_rewards mRewards;
   usage_meter mUsageMeter;
   bool mSavingUsage = false;
   std::unique_ptr<node_observer> mNodeObserver;
--- a/include/arbutusferry/node/target_protocol.hpp
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/node/http_message.hpp"
 #include "arbutusferry/node/request_limit.hpp"
+#include "arbutusferry/node/reward_call.hpp"
 #include "arbutusferry/node/target_view.hpp"
 
 #include <chrono>
@@ -86,6 +87,12 @@
   [[nodiscard]] virtual http_request MakeItemRequest(
     const item_call& aCall,
     const target_entry& aTarget) const = 0;
+  [[nodiscard]] virtual http_request MakeRewardRequest(
+    const reward_request& aRequest) const = 0;
+  /// @return The score that a response to a reward call gives, if it is a
+  /// target's success.
+  [[nodiscard]] virtual std::optional<std::string> ReadScore(
+    const http_response& aResponse) const = 0;
   /// @return The weight version that a response or event line names.
   [[nodiscard]] virtual std::optional<std::int64_t> WeightVersion(
     const header_list& aHeaders) const = 0;
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -41,8 +41,15 @@
   std::vector<std::string> tried; ///< Already sent there; chosen last.
   std::set<std::string> excluded; ///< Never chosen.
   std::uint64_t salt = 0;         ///< Breaks ties differently by request.
+  /// Whether targets count as full before callers' requests find no slot.
+  bool leavesSlots = false;
 };
 
+/// Slots of each target that reward calls leave to callers' own requests.
+/// @param aSlots Slots of the target.
+[[nodiscard]] int
+SlotsKeptForCallers(int aSlots);
+
 /// All known targets, with this process's observations of them.
 class target_view
 {
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -81,6 +81,13 @@
     entry["body"] = EncodeBase64Url(item.body);
     entry["tokens"] = Json::Int64(item.tokens);
     entry["hint"] = Json::Int64(item.lengthHint);
+    if (item.reward) {
+      Json::Value& reward = entry["reward"];
+      reward["id"] = item.reward->id;
+      reward["host"] = item.reward->host;
+      reward["path"] = item.reward->path;
+      reward["body"] = EncodeBase64Url(item.reward->body);
+    }
     items.append(std::move(entry));
   }
   return WriteJson(value);
@@ -116,6 +123,12 @@
     item.tokens = entry["tokens"].asInt64();
     item.group = entry["group"].asString();
     item.lengthHint = entry["hint"].asInt64();
+    if (const Json::Value& reward = entry["reward"]; reward.isObject()) {
+      item.reward = { reward["id"].asString(),
+                      reward["host"].asString(),
+                      reward["path"].asString(),
+                      DecodeBase64Url(reward["body"].asString()).value_or("") };
+    }
     batch.items.push_back(std::move(item));
   }
   return batch;
@@ -131,6 +144,9 @@
   for (const std::int64_t version : aResult.versions) {
     versions.append(Json::Int64(version));
   }
+  if (!aResult.score.empty()) {
+    value["score"] = aResult.score;
+  }
   return WriteJson(value);
 }
 
@@ -150,6 +166,7 @@
   for (const Json::Value& version : (*value)["versions"]) {
     result.versions.push_back(version.asInt64());
   }
+  result.score = (*value)["score"].asString();
   return result;
 }
 
@@ -166,6 +183,12 @@
   if (aProgress.software) {
     value["software"] = *aProgress.software;
   }
+  if (aProgress.complete) {
+    value["complete"] = true;
+  }
+  if (aProgress.rewardErrors > 0) {
+    value["reward_errors"] = aProgress.rewardErrors;
+  }
   if (aProgress.location) {
     value["run"] = aProgress.location->run;
     value["relay"] = FormatAddress(aProgress.location->relay);
@@ -192,6 +215,8 @@
   if ((*value)["software"].isString()) {
     progress.software = (*value)["software"].asString();
   }
+  progress.complete = (*value)["complete"].asBool();
+  progress.rewardErrors = (*value)["reward_errors"].asInt();
   const auto relay = ParseAddress((*value)["relay"].asString());
   if (relay) {
     progress.location = { (*value)["run"].asString(),
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -44,6 +44,7 @@
 batch_leader::~batch_leader()
 {
   mPool.DetachAll();
+  CancelRewardCalls();
   for (waiter& entry : std::exchange(mWaiters, {})) {
     entry.done();
   }
@@ -90,8 +91,9 @@
         mBatches.KeepProgress(added.Request().items[index].id,
                               std::move(progress),
                               mParts.loop.Now());
-      } else if (progress.events.size() > item.progress.events.size()) {
-        item.savedEvents = progress.events.size();
+      } else if (progress.events.size() > item.progress.events.size() ||
+                 progress.complete) {
+        item.savedEvents = std::max<std::size_t>(1, progress.events.size());
         item.progress = std::move(progress);
       }
     }
@@ -103,6 +105,9 @@
   mLimitRecords.Restore(aContents.limits, mParts.loop.Now());
   SaveLimits();
   mReady = true;
+  for (const auto& [id, entry] : mBatches.All()) {
+    FinishCompleteTexts(*entry);
+  }
   mTicker = std::make_unique<periodic_timer>(
     mParts.loop, kTickInterval, [this] { Tick(); });
   SchedulePlacement();
@@ -163,7 +168,9 @@
               { "step", std::to_string(shared->step) },
               { "minimum_version", std::to_string(shared->minimumVersion) },
               { "items", std::to_string(shared->items.size()) } });
-        mBatches.Add(std::move(*shared)).journalParts = count;
+        batch& added = mBatches.Add(std::move(*shared));
+        added.journalParts = count;
+        FinishCompleteTexts(added);
         SchedulePlacement();
         const auto waiting = mPendingSubmits.extract(id);
         for (const auto& callback : waiting.mapped()) {
@@ -280,6 +287,7 @@
       mPool.CancelRun(run);
     }
   }
+  CancelRewardCalls(aBatch);
   const std::size_t uncommitted =
     aBatch.Items().size() - aBatch.Results().size();
   mParts.metrics.Observe("ferry_step_seconds",
@@ -387,6 +395,7 @@
   SaveLimits();
   MoveSlowRuns();
   PlaceItems();
+  SendRewardCalls();
   const time_point now = mParts.loop.Now();
   if (!mSavingProgress && now - mLastProgressSave >= kProgressSaveInterval) {
     mLastProgressSave = now;
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -327,7 +327,7 @@
         item.progress = {};
         break;
       }
-      FinishItem(*owner, aRun.Index(), result_state::Completed);
+      FinishText(*owner, aRun.Index());
       break;
     case run_outcome::Impossible:
       FinishItem(*owner, aRun.Index(), result_state::Errored);
@@ -353,10 +353,16 @@
 }
 
 void
-batch_leader::FinishItem(batch& aBatch, std::size_t aIndex, result_state aState)
+batch_leader::FinishItem(batch& aBatch,
+                         std::size_t aIndex,
+                         result_state aState,
+                         std::string aScore)
 {
   item_state& item = aBatch.Items()[aIndex];
   item.phase = item_phase::Saving;
+  if (const auto call = std::exchange(item.scoring.call, nullptr)) {
+    call->Cancel();
+  }
   Log(
     log_level::Info,
     "item_ended",
@@ -374,6 +380,7 @@
   if (aState == result_state::Completed) {
     result.text = item.progress.Text();
     result.versions = item.progress.DistinctVersions();
+    result.score = std::move(aScore);
   }
   const std::string id = aBatch.Request().id;
   const std::size_t position = aBatch.assignedPositions++;
@@ -539,6 +546,7 @@
   mHandedOver = true;
   // Items keep their state; no further items are placed.
   mPool.DetachAll();
+  CancelRewardCalls();
   SaveProgress(1, std::move(aDone));
 }
 
@@ -552,7 +560,8 @@
       continue;
     }
     for (std::size_t index = 0; index < entry->Items().size(); ++index) {
-      if (entry->Items()[index].phase != item_phase::Waiting) {
+      const item_phase phase = entry->Items()[index].phase;
+      if (phase != item_phase::Waiting && phase != item_phase::Scoring) {
         continue;
       }
       const route_entry* route = environment.FindRoute(
--- a/src/node/batch_table.cpp
+++ b/src/node/batch_table.cpp
@@ -69,6 +69,8 @@
   batch_item& request = mRequest.items[aResult.item];
   request.body.clear();
   request.body.shrink_to_fit();
+  request.reward.reset();
+  item.scoring = {};
   if (--mUncommittedByGroup[request.group] == 0) {
     ++mCompleteGroups;
   }
@@ -82,8 +84,10 @@
   mEnded = true;
   for (std::size_t index = 0; index < mItems.size(); ++index) {
     mItems[index].progress = {};
+    mItems[index].scoring = {};
     mRequest.items[index].body.clear();
     mRequest.items[index].body.shrink_to_fit();
+    mRequest.items[index].reward.reset();
   }
 }
 
@@ -192,6 +196,8 @@
                           time_point aNow)
 {
   aProgress.location.reset(); // The run has ended.
+  // A later batch names a reward call of its own.
+  aProgress.rewardErrors = 0;
   mKeptProgress[aItem] = { std::move(aProgress), aNow };
 }
 
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -344,6 +344,9 @@
   std::erase_if(mAttempts,
                 [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
   ++mFailedRuns;
+  if (aAttempt.response.status != 0 && mCall.onTargetError) {
+    mCall.onTargetError();
+  }
   if (!mRunCounted && aAttempt.response.status != 0) {
     mRunCounted = true;
     mParts.runs.CountRun(mCall.team, aAttempt.SentUnixMs());
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -1,5 +1,7 @@
 #include "arbutusferry/node/environment_view.hpp"
 
+#include "arbutusferry/hash.hpp"
+
 #include <algorithm>
 
 namespace arbutusferry::node {
@@ -109,4 +111,26 @@
   return FindByName(mServices, aName);
 }
 
+std::string
+ChooseService(const route_entry& aRoute, const std::string& aRequestId)
+{
+  std::int64_t total = 0;
+  for (const weighted_service& entry : aRoute.services) {
+    total += std::max<std::int64_t>(0, entry.weight);
+  }
+  if (total == 0) {
+    return aRoute.services.empty() ? std::string()
+                                   : aRoute.services.front().service;
+  }
+  auto remainder = static_cast<std::int64_t>(Hash64(aRequestId) %
+                                             static_cast<std::uint64_t>(total));
+  for (const weighted_service& entry : aRoute.services) {
+    remainder -= std::max<std::int64_t>(0, entry.weight);
+    if (remainder < 0) {
+      return entry.service;
+    }
+  }
+  return aRoute.services.back().service;
+}
+
 } // namespace arbutusferry::node
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -109,6 +109,7 @@
                  *this,
                  mMetrics,
                  mSettings.zone })
+  , mRewards({ mParts.loop, mForwarder, mParts.protocol, *this })
   , mUsageMeter(mSettings.usageWindow.count())
   , mNodeObserver(std::make_unique<node_observer>(*this))
   , mNodeFollower(
@@ -447,6 +448,7 @@
                                                         mNodes,
                                                         mParts.protocol,
                                                         *this,
+                                                        mRewards,
                                                         mMetrics,
                                                         mInstance,
                                                         mSettings.batchReadable,
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -23,7 +23,8 @@
     , mResponder(std::move(aResponder))
     , mActiveCalls(std::move(aActiveCalls))
     , mStarted(aParts.loop.Now())
-    , mQuery{ mCall.service, {}, aParts.zone, {}, {}, Hash64(mCall.id) }
+    , mQuery{ mCall.service,    {}, aParts.zone, {}, {}, Hash64(mCall.id),
+              mCall.leavesSlots }
   {
     ++*mActiveCalls;
   }
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -24,9 +24,18 @@
 /// A target that named a limit this long ago is chosen like any other, since
 /// its limit may have ended.
 constexpr milliseconds kLimitRecheck{ 2'000 };
+/// One in this many slots of a target is kept for callers, at least one of a
+/// target with several.
+constexpr int kSlotsPerKeptSlot = 4;
 
 } // namespace
 
+int
+SlotsKeptForCallers(int aSlots)
+{
+  return aSlots > 1 ? std::max(1, aSlots / kSlotsPerKeptSlot) : 0;
+}
+
 void
 target_view::Update(const target_entry& aEntry, time_point aNow)
 {
@@ -103,7 +112,10 @@
       tried,
       known.avoidUntil > aNow || (limit && known.nextStart > aNow),
       limit && aNow - limit->namedAt < kLimitRecheck,
-      entry.zone != aQuery.zone || known.outstanding >= entry.slots,
+      entry.zone != aQuery.zone ||
+        known.outstanding >=
+          entry.slots -
+            (aQuery.leavesSlots ? SlotsKeptForCallers(entry.slots) : 0),
       known.outstanding,
       Hash64(id, aQuery.salt)
     };
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -216,6 +216,7 @@
   duration endDelay{};
   /// When each request with `kCrashingBody` began to run at a target.
   std::vector<time_point> crashingRuns;
+  std::set<std::string> erroring; ///< Targets that respond with errors.
   int served = 0; ///< Other requests that a target ran to their end.
   std::map<std::string, int> runsOf; ///< By request id.
   std::int64_t longestDeadline = 0;  ///< In ms, that a target was given.
@@ -331,6 +332,10 @@
         loop.Post(endDelay, [this, index] { EndTarget(index); });
         return;
       }
+      if (erroring.contains(targets[index].entry.id)) {
+        aSent->Answer(500, { { "Arbutusferry-Server-Stamp", "s" } });
+        return;
+      }
       ++served;
       aSent->Answer(200, { { "Arbutusferry-Server-Stamp", "s" } }, "done");
     });
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -220,6 +220,64 @@
   std::map<std::string, std::string> mBegunBy; ///< Software version by item.
 };
 
+/// Plain service that scores texts, as reward calls find it.
+class fake_scorer final : public reward_caller
+{
+public:
+  explicit fake_scorer(manual_loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  struct call final : reward_exchange
+  {
+    void Cancel() override { open = false; }
+    reward_request request;
+    bool open = true;
+    time_point at;
+  };
+
+  std::shared_ptr<reward_exchange> Call(
+    const reward_request& aRequest,
+    std::chrono::milliseconds,
+    std::function<void(const reward_result&)> aDone) override
+  {
+    auto sent = std::make_shared<call>();
+    sent->request = aRequest;
+    sent->at = mLoop.Now();
+    calls.push_back(sent);
+    mostOpen = std::max(mostOpen, ++mOpen);
+    mLoop.Post(latency, [this, sent, aDone] {
+      --mOpen;
+      if (!std::exchange(sent->open, false) || silent) {
+        return;
+      }
+      reward_result result;
+      result.outcome = outcome;
+      if (failing.contains(sent->request.id)) {
+        result.outcome = reward_outcome::Failed;
+        result.errors = 1;
+      } else if (outcome == reward_outcome::Scored) {
+        result.score =
+          "score-" + sent->request.id + "-" + std::to_string(calls.size());
+      }
+      aDone(result);
+    });
+    return sent;
+  }
+
+  std::vector<std::shared_ptr<call>> calls;
+  std::set<std::string> failing; ///< Ids of calls that get an error.
+  reward_outcome outcome = reward_outcome::Scored;
+  duration latency = std::chrono::milliseconds(30);
+  bool silent = false; ///< Whether calls stay without a response.
+  int mostOpen = 0;
+
+private:
+  manual_loop& mLoop;
+  int mOpen = 0;
+};
+
 struct leader_test : environment_source
 {
   leader_test()
@@ -263,6 +321,7 @@
                            nodes,
                            protocol,
                            *this,
+                           scorer,
                            metrics,
                            "vm",
                            std::chrono::milliseconds(120'000),
@@ -300,6 +359,7 @@
   manual_loop loop;
   scripted_client client;
   fake_samplers samplers{ loop, client };
+  fake_scorer scorer{ loop };
   memory_store store;
   memory_log log{ loop, store };
   target_view targets;
--- a/tests/unit/batch_journal_test.cpp
+++ b/tests/unit/batch_journal_test.cpp
@@ -90,6 +90,33 @@
   REQUIRE(restored);
   CHECK(restored->events == progress.events);
   CHECK(restored->versions == progress.versions);
+  CHECK_FALSE(restored->complete);
+}
+
+TEST_CASE("scoring round-trips through the journal's encoding")
+{
+  batch_request scored = Batch("b1", 2);
+  scored.items[1].reward = { "w", "h.example", "/s", std::string(3, '\xfe') };
+  const auto batch = DecodeBatch(EncodeBatch(scored));
+  REQUIRE(batch);
+  CHECK_FALSE(batch->items[0].reward);
+  REQUIRE(batch->items[1].reward);
+  CHECK(batch->items[1].reward->id == "w");
+  CHECK(batch->items[1].reward->host == "h.example");
+  CHECK(batch->items[1].reward->path == "/s");
+  CHECK(batch->items[1].reward->body == std::string(3, '\xfe'));
+
+  batch_result result;
+  result.score = "s1";
+  CHECK(DecodeResult(EncodeResult(result))->score == "s1");
+
+  item_progress progress;
+  progress.complete = true;
+  progress.rewardErrors = 3;
+  const auto restored = DecodeProgress(EncodeProgress(progress));
+  REQUIRE(restored);
+  CHECK(restored->complete);
+  CHECK(restored->rewardErrors == 3);
 }
 
 TEST_CASE("the next term reads what was appended")
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -167,6 +167,74 @@
   }
 }
 
+TEST_CASE("the request that scores an item is decoded, and a bad one rejected")
+{
+  const auto decode = [](const std::string& aScorer) {
+    return Value(Capture([&] {
+      return DecodeSubmission(
+        "b", R"({"items":[{"id":"a","path":"/p","scorer":)" + aScorer + "}]}");
+    }));
+  };
+  const auto batch =
+    decode(R"({"id":"w1","host":"h.example","path":"/s/1","body":"3q2+7w=="})");
+  REQUIRE(batch);
+  REQUIRE(batch->items[0].reward);
+  const reward_request& reward = *batch->items[0].reward;
+  CHECK(reward.id == "w1");
+  CHECK(reward.host == "h.example");
+  CHECK(reward.path == "/s/1");
+  CHECK(reward.body == "\xde\xad\xbe\xef");
+  const auto unscored = decode("null");
+  REQUIRE(unscored);
+  CHECK_FALSE(unscored->items[0].reward);
+  for (const char* broken :
+       { "7",
+         "{}",
+         R"({"id":"w1","host":"h.example","path":"s","body":""})",
+         R"({"id":"","host":"h.example","path":"/s","body":""})",
+         R"({"id":"w1","host":7,"path":"/s","body":""})",
+         R"({"id":"w1","host":"h.example","path":"/s","body":"%%"})" }) {
+    CHECK_FALSE(decode(broken));
+  }
+}
+
+// Guards against a score taken from a failure, or from a response that isn't a
+// target's.
+TEST_CASE("only a target's success gives a score")
+{
+  const http_target_protocol protocol;
+  const auto score = [&](int aStatus, bool aStamped) {
+    node::http_response response;
+    response.status = aStatus;
+    if (aStamped) {
+      response.headers.Add("Arbutusferry-Server-Stamp", "s1");
+    }
+    return protocol.ReadScore(response);
+  };
+  CHECK(score(200, true) == "s1");
+  CHECK(score(204, true) == "s1");
+  CHECK_FALSE(score(200, false));
+  CHECK_FALSE(score(500, true));
+  CHECK_FALSE(score(404, true));
+}
+
+TEST_CASE("results name their score if they have one")
+{
+  batch_request request;
+  request.id = "b";
+  request.items.resize(2);
+  batch entry(request, false);
+  batch_result scored;
+  scored.score = "s1";
+  entry.CommitResult(std::move(scored));
+  batch_result errored;
+  errored.item = 1;
+  errored.state = result_state::Errored;
+  entry.CommitResult(std::move(errored));
+  CHECK(EncodeResults(entry, 0).find(R"("score":"s1")") != std::string::npos);
+  CHECK(EncodeResults(entry, 1).find("score") == std::string::npos);
+}
+
 TEST_CASE("results are encoded from a position on, up to the page size")
 {
   batch_request request;
