Survive malformed messages and unexpected errors

Cause: accessors of JSON values throw when a field has another type than expected.

Decoders now check types and reject the message. Besides, an exception ends only what caused it: the record (a follower reads on), the connection of the request, or the callback.

--- a/include/arbutusferry/json.hpp
+++ b/include/arbutusferry/json.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <json/value.h>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +19,48 @@
 [[nodiscard]] result<Json::Value>
 ParseJson(std::string_view aText, std::string_view aSource);
 
+/// Runs a function that reads a JSON value, whose accessors throw for values of
+/// another type than expected.
+/// @param aStep What is read, for the error.
+/// @param aPeer Where the value comes from, for the error.
+/// @return What the function returns, a `result`; an error if a type is wrong.
+template<typename Function>
+[[nodiscard]] auto
+ReadChecked(std::string_view aStep, std::string_view aPeer, Function&& aRead)
+  -> decltype(aRead())
+{
+  try {
+    return aRead();
+  } catch (const Json::Exception& error) {
+    return MakeError(error_code::InvalidArgument,
+                     std::string(aStep),
+                     std::string(aPeer),
+                     std::string("unexpected type: ") + error.what());
+  }
+}
+
+/// Parses a JSON object and decodes it.
+/// @param aDecode Returns an `optional` of the decoded type.
+/// @return Nothing if the text is no object or a field has another type than
+/// expected.
+template<typename Function>
+[[nodiscard]] auto
+DecodeObject(std::string_view aText,
+             std::string_view aSource,
+             Function&& aDecode) -> decltype(aDecode(Json::Value()))
+{
+  const auto parsed = Capture([&] { return ParseJson(aText, aSource); });
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  if (!value || !value->isObject()) {
+    return std::nullopt;
+  }
+  try {
+    return aDecode(*value);
+  } catch (const Json::Exception&) {
+    return std::nullopt;
+  }
+}
+
 /// @return Compact JSON text on one line.
 [[nodiscard]] std::string
 WriteJson(const Json::Value& aValue);
--- a/include/arbutusferry/node/asio_net.hpp
+++ b/include/arbutusferry/node/asio_net.hpp
@@ -20,6 +20,9 @@
     duration aDelay,
     std::function<void()> aFunction) override;
   [[nodiscard]] boost::asio::io_context& Context() noexcept { return mContext; }
+  /// Runs callbacks until the context is stopped. One that throws is logged,
+  /// and the others go on.
+  void Run();
 
 private:
   boost::asio::io_context mContext{ 1 };
--- a/src/net/asio_loop.cpp
+++ b/src/net/asio_loop.cpp
@@ -1,5 +1,7 @@
 #include "arbutusferry/node/asio_net.hpp"
 
+#include "arbutusferry/logging.hpp"
+
 #include <boost/asio/steady_timer.hpp>
 
 namespace arbutusferry::node {
@@ -60,4 +62,16 @@
   return std::make_unique<asio_timer>(mContext, aDelay, std::move(aFunction));
 }
 
+void
+asio_loop::Run()
+{
+  while (!mContext.stopped()) {
+    try {
+      mContext.run();
+    } catch (const std::exception& error) {
+      Log(log_level::Error, "callback_failed", { { "error", error.what() } });
+    }
+  }
+}
+
 } // namespace arbutusferry::node
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "server_connection.hpp"
 
+#include "arbutusferry/logging.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -221,7 +223,13 @@
   mOwner->RequestBegan();
   auto answer =
     std::make_shared<connection_responder>(shared_from_this(), mRequestNumber);
-  mOwner->Handler().Handle(std::move(request), std::move(answer));
+  try {
+    mOwner->Handler().Handle(std::move(request), answer);
+  } catch (const std::exception& error) {
+    // It may have been passed on, so there is no response that says otherwise.
+    Log(log_level::Error, "request_failed", { { "error", error.what() } });
+    answer->Abort();
+  }
 }
 
 void
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -36,16 +36,97 @@
   return std::string(kTextKeyPrefix) + aBatch + "/";
 }
 
-std::optional<Json::Value>
-ParseObject(const std::string& aText, const char* aWhat)
+/// Decodes a record, and logs one that can't be read.
+template<typename Function>
+auto
+DecodeRecord(const std::string& aText, const char* aWhat, Function&& aDecode)
 {
-  const auto parsed = Capture([&] { return ParseJson(aText, aWhat); });
-  if (const auto* value = std::get_if<Json::Value>(&parsed);
-      value && value->isObject()) {
-    return *value;
+  auto decoded = DecodeObject(aText, aWhat, aDecode);
+  if (!decoded) {
+    Log(log_level::Error, "journal_record_unreadable", { { "what", aWhat } });
   }
-  Log(log_level::Error, "journal_record_unreadable", { { "what", aWhat } });
-  return std::nullopt;
+  return decoded;
+}
+
+batch_request
+BatchFromJson(const Json::Value& aValue)
+{
+  batch_request batch;
+  batch.id = aValue["id"].asString();
+  batch.team = aValue["tenant"].asString();
+  batch.host = aValue["host"].asString();
+  batch.route = aValue["route"].asString();
+  batch.model = aValue["model"].asString();
+  batch.step = aValue["step"].asInt64();
+  batch.minimumVersion = aValue["minimum_version"].asInt64();
+  batch.neededGroups = aValue["target_groups"].asUInt64();
+  batch.submittedUnixMs = aValue["submitted_unix_ms"].asInt64();
+  for (const Json::Value& entry : aValue["items"]) {
+    batch_item item;
+    item.id = entry["id"].asString();
+    item.path = entry["path"].asString();
+    const Json::Value& headers = entry["headers"];
+    for (Json::ArrayIndex index = 0; index + 1 < headers.size(); index += 2) {
+      item.headers.Add(headers[index].asString(),
+                       headers[index + 1].asString());
+    }
+    item.body = DecodeBase64Url(entry["body"].asString()).value_or("");
+    item.tokens = entry["tokens"].asInt64();
+    item.group = entry["group"].asString();
+    item.lengthHint = entry["hint"].asInt64();
+    if (const Json::Value& reward = entry["reward"]; reward.isObject()) {
+      item.reward = { reward["id"].asString(),
+                      reward["host"].asString(),
+                      reward["path"].asString(),
+                      DecodeBase64Url(reward["body"].asString()).value_or("") };
+    }
+    batch.items.push_back(std::move(item));
+  }
+  return batch;
+}
+
+batch_result
+ResultFromJson(const Json::Value& aValue)
+{
+  batch_result result;
+  result.item = aValue["item"].asUInt64();
+  result.state = aValue["errored"].asBool() ? result_state::Errored
+                                            : result_state::Completed;
+  // An errored result has no text.
+  result.loaded = result.state == result_state::Errored;
+  for (const Json::Value& version : aValue["versions"]) {
+    result.versions.push_back(version.asInt64());
+  }
+  result.score = aValue["score"].asString();
+  return result;
+}
+
+std::optional<item_progress>
+ProgressFromJson(const Json::Value& aValue)
+{
+  if (aValue["events"].size() != aValue["versions"].size()) {
+    return std::nullopt;
+  }
+  item_progress progress;
+  for (const Json::Value& event : aValue["events"]) {
+    progress.events.push_back(event.asString());
+  }
+  for (const Json::Value& version : aValue["versions"]) {
+    progress.versions.push_back(version.asInt64());
+  }
+  if (aValue["software"].isString()) {
+    progress.software = aValue["software"].asString();
+  }
+  progress.complete = aValue["complete"].asBool();
+  progress.rewardErrors = aValue["reward_errors"].asInt();
+  const auto relay = ParseAddress(aValue["relay"].asString());
+  if (relay) {
+    progress.location = { aValue["run"].asString(),
+                          *relay,
+                          aValue["sampler"].asString(),
+                          aValue["resumed-after"].asUInt64() };
+  }
+  return progress;
 }
 
 } // namespace
@@ -96,42 +177,9 @@
 std::optional<batch_request>
 DecodeBatch(const std::string& aText)
 {
-  const auto value = ParseObject(aText, "batch");
-  if (!value) {
-    return std::nullopt;
-  }
-  batch_request batch;
-  batch.id = (*value)["id"].asString();
-  batch.team = (*value)["tenant"].asString();
-  batch.host = (*value)["host"].asString();
-  batch.route = (*value)["route"].asString();
-  batch.model = (*value)["model"].asString();
-  batch.step = (*value)["step"].asInt64();
-  batch.minimumVersion = (*value)["minimum_version"].asInt64();
-  batch.neededGroups = (*value)["target_groups"].asUInt64();
-  batch.submittedUnixMs = (*value)["submitted_unix_ms"].asInt64();
-  for (const Json::Value& entry : (*value)["items"]) {
-    batch_item item;
-    item.id = entry["id"].asString();
-    item.path = entry["path"].asString();
-    const Json::Value& headers = entry["headers"];
-    for (Json::ArrayIndex index = 0; index + 1 < headers.size(); index += 2) {
-      item.headers.Add(headers[index].asString(),
-                       headers[index + 1].asString());
-    }
-    item.body = DecodeBase64Url(entry["body"].asString()).value_or("");
-    item.tokens = entry["tokens"].asInt64();
-    item.group = entry["group"].asString();
-    item.lengthHint = entry["hint"].asInt64();
-    if (const Json::Value& reward = entry["reward"]; reward.isObject()) {
-      item.reward = { reward["id"].asString(),
-                      reward["host"].asString(),
-                      reward["path"].asString(),
-                      DecodeBase64Url(reward["body"].asString()).value_or("") };
-    }
-    batch.items.push_back(std::move(item));
-  }
-  return batch;
+  return DecodeRecord(aText, "batch", [](const Json::Value& aValue) {
+    return std::optional(BatchFromJson(aValue));
+  });
 }
 
 std::string
@@ -153,21 +201,9 @@
 std::optional<batch_result>
 DecodeResult(const std::string& aText)
 {
-  const auto value = ParseObject(aText, "result");
-  if (!value) {
-    return std::nullopt;
-  }
-  batch_result result;
-  result.item = (*value)["item"].asUInt64();
-  result.state = (*value)["errored"].asBool() ? result_state::Errored
-                                              : result_state::Completed;
-  // An errored result has no text.
-  result.loaded = result.state == result_state::Errored;
-  for (const Json::Value& version : (*value)["versions"]) {
-    result.versions.push_back(version.asInt64());
-  }
-  result.score = (*value)["score"].asString();
-  return result;
+  return DecodeRecord(aText, "result", [](const Json::Value& aValue) {
+    return std::optional(ResultFromJson(aValue));
+  });
 }
 
 std::string
@@ -201,30 +237,7 @@
 std::optional<item_progress>
 DecodeProgress(const std::string& aText)
 {
-  const auto value = ParseObject(aText, "progress");
-  if (!value || (*value)["events"].size() != (*value)["versions"].size()) {
-    return std::nullopt;
-  }
-  item_progress progress;
-  for (const Json::Value& event : (*value)["events"]) {
-    progress.events.push_back(event.asString());
-  }
-  for (const Json::Value& version : (*value)["versions"]) {
-    progress.versions.push_back(version.asInt64());
-  }
-  if ((*value)["software"].isString()) {
-    progress.software = (*value)["software"].asString();
-  }
-  progress.complete = (*value)["complete"].asBool();
-  progress.rewardErrors = (*value)["reward_errors"].asInt();
-  const auto relay = ParseAddress((*value)["relay"].asString());
-  if (relay) {
-    progress.location = { (*value)["run"].asString(),
-                          *relay,
-                          (*value)["sampler"].asString(),
-                          (*value)["resumed-after"].asUInt64() };
-  }
-  return progress;
+  return DecodeRecord(aText, "progress", ProgressFromJson);
 }
 
 std::string
--- a/src/node/keyed_follower.cpp
+++ b/src/node/keyed_follower.cpp
@@ -177,10 +177,19 @@
   }
   if (value.empty()) {
     mOffsets.erase(key);
-    mObserver.OnRecord(key, nullptr, aEntry.offset);
   } else {
     mOffsets[key] = aEntry.offset;
-    mObserver.OnRecord(key, &value, aEntry.offset);
+  }
+  try {
+    mObserver.OnRecord(key, value.empty() ? nullptr : &value, aEntry.offset);
+  } catch (const std::exception& error) {
+    // Later records are still read; this one is as good as missing.
+    Log(log_level::Error,
+        "record_failed",
+        { { "topic", mPartition.topic },
+          { "key", key },
+          { "offset", std::to_string(aEntry.offset) },
+          { "error", error.what() } });
   }
 }
 
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -39,21 +39,21 @@
 std::optional<node_entry>
 DecodeNode(const std::string& aText)
 {
-  const auto parsed = Capture([&] { return ParseJson(aText, "node record"); });
-  const auto* value = std::get_if<Json::Value>(&parsed);
-  if (!value || !value->isObject()) {
-    return std::nullopt;
-  }
-  node_entry node;
-  node.vm = (*value)["vm"].asString();
-  node.instance = (*value)["instance"].asString();
-  node.zone = (*value)["zone"].asString();
-  const auto address = ParseAddress((*value)["address"].asString());
-  if (!address || node.vm.empty()) {
-    return std::nullopt;
-  }
-  node.address = *address;
-  return node;
+  return DecodeObject(
+    aText,
+    "node record",
+    [](const Json::Value& aValue) -> std::optional<node_entry> {
+      node_entry node;
+      node.vm = aValue["vm"].asString();
+      node.instance = aValue["instance"].asString();
+      node.zone = aValue["zone"].asString();
+      const auto address = ParseAddress(aValue["address"].asString());
+      if (!address || node.vm.empty()) {
+        return std::nullopt;
+      }
+      node.address = *address;
+      return node;
+    });
 }
 
 void
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -2,9 +2,11 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
 #include <thread>
 
 using namespace arbutusferry;
@@ -45,6 +47,10 @@
     if (aRequest.target == "/drop") {
       return;
     }
+    if (aRequest.target == "/throw") {
+      held = aResponder;
+      throw std::runtime_error("unexpected");
+    }
     http_response response;
     response.status = 200;
     response.body =
@@ -157,6 +163,26 @@
   CHECK(*sent->failure == exchange_failure::Broken);
 }
 
+// Guards against one unexpected error that ends the whole process: only its own
+// connection is closed.
+TEST_CASE("a handler that throws closes its connection only")
+{
+  net_test test;
+  CHECK(test.Raw("GET /throw HTTP/1.1\r\nHost: h\r\n\r\n").empty());
+  CHECK(test.Raw("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+          .starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("callbacks go on after one that throws")
+{
+  asio_loop loop;
+  int called = 0;
+  boost::asio::post(loop.Context(), [] { throw std::runtime_error("one"); });
+  boost::asio::post(loop.Context(), [&] { ++called; });
+  loop.Run();
+  CHECK(called == 1);
+}
+
 TEST_CASE("a read timeout and a refused connection give different failures")
 {
   net_test test;
--- a/tests/unit/keyed_follower_test.cpp
+++ b/tests/unit/keyed_follower_test.cpp
@@ -3,6 +3,7 @@
 #include "support/node_fakes.hpp"
 
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 using namespace arbutusferry;
 using namespace arbutusferry::node;
@@ -24,6 +25,9 @@
       values.erase(aKey);
     }
     history.push_back(aKey + "=" + (aValue ? *aValue : "-"));
+    if (aValue && *aValue == "throw") {
+      throw std::runtime_error("unexpected");
+    }
   }
   void OnCaughtUp() override { ++caughtUp; }
   void OnReconnected() override { ++reconnected; }
@@ -134,3 +138,18 @@
   CHECK(test.seen.values["a"] == "3");
   CHECK(test.seen.history == std::vector<std::string>{ "a=2", "a=3" });
 }
+
+// Guards against one record that stops a node from following its topic.
+TEST_CASE("records after one that can't be applied are still read")
+{
+  follower_fixture test;
+  test.Put("a", "throw");
+  test.Put("b", "v");
+  test.follower.Start();
+  test.loop.Advance(milliseconds(100));
+  CHECK(test.seen.values["b"] == "v");
+  test.Put("c", "throw");
+  test.Put("d", "v");
+  test.loop.Advance(milliseconds(2'000));
+  CHECK(test.seen.values["d"] == "v");
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -100,6 +100,41 @@
 }
 
 // Guards against foreign or malformed registry records being used as targets.
+// Guards against one malformed message that ends the process: accessors of JSON
+// values throw for values of other types.
+TEST_CASE("messages with fields of other types are rejected")
+{
+  for (const char* target :
+       { R"({"service":"s","zone":"z","slots":1,"state":"ready",)"
+         R"("address":"10.0.0.1:80","models":["x"]})",
+         R"({"service":"s","zone":"z","slots":1,"state":"ready",)"
+         R"("address":"10.0.0.1:80","models":[[]]})",
+         R"({"service":"s","zone":"z","slots":99999999999,"state":"ready",)"
+         R"("address":"10.0.0.1:80"})" }) {
+    INFO(target);
+    CHECK_FALSE(Value(Capture([&] { return DecodeTarget("t", target); })));
+  }
+  for (const char* manifest :
+       { R"({"version":1,"routes":[5],"services":[]})",
+         R"({"version":1,"routes":[{"backends":["x"]}],"services":[]})",
+         R"({"version":1,"routes":[],"services":["x"]})",
+         R"({"version":1,"routes":[],"services":[{"engine":{"models":[1]}}]})",
+         R"({"version":1,"routes":[],"services":[],"tenants":["x"]})",
+         R"({"version":1,"routes":[],"services":[],"limits":[]})" }) {
+    INFO(manifest);
+    CHECK_FALSE(Value(Capture([&] { return DecodeManifest(manifest); })));
+  }
+  const http_target_protocol protocol;
+  for (const char* report :
+       { R"({"models":["x"]})", R"({"models":[[]]})", "[]", "x" }) {
+    INFO(report);
+    node::http_response response;
+    response.status = 200;
+    response.body = report;
+    CHECK_FALSE(protocol.ReadReport(response));
+  }
+}
+
 TEST_CASE("target records that are incomplete or invalid are rejected")
 {
   const auto target = Target(
