Avoid a sampler whose runs fell silent

The silent sampler had the best score for the run's group, so it got the run back at once and held it for another 700 ms.

Ruled out: that placement ignores the backoff; there was none.

Change: silence of runs counts once a sampler, like a broken connection.

The new test fails before (4 items not complete 900 ms after the silence began) and passes now.

--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -60,6 +60,8 @@
   /// Updates the event interval of a run's sampler; ends a pending load if the
   /// run shows that the weights are there.
   void NoteEvent(const item_run& aRun);
+  /// Gives a sampler no items for a while, since its runs were silent.
+  void NoteSilence(const std::string& aId);
   [[nodiscard]] const std::set<std::shared_ptr<item_run>>& Runs() const noexcept
   {
     return mRuns;
@@ -111,6 +113,8 @@
                                       const sampler& aSampler) const;
   /// Subtracts a run from its sampler's running items.
   void ReleaseSlot(const item_run& aRun);
+  /// Avoids a sampler for longer with each failure.
+  void BackOff(sampler& aSampler);
   /// @return Whether a load may have ended, so that an item may be sent.
   [[nodiscard]] bool ProbeDue(const sampler& aSampler) const;
   void EndLoad(const std::string& aId, sampler& aSampler, const char* aSeenBy);
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t kMovesPerTick = 8;
 /// Time past its route's item retention when a waiting item ends as errored.
 constexpr int kItemExpiryMarginMs = 1'000;
-/// A moved run that was silent for longer is treated as broken.
+/// The sampler of a moved run that was silent for longer is avoided.
 constexpr milliseconds kBrokenSilence{ 300 };
 /// A progress save uses calls of at most this fraction of the largest one, so
 /// that results don't wait long behind it.
@@ -440,12 +440,9 @@
     const bool nodeSilent =
       silent && run->Location() &&
       mParts.nodes.NoteSilence(run->Location()->relay, now);
+    mPool.CancelRun(run);
     if (silent && !nodeSilent) {
-      // Treated as a broken run, so that the sampler is avoided for a while.
-      mPool.EndRun(*run, run_outcome::Broken);
-      run->Cancel();
-    } else {
-      mPool.CancelRun(run);
+      mPool.NoteSilence(run->Sampler());
     }
   }
 }
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -270,15 +270,33 @@
         entry.failures = 0; // The sampler works; only this run broke.
         break;
       }
-      const duration pause =
-        kInitialBackoff * (1 << std::min(entry.failures, 4));
-      entry.avoidUntil = now + std::min<duration>(pause, kMaxBackoff);
-      ++entry.failures;
+      BackOff(entry);
       break;
     }
   }
 }
 
+void
+sampler_pool::BackOff(sampler& aSampler)
+{
+  const duration pause =
+    kInitialBackoff * (1 << std::min(aSampler.failures, 4));
+  aSampler.avoidUntil =
+    mParts.loop.Now() + std::min<duration>(pause, kMaxBackoff);
+  ++aSampler.failures;
+}
+
+void
+sampler_pool::NoteSilence(const std::string& aId)
+{
+  const auto found = mSamplers.find(aId);
+  // All runs of a sampler fall silent together and count once.
+  if (found != mSamplers.end() &&
+      found->second.avoidUntil <= mParts.loop.Now()) {
+    BackOff(found->second);
+  }
+}
+
 void
 sampler_pool::NoteEvent(const item_run& aRun)
 {
--- a/tests/unit/batch_runs_test.cpp
+++ b/tests/unit/batch_runs_test.cpp
@@ -24,6 +24,20 @@
   CHECK_FALSE(test.samplers.resumedAfter.empty());
 }
 
+// Load pattern: a sampler falls silent in the middle of its streams. Guards
+// against runs that are moved to the silent sampler itself, which has the best
+// score for their group.
+TEST_CASE("a silent sampler does not get its own items back")
+{
+  leader_test test;
+  const auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 4), [] {});
+  test.loop.Advance(milliseconds(170));
+  test.samplers.samplers["10.0.0.1"].unresponsive = true;
+  test.loop.Advance(milliseconds(900));
+  CHECK(leader->Find("b", "acme")->Complete());
+}
+
 // Load pattern: one sampler becomes slow.
 TEST_CASE("runs move away from a slow sampler while others have room")
 {
