Store which software versions served, for streams taken up again

Cause: a caller that takes up a stream without naming its first request was served if all targets that are known now have one software version. After all nodes had ended at once nobody remembered the version that had just left, so the second part of a text came from the other version, with 200 and nothing to show it. A node that is cut off from the registry had the same fault with its old view.

A version now counts for 130 s after its last target has left: in memory, and in the topic af.software, which the leader writes when versions come or go. A node that starts, or could not read the registry for 2.5 s, guesses nothing before it has read what is stored. Without a stored history (nodes of an earlier build) nothing is guessed for 130 s. Where one version served all the time, streams also go on whose origin was kept only by nodes that have ended; these were refused before.

Ruled out: the time at which the present targets started, which tells nothing of those that left; the history of the registry, which the store may drop at any time and which each node would have to read at its start.

Tests: with the old rule put back, 12 checks of software_version_test fail. The test of streams without an origin expected 200 right after a target had changed its version; that was the fault itself, so it expects 503 now, and 200 after three minutes.

--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -7,6 +7,7 @@
 #include "arbutusferry/node/keyed_follower.hpp"
 #include "arbutusferry/node/leader_election.hpp"
 #include "arbutusferry/node/platform_duties.hpp"
+#include "arbutusferry/node/software_watch.hpp"
 #include "arbutusferry/node/target_gateway.hpp"
 #include "arbutusferry/node/usage_windows.hpp"
 
@@ -68,6 +69,8 @@
   void SetNewestVersion(const std::string& aModel, std::int64_t aVersion);
   void UpdateTarget(const target_entry& aTarget);
   void RemoveTarget(const std::string& aId);
+  /// Notes that the registry of targets has been read to its present end.
+  void NoteTargetsRead() { mSoftware.NoteTargetsRead(); }
 
   [[nodiscard]] const environment_view& Environment() const override
   {
@@ -141,6 +144,7 @@
   target_gateway mGateway;
   std::map<std::string, std::int64_t> mNewestVersions;
   limit_coordinator mLimits;
+  software_watch mSoftware;
   shared_stream_origins mOrigins;
   crash_watch mCrashes;
   call_forwarder mForwarder;
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/address.hpp"
 #include "arbutusferry/node/request_limit.hpp"
+#include "arbutusferry/node/software_history.hpp"
 #include "arbutusferry/time.hpp"
 
 #include <cstdint>
@@ -96,10 +97,8 @@
   /// @return The number of targets that neither drain nor are gone nor
   /// excluded.
   [[nodiscard]] std::size_t CountReady(const target_query& aQuery) const;
-  /// @return The software version of all known targets of a service; nothing if
-  /// there are several or no targets.
-  [[nodiscard]] std::optional<std::string> OnlySoftware(
-    const std::string& aService) const;
+  /// @return The software versions of all known targets.
+  [[nodiscard]] software_history::version_map SoftwareVersions() const;
   /// Takes the bursts of all limits as used, when this process begins to share
   /// out the rates of targets.
   void SpendLimitBursts(time_point aNow);
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -59,12 +59,9 @@
 void
 forwarded_call::ResumeStream()
 {
-  if (mCall.streamOrigin.empty()) {
-    OnStreamOrigin(mParts.targets.OnlySoftware(mCall.service));
-    return;
-  }
   mParts.origins.Find(
     mCall.streamOrigin,
+    mCall.service,
     [self = shared_from_this()](const std::optional<std::string>& aSoftware) {
       self->OnStreamOrigin(aSoftware);
     });
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -96,7 +96,8 @@
                 const auto leader = OtherLeader();
                 return leader ? std::optional(leader->address) : std::nullopt;
               } })
-  , mOrigins({ mParts.loop, mParts.client, mNodes, mSettings.vm })
+  , mSoftware({ mParts.loop, mParts.log, mTargets })
+  , mOrigins({ mParts.loop, mParts.client, mNodes, mSoftware, mSettings.vm })
   , mCrashes({ mParts.loop, mTargetClient, mParts.log })
   , mForwarder({ mParts.loop,
                  mTargetClient,
@@ -145,6 +146,7 @@
   mNodeFollower->Start();
   mLeaderFollower->Start();
   mCrashes.Start();
+  mSoftware.Start();
   mElectionTicker = std::make_unique<periodic_timer>(
     mParts.loop, kElectionTick, [this] { StepElection(); });
   mSlowTicker =
@@ -152,6 +154,10 @@
       SaveUsage();
       mTargets.Expire(mParts.loop.Now());
       mCrashes.Expire(Leader() != nullptr);
+      mSoftware.Observe();
+      if (Leader()) {
+        mSoftware.Save();
+      }
       mMetrics.SetGauge("ferry_leads", {}, Leader() ? 1.0 : 0.0);
       mMetrics.SetGauge(
         "ferry_targets", {}, static_cast<double>(mTargets.All().size()));
@@ -211,10 +217,14 @@
           { "software", aTarget.software },
           { "state", aTarget.draining ? "draining" : "ready" } });
   }
+  const bool added = !before;
   const bool softwareChanged =
     before && before->entry.software != aTarget.software;
   mTargets.Update(aTarget, mParts.loop.Now());
   mCrashes.NoteRecord(aTarget);
+  if (added || softwareChanged) {
+    mSoftware.Observe();
+  }
   if (mLeader) {
     if (softwareChanged) {
       mLeader->OnSoftwareChanged(aTarget.id);
--- a/src/node/ferry_node_observers.hpp
+++ b/src/node/ferry_node_observers.hpp
@@ -43,6 +43,7 @@
     if (!mSeenRecord) {
       // No process has ever led, so there is no holder to wait for.
       mSeenRecord = true;
+      mNode.mSoftware.NoteFirstStart();
       leader_record vacant;
       vacant.released = true;
       mNode.mElection.Observe(0, vacant, mNode.mParts.loop.Now());
--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -16,8 +16,6 @@
 /// Nodes that keep a stream's origin besides the one that serves it. With
 /// three, 96 of 100 origins survive when a third of all nodes is lost at once.
 constexpr std::size_t kCopies = 3;
-/// How long an origin is kept: longer than callers wait for a stream.
-constexpr std::chrono::seconds kRetention{ 120 };
 constexpr std::chrono::seconds kExpireInterval{ 5 };
 /// Time limit of a question to another node: many times a round trip within a
 /// region.
@@ -91,15 +89,18 @@
 void
 shared_stream_origins::Find(
   const std::string& aStream,
+  const std::string& aService,
   std::function<void(const std::optional<std::string>&)> aDone)
 {
   if (const auto known = mOrigins.find(aStream); known != mOrigins.end()) {
     aDone(known->second.software);
     return;
   }
-  const auto keepers = mParts.nodes.ChooseKeepers(aStream, mParts.vm, kCopies);
+  const auto keepers =
+    aStream.empty() ? std::vector<node_entry>()
+                    : mParts.nodes.ChooseKeepers(aStream, mParts.vm, kCopies);
   if (keepers.empty()) {
-    aDone(std::nullopt);
+    aDone(mParts.candidates.OnlyOrigin(aService));
     return;
   }
   auto question = std::make_shared<pending_question>();
@@ -111,7 +112,8 @@
       MakeRequest("GET", aStream),
       QuestionOptions(),
       std::make_shared<response_collector>(
-        [question](const http_response* aResponse, exchange_failure) {
+        [this, question, aService](const http_response* aResponse,
+                                   exchange_failure) {
           --question->open;
           const auto software = aResponse && aResponse->status == 200
                                   ? aResponse->headers.Find(kSoftwareHeader)
@@ -119,7 +121,7 @@
           if ((software || question->open == 0) && question->done) {
             const auto done = std::exchange(question->done, nullptr);
             done(software ? std::optional<std::string>(*software)
-                          : std::nullopt);
+                          : mParts.candidates.OnlyOrigin(aService));
           }
         }));
   }
@@ -158,7 +160,7 @@
 {
   const time_point now = mParts.loop.Now();
   std::erase_if(mOrigins, [&](const auto& aEntry) {
-    return now - aEntry.second.since >= kRetention;
+    return now - aEntry.second.since >= kOriginRetention;
   });
 }
 
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -136,20 +136,14 @@
     }));
 }
 
-std::optional<std::string>
-target_view::OnlySoftware(const std::string& aService) const
+software_history::version_map
+target_view::SoftwareVersions() const
 {
-  std::optional<std::string> only;
+  software_history::version_map versions;
   for (const auto& [id, known] : mTargets) {
-    if (known.entry.service != aService) {
-      continue;
-    }
-    if (only && *only != known.entry.software) {
-      return std::nullopt;
-    }
-    only = known.entry.software;
+    versions[known.entry.service].insert(known.entry.software);
   }
-  return only;
+  return versions;
 }
 
 void
