Repeat requests on other connections, and stop after the last write

Operators of similar systems report a late second copy of an answer on a connection in use again, and requests that were cut off in a planned stop. Responses are matched by id; a request that is repeated has the id of its first attempt, so a late copy of the first response was read as that to the second. A repeated request now takes another connection.

A stopping node ended when no request was being handled. A response not yet written, a request of which a part had arrived, and one that lay in the socket didn't count. Idle() counts them.

Besides, an error response after a HEAD request on the same connection had no length.

--- a/include/arbutusferry/node/http_listener.hpp
+++ b/include/arbutusferry/node/http_listener.hpp
@@ -69,8 +69,9 @@
   /// Closes each connection after its next response, and idle ones after
   /// `aIdle`. New connections are still accepted.
   virtual void Drain(duration aIdle) = 0;
-  /// @return Number of requests whose response is not complete.
-  [[nodiscard]] virtual std::size_t ActiveRequests() const = 0;
+  /// @return Whether no part of a request has arrived whose response is not
+  /// written yet.
+  [[nodiscard]] virtual bool Idle() const = 0;
 };
 
 } // namespace arbutusferry::node
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -42,6 +42,15 @@
                                                    : exchange_failure::NotSent;
 }
 
+/// @return The id that the response must name; empty if there is none.
+std::string_view
+RequestId(const http_request& aRequest, const exchange_options& aOptions)
+{
+  return aOptions.echoHeader.empty()
+           ? std::string_view()
+           : aRequest.headers.Get(aOptions.echoHeader);
+}
+
 /// One connection to a peer, which carries one exchange at a time.
 class client_connection final
   : public std::enable_shared_from_this<client_connection>
@@ -69,6 +78,11 @@
     return mConnected && !mClosed && aNow < mReuseDeadline;
   }
   [[nodiscard]] const std::string& Peer() const noexcept { return mPeer; }
+  /// @return The id that the last response had to name; empty if none.
+  [[nodiscard]] const std::string& LastRequestId() const noexcept
+  {
+    return mRequestId;
+  }
 
 private:
   void OnParsedHead() override;
@@ -196,7 +210,7 @@
     std::shared_ptr<response_sink> aSink) override
   {
     const std::string peer = FormatAddress(aPeer);
-    auto connection = TakeIdle(peer);
+    auto connection = TakeIdle(peer, RequestId(aRequest, aOptions));
     const bool fresh = !connection;
     if (fresh) {
       connection = std::make_shared<client_connection>(mLoop, *this, peer);
@@ -245,21 +259,32 @@
 
 private:
   /// Takes the most recently used idle connection, since the others are closed
-  /// by the peer sooner.
-  std::shared_ptr<client_connection> TakeIdle(const std::string& aPeer)
+  /// by the peer sooner. A request that is repeated gets another connection: a
+  /// late second copy of its first response would have the id of the next.
+  std::shared_ptr<client_connection> TakeIdle(const std::string& aPeer,
+                                              std::string_view aRequestId)
   {
     const auto found = mIdle.find(aPeer);
     if (found == mIdle.end()) {
       return nullptr;
     }
     const time_point now = mLoop.Now();
-    while (!found->second.empty()) {
-      auto connection = found->second.back();
-      found->second.pop_back();
+    auto& list = found->second;
+    for (std::size_t left = list.size(); left > 0; --left) {
+      const auto at = list.begin() + static_cast<std::ptrdiff_t>(left - 1);
+      const auto connection = *at;
+      if (connection->Reusable(now) && !aRequestId.empty() &&
+          connection->LastRequestId() == aRequestId) {
+        continue;
+      }
+      list.erase(at);
       if (connection->Reusable(now)) {
         return connection;
       }
       connection->Close();
+      if (!mIdle.contains(aPeer)) {
+        break;
+      }
     }
     return nullptr;
   }
@@ -319,9 +344,7 @@
   mSink = std::move(aSink);
   mRequestWritten = false;
   mHeadRequest = aRequest.method == "HEAD";
-  mRequestId = mOptions.echoHeader.empty()
-                 ? std::string()
-                 : std::string(aRequest.headers.Get(mOptions.echoHeader));
+  mRequestId = RequestId(aRequest, mOptions);
   NewParser();
   mOutput = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
   if (!aRequest.body.empty() || aRequest.method == "POST" ||
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,6 +1,7 @@
 #include "arbutusferry/node/asio_net.hpp"
 #include "server_connection.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace arbutusferry::node {
@@ -43,7 +44,13 @@
     mDraining = true;
     mDrainIdle = aIdle;
   }
-  [[nodiscard]] std::size_t ActiveRequests() const override { return mActive; }
+  [[nodiscard]] bool Idle() const override
+  {
+    return std::all_of(
+      mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+        return aConnection->Idle();
+      });
+  }
 
 private:
   [[nodiscard]] asio_loop& Loop() noexcept override { return mLoop; }
@@ -64,8 +71,6 @@
   {
     mConnections.erase(aConnection);
   }
-  void RequestBegan() noexcept override { ++mActive; }
-  void RequestEnded() noexcept override { --mActive; }
 
   void Accept();
   void CheckTimeouts();
@@ -79,7 +84,6 @@
   std::unique_ptr<timer> mBackoff;
   bool mDraining = false;
   duration mDrainIdle{};
-  std::size_t mActive = 0;
 };
 
 asio_listener::~asio_listener()
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -220,7 +220,6 @@
   mHeadRequest = request.method == "HEAD";
   mHandling = true;
   ++mRequestNumber;
-  mOwner->RequestBegan();
   auto answer =
     std::make_shared<connection_responder>(shared_from_this(), mRequestNumber);
   try {
@@ -236,8 +235,8 @@
 server_connection::SendErrorAndClose(int aStatus)
 {
   mHandling = true;
+  mHeadRequest = false;
   ++mRequestNumber;
-  mOwner->RequestBegan();
   mCloseAfterResponse = true;
   Send(mRequestNumber, { aStatus, {}, {} });
 }
@@ -328,7 +327,6 @@
 {
   mHandling = false;
   mOnDisconnect = nullptr;
-  mOwner->RequestEnded();
   mPhaseStart = mOwner->Loop().Now();
   NewParser();
   Flush();
@@ -382,6 +380,14 @@
   }
 }
 
+bool
+server_connection::Idle() const
+{
+  net_error ignored;
+  return !mHandling && mPhase == phase::Idle && mInput.empty() &&
+         UnsentBytes() == 0 && mSocket.available(ignored) == 0;
+}
+
 std::uint16_t
 server_connection::PeerPort() const
 {
@@ -411,7 +417,6 @@
   mSocket.shutdown(tcp::socket::shutdown_send, ignored);
   mSocket.close(ignored);
   if (mHandling) {
-    mOwner->RequestEnded();
   }
   mOwner->Remove(self);
   if (const auto onDisconnect = std::exchange(mOnDisconnect, nullptr)) {
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -29,8 +29,6 @@
   /// Releases a closed connection.
   virtual void Remove(
     const std::shared_ptr<server_connection>& aConnection) = 0;
-  virtual void RequestBegan() noexcept = 0;
-  virtual void RequestEnded() noexcept = 0;
 };
 
 /// An accepted connection, which handles one request at a time.
@@ -61,6 +59,9 @@
   {
     return mClosed || aRequestNumber != mRequestNumber || !mHandling;
   }
+  /// @return Whether no part of a request has arrived whose response is not
+  /// written yet.
+  [[nodiscard]] bool Idle() const;
   [[nodiscard]] std::uint16_t PeerPort() const;
   [[nodiscard]] std::size_t UnsentBytes() const
   {
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -28,6 +28,8 @@
 
 struct echo_handler final : request_handler
 {
+  static constexpr const char* kLargeEnd = "the end";
+
   void Handle(http_request aRequest,
               std::shared_ptr<responder> aResponder) override
   {
@@ -47,6 +49,13 @@
     if (aRequest.target == "/drop") {
       return;
     }
+    if (aRequest.target == "/large") {
+      http_response large;
+      large.status = 200;
+      large.body = std::string(std::size_t{ 32 } << 20, 'x') + kLargeEnd;
+      aResponder->Send(std::move(large));
+      return;
+    }
     if (aRequest.target == "/throw") {
       held = aResponder;
       throw std::runtime_error("unexpected");
@@ -152,7 +161,7 @@
   sent = test.Send("GET", "/stream");
   test.RunUntil([&] { return sent->response.has_value(); });
   CHECK(sent->response->body == "onetwo");
-  CHECK(test.listener->ActiveRequests() == 0);
+  test.RunUntil([&] { return test.listener->Idle(); });
 }
 
 TEST_CASE("a handler that drops its responder closes the connection")
@@ -334,6 +343,132 @@
   CHECK(*sent->failure == exchange_failure::Protocol);
 }
 
+namespace {
+
+/// Server that fails the first request of each connection and, when a second
+/// one arrives there, sends the failure again before the response.
+struct late_copy_peer
+{
+  late_copy_peer()
+    : acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+    , thread([this] { context.run_for(std::chrono::seconds(20)); })
+  {
+    boost::asio::post(context, [this] { Accept(); });
+  }
+  ~late_copy_peer()
+  {
+    context.stop();
+    thread.join();
+  }
+  late_copy_peer(const late_copy_peer&) = delete;
+  late_copy_peer& operator=(const late_copy_peer&) = delete;
+
+  void Accept()
+  {
+    acceptor.async_accept([this](const auto& aError, tcp::socket aSocket) {
+      if (!aError) {
+        Serve(std::make_shared<tcp::socket>(std::move(aSocket)), 0);
+        Accept();
+      }
+    });
+  }
+  void Serve(const std::shared_ptr<tcp::socket>& aSocket, int aRequests)
+  {
+    auto buffer = std::make_shared<std::array<char, 4'096>>();
+    aSocket->async_read_some(
+      boost::asio::buffer(*buffer),
+      [this, aSocket, aRequests, buffer](const auto& aError, std::size_t) {
+        if (aError) {
+          return;
+        }
+        const bool first = aRequests == 0 && connections++ == 0;
+        const std::string failure = "HTTP/1.1 500 E\r\nX-Id: mine\r\n"
+                                    "Content-Length: 4\r\n\r\nfail";
+        const std::string served = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n"
+                                   "Content-Length: 4\r\n\r\ngood";
+        boost::system::error_code ignored;
+        boost::asio::write(*aSocket,
+                           boost::asio::buffer(first ? failure
+                                               : aRequests == 0
+                                                 ? served
+                                                 : failure + served),
+                           ignored);
+        Serve(aSocket, aRequests + 1);
+      });
+  }
+
+  int connections = 0;
+  boost::asio::io_context context;
+  tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+} // namespace
+
+// Guards against a second copy of a response that comes late, on a connection
+// that is in use again: a repeated request has the same id.
+TEST_CASE("a repeated request is not sent over the connection that it had")
+{
+  net_test test;
+  late_copy_peer peer;
+  test.address.port = peer.acceptor.local_endpoint().port();
+  exchange_options options;
+  options.echoHeader = "X-Id";
+  auto sent = test.Send("GET", "/", options, { { "X-Id", "mine" } });
+  test.RunUntil([&] { return sent->response.has_value(); });
+  CHECK(sent->response->body == "fail");
+  sent = test.Send("GET", "/", options, { { "X-Id", "mine" } });
+  test.RunUntil([&] { return sent->response.has_value(); });
+  CHECK(sent->response->body == "good");
+}
+
+// Guards against a response without a length after a HEAD request, for whose
+// end the caller waits.
+TEST_CASE("an error response after a HEAD request has a length")
+{
+  net_test test;
+  const std::string answer =
+    test.Raw("HEAD / HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n");
+  const auto error = answer.find("400");
+  REQUIRE(error != std::string::npos);
+  CHECK(answer.find("Content-Length: 0", error) != std::string::npos);
+}
+
+// Guards against a stop of the process that cuts off responses which are not
+// written yet, or requests of which a part has arrived.
+TEST_CASE("a listener is busy until its responses are written")
+{
+  net_test test;
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    { boost::asio::ip::make_address(test.address.ip), test.address.port });
+  CHECK(test.listener->Idle());
+  boost::asio::write(socket,
+                     boost::asio::buffer(std::string("GET /large HTT")));
+  test.RunUntil([&] { return !test.listener->Idle(); });
+  boost::asio::write(
+    socket, boost::asio::buffer(std::string("P/1.1\r\nHost: h\r\n\r\n")));
+  test.RunUntil([&] { return test.handler.handled == 1; });
+  CHECK_FALSE(test.listener->Idle());
+  std::atomic<bool> read = false;
+  std::thread peer([&] {
+    std::string answer;
+    boost::system::error_code error;
+    while (answer.find(echo_handler::kLargeEnd) == std::string::npos &&
+           !error) {
+      std::array<char, 65'536> part{};
+      const std::size_t size =
+        socket.read_some(boost::asio::buffer(part), error);
+      answer.append(part.data(), size);
+    }
+    read = true;
+  });
+  test.RunUntil([&] { return read.load(); });
+  peer.join();
+  test.RunUntil([&] { return test.listener->Idle(); });
+}
+
 // Guards against a living process that is taken to have ended, and the other
 // way round.
 TEST_CASE("a probe tells whether a process listens")
