Abort streams that end in the middle of an event

Plain responses are safe: those with a length or chunks by their framing, those without by the difference between end and reset. A stream without a length that ended in the middle of an event was ended towards the caller as complete. Its connection is now closed without the end of the response.

Items were safe: their runs count as complete only between two events.

The new test fails before (not aborted, answered once).

--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -2,12 +2,16 @@
 
 #include "arbutusferry/logging.hpp"
 
+#include <algorithm>
+
 namespace arbutusferry::node {
 
 namespace {
 
 /// Unread bytes of a stream above which a slow reader is disconnected.
 constexpr std::size_t kMaxUnreadBytes = std::size_t{ 1 } << 20;
+/// Bytes of an empty line and of the end of the line before it.
+constexpr std::size_t kTailBytes = 4;
 
 } // namespace
 
@@ -65,6 +69,10 @@
   if (!std::exchange(mOriginNoted, true) && !call->mCall.resumesStream) {
     call->mParts.origins.Note(call->mCall.id, mTarget.software);
   }
+  mStreamTail +=
+    aPart.substr(aPart.size() - std::min(aPart.size(), kTailBytes));
+  mStreamTail.erase(
+    0, mStreamTail.size() - std::min(mStreamTail.size(), kTailBytes));
   call->mResponder->Write(aPart);
   if (call->mResponder->UnsentBytes() > kMaxUnreadBytes) {
     Log(log_level::Warning,
@@ -75,6 +83,23 @@
   }
 }
 
+void
+forwarded_call::attempt::OnStreamBroken()
+{
+  const auto call = mCall;
+  call->mEnded = true;
+  call->StopAttempts(this);
+  call->mResponder->Abort();
+  call->RecordOutcome("stream_broken", mTarget.id);
+}
+
+bool
+forwarded_call::attempt::AtEventEnd() const
+{
+  return mStreamTail.empty() || mStreamTail.ends_with("\n\n") ||
+         mStreamTail.ends_with("\n\r\n");
+}
+
 void
 forwarded_call::attempt::OnEnd()
 {
@@ -83,6 +108,11 @@
   if (call->mEnded) {
     return;
   }
+  if (mStreaming && !AtEventEnd()) {
+    // Without a length, only the text shows that the stream broke off.
+    OnStreamBroken();
+    return;
+  }
   switch (verdict) {
     case response_class::NotRun:
     case response_class::WrongTarget:
@@ -121,10 +151,7 @@
     call->mParts.crashes.NoteBroken(call->mFingerprint, mTarget);
   }
   if (mStreaming) {
-    call->mEnded = true;
-    call->StopAttempts(this);
-    call->mResponder->Abort();
-    call->RecordOutcome("stream_broken", mTarget.id);
+    OnStreamBroken();
     return;
   }
   if (NothingSent(aFailure)) {
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -132,11 +132,16 @@
   response_class verdict = response_class::Failed;
 
 private:
+  /// @return Whether the stream so far ends after a whole event.
+  [[nodiscard]] bool AtEventEnd() const;
+  void OnStreamBroken();
+
   std::shared_ptr<forwarded_call> mCall;
   target_entry mTarget; ///< As of the time of sending.
   time_point mSentAt;
   std::int64_t mSentUnixMs;
   bool mStreaming = false;
+  std::string mStreamTail; ///< Last bytes of the stream.
   bool mOriginNoted = false;
   bool mReleased = false;
 };
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -326,3 +326,18 @@
   CHECK(test.client.requests.size() == 2);
   CHECK(answer->response.status == 502);
 }
+
+// Guards against a stream that breaks off in the middle of an event, as one
+// without a length may, and reaches the caller as complete.
+TEST_CASE("a stream that ends in the middle of an event is aborted")
+{
+  forwarder_fixture test;
+  const auto whole = test.Call(route_kind::Stream);
+  test.client.requests[0]->Answer(200, kStamped, "id: 1\ndata: x\n\n");
+  CHECK(whole->answers == 1);
+  CHECK_FALSE(whole->aborted);
+  const auto broken = test.Call(route_kind::Stream);
+  test.client.requests[1]->Answer(200, kStamped, "id: 1\ndata: x\n\nid: 2\nda");
+  CHECK(broken->aborted);
+  CHECK(broken->answers == 0);
+}
