Leave runs at samplers that take no further items

Cause: a run was moved at the next tick when its sampler was not usable, which also held for 40 ms after it refused one item as full, while it drained, and when the registry had lost its entry for a moment.

Change: only the run's own silence and the sampler's speed move it. A sampler that drains serves on for at least drain-ms; a run that it breaks off goes on elsewhere as before.

--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -73,7 +73,9 @@
 };
 
 /// @return Whether a run should continue at another sampler: its sampler is
-/// unusable or much slower than the others, or the run was silent for too long.
+/// much slower than the others, or the run was silent for too long. A sampler
+/// that gets no further items for now, or that the registry doesn't list, keeps
+/// the runs that go on there.
 [[nodiscard]] bool
 ShouldMove(const run_timing& aRun,
            const sampler_state& aSampler,
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -110,9 +110,6 @@
            double aMedianIntervalMs,
            time_point aNow)
 {
-  if (!aSampler.usable) {
-    return true;
-  }
   // All runs of a sampler pause while it loads weights.
   if (!aSampler.loading.empty()) {
     return false;
