Measure samplers by mean intervals, and move runs only where there is room

Cause: runs were moved for reasons that lay with the leader. It reads the events of all streams, and after it was busy it reads several at once: an average that each interval moves by a fifth then swings between 0 and several times the true interval, for some samplers up and for the median down. The pause of a load counted as one long interval, and as silence of the runs that went on after it. And a run of a slow sampler was ended also when no other could take it, so it went back at once, every 50 ms.

Change: intervals count by their length over about a second (interval_average); intervals that began before the end of a load don't count, and silence counts from there; a run leaves a slow sampler only if a faster one has a slot for it.

Tests: in one run the old average swings by more than the factor at which runs move, the new one stays within 20 %; the tests of silence after a load and of a full fleet fail before. The test of runs that stay during a load passes on both.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -124,6 +124,13 @@
   void Tick();
   void PlaceItems();
   void MoveSlowRuns();
+  /// Takes a slot for a run of a slow sampler at a faster one that may go on
+  /// with it.
+  /// @param aRoom Samplers by service, less the slots that were taken.
+  /// @return Whether there is one.
+  [[nodiscard]] bool TakeFasterSlot(
+    const item_run& aRun,
+    std::map<std::string, std::vector<sampler_state>>& aRoom);
   /// Logs that an item's events are dropped.
   static void LogRestart(const batch& aBatch, std::size_t aIndex);
   /// Saves the progress of items with at least `aMinNewEvents` new events.
--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -26,7 +26,9 @@
   /// The load may have ended: one item may be sent as a probe.
   bool mayHaveLoaded = false;
   std::string assignedModel; ///< Model whose new versions it loads.
-  /// Moving average of the time between events.
+  /// End of its last load, during which its runs paused.
+  time_point loadEndedAt;
+  /// Mean time between the events of a run.
   std::optional<double> eventIntervalMs;
   std::map<std::string, int> groups; ///< Running items by group.
 };
@@ -72,6 +74,14 @@
   bool begun = false;   ///< The first event has arrived.
 };
 
+/// @return Whether a run was silent for so long that its sampler may have
+/// stopped.
+[[nodiscard]] bool
+FellSilent(const run_timing& aRun,
+           const sampler_state& aSampler,
+           double aMedianIntervalMs,
+           time_point aNow);
+
 /// @return Whether a run should continue at another sampler: its sampler is
 /// much slower than the others, or the run was silent for too long. A sampler
 /// that gets no further items for now, or that the registry doesn't list, keeps
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arbutusferry/node/interval_average.hpp"
 #include "arbutusferry/node/item_run.hpp"
 #include "arbutusferry/node/item_scheduler.hpp"
 #include "arbutusferry/node/target_view.hpp"
@@ -96,7 +97,7 @@
     std::map<std::string, std::int64_t> versions;
     /// Orders it has accepted; empty until its first report.
     std::optional<std::uint64_t> ordersAccepted;
-    std::optional<double> eventIntervalMs;
+    interval_average eventInterval;
     int running = 0;
     std::map<std::string, int> groups;
     std::optional<pending_order> order;
@@ -104,7 +105,6 @@
     time_point orderNotBefore;
     time_point avoidUntil;
     int failures = 0;
-    time_point intervalMeasuredAt; ///< Last update of eventIntervalMs.
     time_point loadEndedAt; ///< When the last load was seen to have ended.
   };
 
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -401,6 +401,43 @@
                   });
 }
 
+bool
+batch_leader::TakeFasterSlot(
+  const item_run& aRun,
+  std::map<std::string, std::vector<sampler_state>>& aRoom)
+{
+  const batch* owner = mBatches.Find(aRun.Batch());
+  if (!owner) {
+    return true;
+  }
+  const batch_request& request = owner->Request();
+  const item_progress& progress = owner->Items()[aRun.Index()].progress;
+  const route_entry* route = mParts.environment.Environment().FindRoute(
+    request.host, request.items[aRun.Index()].path);
+  if (!route || route->services.empty()) {
+    return false;
+  }
+  const auto [at, added] = aRoom.try_emplace(route->services.front().service);
+  if (added) {
+    at->second = mPool.States(at->first);
+  }
+  std::vector<sampler_state>& samplers = at->second;
+  waiting_item item;
+  item.model = request.model;
+  item.minimumVersion = request.minimumVersion;
+  item.onlySoftware = progress.software;
+  if (route->singleVersion && !progress.versions.empty()) {
+    item.onlyVersion = progress.versions.back();
+  }
+  const auto chosen = ChooseSampler(item, samplers);
+  if (!chosen || samplers[*chosen].id == aRun.Sampler()) {
+    return false;
+  }
+  ++samplers[*chosen].running;
+  --samplers[*chosen].startsAvailable;
+  return true;
+}
+
 void
 batch_leader::MoveSlowRuns()
 {
@@ -415,11 +452,14 @@
     }
   }
   const double typicalMilliseconds = MedianEventIntervalMs(all).value_or(1.0);
+  std::map<std::string, std::vector<sampler_state>> room; // By service.
   std::vector<std::shared_ptr<item_run>> moved;
   for (const auto& run : mPool.Runs()) {
+    const sampler_state& sampler = states[run->Sampler()];
     if (moved.size() < kMovesPerTick &&
-        ShouldMove(
-          run->Timing(), states[run->Sampler()], typicalMilliseconds, now)) {
+        ShouldMove(run->Timing(), sampler, typicalMilliseconds, now) &&
+        (FellSilent(run->Timing(), sampler, typicalMilliseconds, now) ||
+         TakeFasterSlot(*run, room))) {
       moved.push_back(run);
     }
   }
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -105,7 +105,7 @@
 }
 
 bool
-ShouldMove(const run_timing& aRun,
+FellSilent(const run_timing& aRun,
            const sampler_state& aSampler,
            double aMedianIntervalMs,
            time_point aNow)
@@ -117,11 +117,19 @@
   const duration limit = aRun.begun ? kMaxSilence : kMaxSilenceBeforeFirst;
   const auto intervalLimit = std::chrono::duration_cast<duration>(
     std::chrono::duration<double, std::milli>(4 * aMedianIntervalMs));
-  if (aNow - aRun.lastEvent >= std::max(limit, intervalLimit)) {
-    return true;
-  }
-  return aRun.begun && aSampler.eventIntervalMs &&
-         *aSampler.eventIntervalMs > kSlowFactor * aMedianIntervalMs;
+  const time_point silentSince = std::max(aRun.lastEvent, aSampler.loadEndedAt);
+  return aNow - silentSince >= std::max(limit, intervalLimit);
+}
+
+bool
+ShouldMove(const run_timing& aRun,
+           const sampler_state& aSampler,
+           double aMedianIntervalMs,
+           time_point aNow)
+{
+  return FellSilent(aRun, aSampler, aMedianIntervalMs, aNow) ||
+         (aSampler.loading.empty() && aRun.begun && aSampler.eventIntervalMs &&
+          *aSampler.eventIntervalMs > kSlowFactor * aMedianIntervalMs);
 }
 
 } // namespace arbutusferry::node
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -10,11 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/// Weight of the newest interval in the moving average of event intervals.
-constexpr double kIntervalSmoothing = 0.2;
-/// An average that was not updated for this long is discarded, so that a slow
-/// sampler is tried again.
-constexpr milliseconds kIntervalMaxAge{ 3'000 };
 /// First backoff after a broken run; doubles with each further one.
 constexpr milliseconds kInitialBackoff{ 200 };
 constexpr milliseconds kMaxBackoff{ 3'000 };
@@ -105,9 +100,8 @@
     state.loading = aSampler.order->load.model;
   }
   state.assignedModel = mPlan.AssignedModel(aId);
-  if (now - aSampler.intervalMeasuredAt < kIntervalMaxAge) {
-    state.eventIntervalMs = aSampler.eventIntervalMs;
-  }
+  state.loadEndedAt = aSampler.loadEndedAt;
+  state.eventIntervalMs = aSampler.eventInterval.Milliseconds(now);
   state.groups = aSampler.groups;
   return state;
 }
@@ -313,21 +307,12 @@
   if (!aRun.Timing().begun) {
     return;
   }
-  const time_point now = mParts.loop.Now();
-  const double interval =
-    std::chrono::duration<double, std::milli>(now - aRun.Timing().lastEvent)
-      .count();
-  if (entry.order) {
+  const time_point last = aRun.Timing().lastEvent;
+  if (entry.order || last < entry.loadEndedAt) {
     return; // All runs pause during a load.
   }
-  if (!entry.eventIntervalMs ||
-      now - entry.intervalMeasuredAt >= kIntervalMaxAge) {
-    entry.eventIntervalMs = interval;
-  } else {
-    *entry.eventIntervalMs +=
-      kIntervalSmoothing * (interval - *entry.eventIntervalMs);
-  }
-  entry.intervalMeasuredAt = now;
+  const time_point now = mParts.loop.Now();
+  entry.eventInterval.Note(now - last, now);
 }
 
 int
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -197,7 +197,15 @@
   void Produce(const exchange& aSent, const std::string& aItem, std::size_t aId)
   {
     const sampler& self = samplers[aSent->peer.ip];
-    mLoop.Post(self.eventInterval, [this, aSent, aItem, aId] {
+    const duration interval =
+      std::max(self.eventInterval, self.loadedAt - mLoop.Now());
+    mLoop.Post(interval, [this, aSent, aItem, aId] {
+      const duration paused = samplers[aSent->peer.ip].loadedAt - mLoop.Now();
+      if (paused > duration::zero()) {
+        mLoop.Post(paused,
+                   [this, aSent, aItem, aId] { Produce(aSent, aItem, aId); });
+        return;
+      }
       if (!aSent->sink || samplers[aSent->peer.ip].unresponsive) {
         return;
       }
--- a/tests/unit/batch_runs_test.cpp
+++ b/tests/unit/batch_runs_test.cpp
@@ -51,6 +51,24 @@
   CHECK_FALSE(test.samplers.resumedAfter.empty());
 }
 
+// Load pattern: one sampler becomes slow while all others are full. Guards
+// against runs that are ended and sent to the same sampler again and again.
+TEST_CASE("runs stay at a slow sampler while no other has room")
+{
+  leader_test test;
+  test.samplers.events = 60;
+  const auto leader = test.StartLeader(1);
+  std::size_t slots = 0;
+  for (const auto& [id, known] : test.targets.All()) {
+    slots += static_cast<std::size_t>(known.entry.slots);
+  }
+  leader->Submit(test.Request("b", static_cast<int>(slots)), [] {});
+  test.loop.Advance(milliseconds(400));
+  test.samplers.samplers["10.0.0.1"].eventInterval = milliseconds(160);
+  test.loop.Advance(milliseconds(1'500));
+  CHECK(test.samplers.resumedAfter.empty());
+}
+
 // Load pattern: the leader is lost during a step. Guards against items that
 // stop until the next leader has claimed the role and read the journal.
 TEST_CASE("items keep running through a change of leader")
@@ -221,3 +239,23 @@
   // One trial per sampler and interval, not one per item.
   CHECK(test.samplers.refusedWhileLoading <= 6);
 }
+
+// Load pattern: new weights come in the middle of a step, for runs that may go
+// on under them. Guards against the pause of a load being taken for silence, or
+// for slowness, of the sampler.
+TEST_CASE("runs that pause while their sampler loads weights stay there")
+{
+  leader_test test;
+  test.samplers.events = 60;
+  for (auto& [address, sampler] : test.samplers.samplers) {
+    sampler.loadTime = milliseconds(900);
+  }
+  const auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 8), [] {});
+  test.loop.Advance(milliseconds(600));
+  leader->SetNewestVersion("m", 2);
+  test.loop.Advance(milliseconds(60 * 40 + 2 * 900 + 400));
+  CHECK(test.samplers.samplers["10.0.0.1"].version == 2);
+  CHECK(leader->Find("b", "acme")->Complete());
+  CHECK(test.samplers.resumedAfter.empty());
+}
--- a/tests/unit/item_scheduler_test.cpp
+++ b/tests/unit/item_scheduler_test.cpp
@@ -1,3 +1,4 @@
+#include "arbutusferry/node/interval_average.hpp"
 #include "arbutusferry/node/item_scheduler.hpp"
 
 #include <catch2/catch.hpp>
@@ -150,3 +151,63 @@
   run = { kStart, kStart, false };
   CHECK(ShouldMove(run, sampler, 40, kStart + milliseconds(701)));
 }
+
+// Load pattern: the reader of all streams is busy for a while, as at the start
+// of a step, and then reads their events at once. Guards against samplers that
+// count as slow, or whose median falls, because of their reader.
+TEST_CASE("events that are read in bursts don't change a sampler's speed")
+{
+  interval_average average;
+  // The average of before: each interval moves it by a fifth.
+  double moving = 40.0;
+  double largestMoving = 0.0;
+  double smallestMoving = 1'000.0;
+  time_point now = kStart;
+  for (int burst = 0; burst < 20; ++burst) {
+    // Four runs with an event each 40 ms, read every 240 ms.
+    now += milliseconds(240);
+    for (int run = 0; run < 4; ++run) {
+      for (int event = 0; event < 6; ++event) {
+        const duration interval =
+          event == 0 ? duration(milliseconds(240)) : duration::zero();
+        average.Note(interval, now);
+        moving += 0.2 * (event == 0 ? 240.0 - moving : -moving);
+        largestMoving = std::max(largestMoving, moving);
+        smallestMoving = std::min(smallestMoving, moving);
+      }
+    }
+    if (burst > 1) {
+      const auto measured = average.Milliseconds(now);
+      REQUIRE(measured);
+      CHECK(*measured > 40 / 1.2);
+      CHECK(*measured < 40 * 1.2);
+    }
+  }
+  CHECK(largestMoving > 1.8 * smallestMoving);
+}
+
+TEST_CASE("an average of intervals follows a sampler that becomes slow")
+{
+  interval_average average;
+  time_point now = kStart;
+  CHECK_FALSE(average.Milliseconds(now));
+  for (int event = 0; event < 50; ++event) {
+    average.Note(milliseconds(40), now += milliseconds(40));
+  }
+  CHECK(*average.Milliseconds(now) == Approx(40.0));
+  for (int event = 0; event < 6; ++event) {
+    average.Note(milliseconds(160), now += milliseconds(160));
+  }
+  CHECK(*average.Milliseconds(now) > 1.8 * 40);
+  CHECK_FALSE(average.Milliseconds(now + milliseconds(3'000)));
+}
+
+// Guards against runs that are moved when a load of weights ends.
+TEST_CASE("silence counts from the end of a load")
+{
+  sampler_state sampler = Sampler("a", 1, 1);
+  sampler.loadEndedAt = kStart + milliseconds(950);
+  const run_timing run{ kStart, kStart, true };
+  CHECK_FALSE(ShouldMove(run, sampler, 40, kStart + milliseconds(1'000)));
+  CHECK(ShouldMove(run, sampler, 40, kStart + milliseconds(1'351)));
+}
