Keep the store of a test alive after its nodes

Cause: the fixture of streams destroys its nodes with reads of the store open, and these ended in the nodes' own logs: software_version_test ended with a segmentation fault once, in one of five runs of all tests, and not in 30 runs alone. Valgrind showed 56 invalid reads, all of them there, and none now.

--- a/tests/unit/software_version_test.cpp
+++ b/tests/unit/software_version_test.cpp
@@ -139,8 +139,7 @@
     target_view targets;
     node_directory directory{ vm + "/1" };
     bool reachesStore = true;
-    memory_log log{ service.loop, service.store };
-    software_watch software{ { service.loop, log, targets } };
+    software_watch software{ { service.loop, service.log, targets } };
     shared_stream_origins origins{
       { service.loop, client, directory, software, vm }
     };
@@ -241,6 +240,7 @@
 
   manual_loop loop;
   memory_store store;
+  memory_log log{ loop, store }; ///< Outlives nodes that end with reads open.
   platform::http_target_protocol protocol;
   platform::http_caller_protocol callers;
   ignored_runs runs;
