Start the server of a test before its loop runs dry

Cause: the event loop of the test's server could end before its first task was posted, and a search over the whole response on each read took too long under valgrind, which showed both (asio_net_test, 2 of 14 tests).

--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -351,9 +351,11 @@
 {
   late_copy_peer()
     : acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
-    , thread([this] { context.run_for(std::chrono::seconds(20)); })
+    , thread([this] {
+      Accept();
+      context.run_for(std::chrono::seconds(20));
+    })
   {
-    boost::asio::post(context, [this] { Accept(); });
   }
   ~late_copy_peer()
   {
@@ -455,13 +457,15 @@
   std::thread peer([&] {
     std::string answer;
     boost::system::error_code error;
-    while (answer.find(echo_handler::kLargeEnd) == std::string::npos &&
-           !error) {
-      std::array<char, 65'536> part{};
-      const std::size_t size =
-        socket.read_some(boost::asio::buffer(part), error);
-      answer.append(part.data(), size);
-    }
+    boost::asio::read(
+      socket,
+      boost::asio::dynamic_buffer(answer),
+      [&](const boost::system::error_code& aError, std::size_t) {
+        return aError || answer.ends_with(echo_handler::kLargeEnd)
+                 ? std::size_t{ 0 }
+                 : std::size_t{ 1 } << 20;
+      },
+      error);
     read = true;
   });
   test.RunUntil([&] { return read.load(); });
