--- a/standins/node-soak/main.cpp
+++ b/standins/node-soak/main.cpp
@@ -8,6 +8,7 @@
 DEFINE_int32(seconds, 8, "duration of load and faults in seconds");
 DEFINE_int32(nodes, 4, "number of node processes");
 DEFINE_bool(limits, false, "let targets name limits on their requests");
+DEFINE_bool(fences, true, "let targets and duties check fencing tokens");
 DEFINE_string(node_program, "", "path of the arbutusferry-node program");
 DEFINE_string(
   logs,
@@ -32,6 +33,7 @@
         std::chrono::seconds(FLAGS_seconds),
         FLAGS_nodes,
         FLAGS_limits,
+        FLAGS_fences,
         FLAGS_node_program,
         FLAGS_logs });
     return run.Run();
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -24,6 +24,9 @@
 /// Time after the end of a fault for which a node is excused from rules that
 /// hold for undisturbed nodes only (`contact-ms` of the platform).
 constexpr std::chrono::seconds kContactTime{ 3 };
+/// Time after a pause or cut of a node in which what it had sent before may
+/// arrive (`thaw-ms` of the platform).
+constexpr milliseconds kThawTime{ 300 };
 
 } // namespace
 
@@ -41,6 +44,10 @@
 void
 soak_test::StartTargets()
 {
+  mDutyService.checksFences = mOptions.fencesChecked;
+  mDutyService.excused = [this](const node::responder& aResponder) {
+    return HeldUp(aResponder);
+  };
   // Four samplers of items, then six of streams; two software versions.
   for (int index = 0; index < 10; ++index) {
     const std::string id = "s" + std::to_string(index);
@@ -50,6 +57,13 @@
     sampler->onItemStarted = [this](const std::string& aItem, std::int64_t) {
       mStartedItems.insert(aItem);
     };
+    sampler->onItemFinished = [this](const std::string& aItem) {
+      mFinishedItems.insert(aItem);
+    };
+    sampler->checksFences = mOptions.fencesChecked;
+    sampler->excused = [this](const node::responder& aResponder) {
+      return HeldUp(aResponder);
+    };
     const std::string address =
       "127.0.0.1:" + std::to_string(StartListener(*sampler));
     mStore.PutRecord(
@@ -62,6 +76,14 @@
     service->id = "d" + std::to_string(index);
     service->runCounts = &mServiceRunCounts;
     service->abortedRepliesPer20 = 1;
+    service->onRewardCall = [this](const std::string& aItem,
+                                   const node::responder& aResponder) {
+      OnRewardCall(aItem, aResponder);
+    };
+    service->onScored = [this](const std::string& aItem,
+                               const std::string& aScore) {
+      OnScored(aItem, aScore);
+    };
     const std::string address =
       "127.0.0.1:" + std::to_string(StartListener(*service));
     mStore.PutRecord(
@@ -111,6 +133,8 @@
 {
   aProcess.excusedUntil =
     std::max(aProcess.excusedUntil, mLoop.Now() + aFor + kContactTime);
+  aProcess.heldUpUntil =
+    std::max(aProcess.heldUpUntil, mLoop.Now() + aFor + kThawTime);
   for (limited_requests* limit : mLimits) {
     limit->Excuse(std::to_string(aProcess.index),
                   mLoop.Now() + aFor + kContactTime);
@@ -162,7 +186,10 @@
       << R"(,"listen_metrics":)" << address(process->metricsPort)
       << R"(,"store":")" << process->storeProxy.Address() << R"(","duties":")"
       << duties << R"(","max_record_bytes":262144,"max_call_bytes":2097152,)"
-      << R"("lease_ms":3000,"cancel_within_ms":3000,"fences_checked":true,"usage_window_s":1,)"
+      << R"("lease_ms":3000,"cancel_within_ms":3000,)"
+      << (mOptions.fencesChecked ? R"("fences_checked":true,)"
+                                 : R"("fences_checked":false,)")
+      << R"("usage_window_s":1,)"
       << R"("usage_due_s":10,"batch_readable_s":120,"stop_within_s":4})";
     process->Spawn(mOptions);
     mNodes.push_back(std::move(process));
@@ -347,7 +374,7 @@
     "read, %llu of %llu calls answered, %llu streams, %zu of %zu resumptions "
     "at undisturbed nodes went on, at most %zu requests in 4 s at a "
     "limited target, %zu ends of fragile targets (%zu late), %llu of %llu "
-    "calls beside them served, %zu findings\n",
+    "calls beside them served, %llu reward calls, %zu findings\n",
     static_cast<unsigned long long>(mOptions.seed),
     static_cast<unsigned long long>(mFaultCount),
     accepted,
@@ -363,6 +390,7 @@
     mLateEnds,
     static_cast<unsigned long long>(mFragileServed),
     static_cast<unsigned long long>(mFragileCalls),
+    static_cast<unsigned long long>(mRewardCalls),
     mFindings.size());
   for (const std::string& text : mFindings) {
     std::printf("finding: %s\n", text.c_str());
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -22,7 +22,8 @@
   std::uint64_t seed = 1; ///< Seeds faults and load.
   std::chrono::seconds loadDuration{ 8 };
   int nodes = 4;
-  bool limits = false; ///< Whether targets name limits.
+  bool limits = false;       ///< Whether targets name limits.
+  bool fencesChecked = true; ///< Whether targets and duties check fences.
   std::string nodeProgram;
   std::string logDirectory; ///< Existing directory; empty discards the logs.
 };
@@ -50,6 +51,8 @@
   pid_t pid = -1;
   /// The node is disturbed, or was a short time ago.
   time_point excusedUntil;
+  /// What it sends may have been held up by a pause or a cut until then.
+  time_point heldUpUntil;
   bool paused = false;
 
   void Spawn(const soak_options& aOptions);
@@ -104,6 +107,7 @@
   bool submitted = false;
   bool endRequested = false;
   bool ended = false;
+  time_point endedAt;
   bool requestPending = false;
   time_point startTime;
   std::vector<std::string> results; ///< As first read, by position.
@@ -135,7 +139,7 @@
     : mOptions(std::move(aOptions))
     , mRandom(mOptions.seed)
     , mStore(mLoop)
-    , mDutyService(mFindings)
+    , mDutyService(mLoop, mFindings)
     , mClient(node::MakeHttpClient(mLoop))
   {
   }
@@ -174,6 +178,14 @@
   void EndBatch(trainer_batch& aBatch);
   void CheckResult(const trainer_batch& aBatch, const Json::Value& aResult);
   void CallService();
+  /// @return The node that has a connection with a local port, if one has.
+  [[nodiscard]] node_process* SenderOf(const node::responder& aResponder);
+  /// @return Whether what a node sends may have been held up.
+  [[nodiscard]] bool HeldUp(const node::responder& aResponder);
+  void OnRewardCall(const std::string& aItem,
+                    const node::responder& aResponder);
+  void OnScored(const std::string& aItem, const std::string& aScore);
+  void CheckScore(const std::string& aItem, const Json::Value& aResult);
   /// Sends the crashing request, and another one for the same targets.
   void CallFragileTargets();
   /// Counts a run of the crashing request, unless the sender is excused.
@@ -228,6 +240,11 @@
   std::set<std::string> mRejected;      ///< Requests reported as not run.
   std::set<std::string> mNonIdempotent; ///< Requests to run at most once.
   std::set<std::string> mStartedItems;
+  std::set<std::string> mFinishedItems; ///< Their last event was made.
+  std::map<std::string, std::set<std::string>> mScores; ///< By item.
+  std::map<std::string, int> mRewardFailures;           ///< By item.
+  std::map<std::string, const trainer_batch*> mBatchOfItem;
+  std::uint64_t mRewardCalls = 0;
   std::int64_t mPublishedVersions[2] = { 1, 1 };
   std::uint64_t mCallCount = 0;
   std::uint64_t mAnsweredCount = 0;
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -11,6 +11,9 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kHost = "lab.example";
+/// Failed reward calls without which no item may end as errored: the largest
+/// `max-attempts` of the routes that an item and its call use.
+constexpr int kRewardAttempts = 3;
 
 } // namespace
 
@@ -136,6 +139,12 @@
     item["headers"]["Arbutusferry-Model"] = model;
     item["body"] = "AAAA";
     item["group"] = "g" + std::to_string(index / 4);
+    const std::string id = item["id"].asString();
+    mBatchOfItem[id] = &aBatch;
+    item["scorer"]["id"] = std::string(kRewardPrefix) + id;
+    item["scorer"]["host"] = kHost;
+    item["scorer"]["path"] = "/i/score";
+    item["scorer"]["body"] = "AAAA";
     body["items"].append(std::move(item));
   }
   SendToNode({ "POST",
@@ -161,11 +170,14 @@
 {
   const std::string item = aResult["id"].asString();
   if (aResult["state"].asString() != "completed") {
-    if (!aBatch.endRequested) {
-      AddFinding(item + ": result is not completed");
+    if (!aBatch.endRequested && mRewardFailures[item] < kRewardAttempts) {
+      AddFinding(item + ": result is not completed after " +
+                 std::to_string(mRewardFailures[item]) +
+                 " failed reward calls");
     }
     return;
   }
+  CheckScore(item, aResult);
   std::set<std::int64_t> generated;
   std::set<std::string> software;
   std::string text = aResult["text"].asString() + "\n";
@@ -259,6 +271,7 @@
       aBatch.requestPending = false;
       if (aResponse && aResponse->status == 200) {
         aBatch.ended = true;
+        aBatch.endedAt = mLoop.Now();
         return;
       }
       if (aResponse && aResponse->status == 404) {
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -279,11 +279,17 @@
     mFindings.push_back("two holders reported with fencing token " +
                         std::to_string(fence));
   }
-  if (fence < mHighestFence) {
+  if (checksFences && fence < mHighestFence) {
     aResponder->Send(MakeResponse(409));
     return;
   }
-  mHighestFence = fence;
+  mHighestFence = std::max(mHighestFence, fence);
+  if (!checksFences) {
+    const auto violated = mHolders.Note(holder, fence, mLoop.Now());
+    if (violated && !excused(*aResponder)) {
+      mFindings.push_back("duty: " + *violated);
+    }
+  }
   if (aRequest.target == "/usage") {
     const Json::Value report = ParseObject(aRequest.body);
     const std::string counts = WriteJson(report["counts"]);
@@ -381,11 +387,17 @@
     mFindings.push_back(mId + ": two holders sent orders with fencing token " +
                         std::to_string(fence));
   }
-  if (fence < mHighestFence) {
+  if (checksFences && fence < mHighestFence) {
     aResponder.Send(MakeResponse(412));
     return;
   }
-  mHighestFence = fence;
+  mHighestFence = std::max(mHighestFence, fence);
+  if (!checksFences) {
+    const auto violated = mHolders.Note(holder, fence, mLoop.Now());
+    if (violated && !excused(aResponder)) {
+      mFindings.push_back(mId + ": " + *violated);
+    }
+  }
   if (order["expected-rev"].asUInt64() != mOrderCount) {
     aResponder.Send(MakeResponse(409));
     return;
@@ -487,6 +499,9 @@
       event += "id: " + std::to_string(aEventNumber) + "\ndata: " + aItem +
                "." + std::to_string(aEventNumber) + ".v" +
                std::to_string(currentVersion) + "." + software + "\n\n";
+      if (aEventNumber >= EventCount(aItem) && onItemFinished) {
+        onItemFinished(aItem);
+      }
       aResponder->Write(event);
       if (aEventNumber >= EventCount(aItem)) {
         aResponder->End();
@@ -496,6 +511,12 @@
     });
 }
 
+bool
+RewardAlwaysFails(const std::string& aItem)
+{
+  return Hash64(aItem, 5) % 12 == 0;
+}
+
 void
 fake_plain_service::Handle(node::http_request aRequest,
                            std::shared_ptr<node::responder> aResponder)
@@ -506,29 +527,42 @@
     return;
   }
   const int run = ++(*runCounts)[request];
+  const std::string item = request.starts_with(kRewardPrefix)
+                             ? request.substr(kRewardPrefix.size())
+                             : std::string();
+  if (!item.empty()) {
+    onRewardCall(item, *aResponder);
+  }
   const bool abortReply =
     Hash64(request, 3) % 20 < static_cast<unsigned>(abortedRepliesPer20) &&
     run == 1;
   node::header_list limitHeaders;
   limit.Apply(id, *aResponder, limitHeaders);
   const std::uint64_t timerId = mNextTimerId++;
-  mTimers[timerId] =
-    mLoop.After(kServiceDelay,
-                [this, timerId, request, abortReply, aResponder, limitHeaders] {
-                  const auto ownTimer = mTimers.extract(timerId);
-                  if (abortReply) {
-                    aResponder->Abort();
-                    return;
-                  }
-                  node::http_response response =
-                    MakeResponse(200, "done " + request);
-                  response.headers.Add("Arbutusferry-Request-Id", request);
-                  response.headers.Add("Arbutusferry-Server-Stamp", "stamp");
-                  for (const auto& [name, value] : limitHeaders) {
-                    response.headers.Add(name, value);
-                  }
-                  aResponder->Send(std::move(response));
-                });
+  mTimers[timerId] = mLoop.After(
+    kServiceDelay,
+    [this, timerId, request, item, run, abortReply, aResponder, limitHeaders] {
+      const auto ownTimer = mTimers.extract(timerId);
+      const bool fails = !item.empty() && RewardAlwaysFails(item);
+      const std::string stamp = item.empty()
+                                  ? std::string("stamp")
+                                  : "score-" + item + "-" + std::to_string(run);
+      if (!item.empty()) {
+        onScored(item, fails ? std::string() : stamp);
+      }
+      if (abortReply) {
+        aResponder->Abort();
+        return;
+      }
+      node::http_response response =
+        MakeResponse(fails ? 500 : 200, "done " + request);
+      response.headers.Add("Arbutusferry-Request-Id", request);
+      response.headers.Add("Arbutusferry-Server-Stamp", stamp);
+      for (const auto& [name, value] : limitHeaders) {
+        response.headers.Add(name, value);
+      }
+      aResponder->Send(std::move(response));
+    });
 }
 
 } // namespace arbutusferry::node_soak
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/node/asio_net.hpp"
 #include "common/limit_rule.hpp"
+#include "holder_rule.hpp"
 
 #include <functional>
 #include <json/value.h>
@@ -85,18 +86,28 @@
   std::uint64_t mDrawCount = 0;
 };
 
+/// Lease of a duty's holder.
+inline constexpr std::chrono::milliseconds kDutyLease{ 3'000 };
+
 /// Accepts duty reports and records those that contradict each other.
 class fake_duty_service final : public node::request_handler
 {
 public:
-  explicit fake_duty_service(finding_list& aFindings)
-    : mFindings(aFindings)
+  fake_duty_service(node::event_loop& aLoop, finding_list& aFindings)
+    : mLoop(aLoop)
+    , mFindings(aFindings)
   {
   }
   void Handle(node::http_request aRequest,
               std::shared_ptr<node::responder> aResponder) override;
 
+  bool checksFences = true;
+  /// Whether the sender of a call is excused from the rule on holders.
+  std::function<bool(const node::responder&)> excused;
+
 private:
+  node::event_loop& mLoop;
+  holder_rule mHolders{ kDutyLease };
   finding_list& mFindings;
   std::map<std::int64_t, std::string> mCountsByWindow;
   std::uint64_t mHighestFence = 0;
@@ -159,8 +170,13 @@
   std::string software = "s1";
   std::chrono::milliseconds eventInterval{ 15 };
   limited_requests limit;
+  bool checksFences = true;
+  /// Whether the sender of an order is excused from the rule on holders.
+  std::function<bool(const node::responder&)> excused;
   /// Called when an item starts, with its id and model version.
   std::function<void(const std::string&, std::int64_t)> onItemStarted;
+  /// Called when the last event of an item was made.
+  std::function<void(const std::string&)> onItemFinished;
 
 private:
   void HandleOrder(const node::http_request& aRequest,
@@ -175,6 +191,7 @@
   std::string mId;
   std::map<std::string, std::int64_t> mVersions{ { "m0", 1 }, { "m1", 1 } };
   std::uint64_t mOrderCount = 0;
+  holder_rule mHolders{ kDutyLease };
   std::uint64_t mHighestFence = 0;
   std::map<std::uint64_t, std::string> mHolderByFence;
   bool mOffline = false;
@@ -187,7 +204,15 @@
 [[nodiscard]] std::size_t
 EventCount(const std::string& aItem);
 
-/// A plain service that counts how often each request is executed.
+/// Begin of the ids of reward calls; the id of their item follows.
+inline constexpr std::string_view kRewardPrefix = "w-";
+
+/// @return Whether the reward calls of an item always fail.
+[[nodiscard]] bool
+RewardAlwaysFails(const std::string& aItem);
+
+/// A plain service that counts how often each request is executed, and scores
+/// texts.
 class fake_plain_service final : public node::request_handler
 {
 public:
@@ -201,6 +226,10 @@
 
   std::string id;
   limited_requests limit;
+  /// Called when a reward call begins, and with the score that it gets; empty
+  /// if it fails.
+  std::function<void(const std::string&, const node::responder&)> onRewardCall;
+  std::function<void(const std::string&, const std::string&)> onScored;
   /// Executions by request id; shared by all services, not owned.
   std::map<std::string, int>* runCounts = nullptr;
   /// Replies per twenty that are aborted after execution.
