--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -272,7 +272,7 @@
     auto& list = found->second;
     for (std::size_t left = list.size(); left > 0; --left) {
       const auto at = list.begin() + static_cast<std::ptrdiff_t>(left - 1);
-      const auto connection = *at;
+      auto connection = *at;
       if (connection->Reusable(now) && !aRequestId.empty() &&
           connection->LastRequestId() == aRequestId) {
         continue;
