End stalled transfers, and let slow ones go on

Operators of similar systems report that slow but sound streams were cut, and that stalled ones which sent a byte now and then never ended. Both could happen here:

- A response that was complete but not yet written counted as idle time of its connection: a caller that reads slowly lost the rest of it after 15 s, and after 1 s during a planned stop.
- A request body had no time limit, so one that sent a byte now and then held its connection for ever; so did the response of the store, of a duty or of another node towards its reader, whose timeout each byte extended.

Ruled out: streams to callers, which end at their deadline; runs of items, whose silence counts events and not bytes.

Change: transfer_watch tells a stalled transfer from a slow one by the bytes that it moves in a window of time. Bodies and responses use it with the idle timeout as window; idle time begins when a response is written. Exchanges whose response is made at once don't count a few bytes as activity.

Tests: of six cases of stalled_transfer_test four failed before (clock passed in), and the trickle case of asio_net_test hung; all pass now.

--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -70,6 +70,10 @@
   /// Request header that the peer repeats in its response, or empty. A response
   /// with another value belongs to another request and is skipped.
   std::string echoHeader;
+  /// The peer makes its response at once, so that one which arrives by a few
+  /// bytes at a time is stalled: these count as no byte. Not for streams, whose
+  /// events are far between.
+  bool madeAtOnce = false;
   /// Never send through another node: the peer tells senders apart by where
   /// they connect from.
   bool directOnly = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds kKeepAliveMargin{ 400 };
 constexpr std::size_t kReadBufferBytes = std::size_t{ 64 } * 1024;
 constexpr std::size_t kMaxIdleConnectionsPerPeer = 64;
+/// Fewer bytes of a response that is made at once don't extend its timeout.
+constexpr std::size_t kMinBytesMadeAtOnce = 256;
 
 class asio_client;
 
@@ -114,6 +116,7 @@
   std::optional<message_parser<false>> mParser;
   std::unique_ptr<timer> mTimer;
   time_point mLastActivity;
+  std::size_t mUncounted = 0; ///< Bytes read since the last activity.
   time_point mReuseDeadline;
 };
 
@@ -343,6 +346,7 @@
   mOptions = aOptions;
   mSink = std::move(aSink);
   mRequestWritten = false;
+  mUncounted = 0;
   mHeadRequest = aRequest.method == "HEAD";
   mRequestId = RequestId(aRequest, mOptions);
   NewParser();
@@ -435,7 +439,11 @@
     Close();
     return;
   }
-  mLastActivity = mLoop.Now();
+  mUncounted += size;
+  if (!mOptions.madeAtOnce || mUncounted >= kMinBytesMadeAtOnce) {
+    mLastActivity = mLoop.Now();
+    mUncounted = 0;
+  }
   mInput.append(sBuffer.data(), size);
   if (size > 0) {
     Parse();
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -3,7 +3,6 @@
 #include "arbutusferry/logging.hpp"
 
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -103,14 +102,36 @@
   if (mHandling) {
     return;
   }
-  const duration limit = mPhase == phase::Header
-                           ? duration(mOwner->Limits().headerTimeout)
-                           : mOwner->IdleTimeout();
-  if (mPhase != phase::Body && aNow - mPhaseStart >= limit) {
+  const duration idleTimeout = mOwner->Limits().idleTimeout;
+  bool expired = false;
+  if (UnsentBytes() > 0) {
+    expired = mSending.Stalled(idleTimeout, aNow);
+  } else if (mPhase == phase::Body) {
+    expired = mReceiving.Stalled(idleTimeout, aNow);
+  } else if (mPhase == phase::Header) {
+    expired = aNow - mPhaseStart >= mOwner->Limits().headerTimeout;
+  } else {
+    expired = aNow - mPhaseStart >= mOwner->IdleTimeout();
+  }
+  if (expired) {
     Close();
   }
 }
 
+void
+server_connection::OnParsedHead()
+{
+  mPhase = phase::Body;
+  mReceiving.Restart(mOwner->Loop().Now());
+}
+
+void
+server_connection::OnParsedBody(std::string_view aPart)
+{
+  mBody += aPart;
+  mReceiving.Note(aPart.size());
+}
+
 void
 server_connection::WaitReadable()
 {
@@ -328,6 +349,7 @@
   mHandling = false;
   mOnDisconnect = nullptr;
   mPhaseStart = mOwner->Loop().Now();
+  mSending.Restart(mPhaseStart);
   NewParser();
   Flush();
   if (!mClosed && !mCloseAfterResponse) {
@@ -355,11 +377,16 @@
     return;
   }
   mWriting.swap(mOutput);
-  asio::async_write(
-    mSocket,
-    asio::buffer(mWriting),
-    [self = shared_from_this()](const net_error& aError, std::size_t) {
-      self->mWriting.clear();
+  mWritten = 0;
+  WriteSome();
+}
+
+void
+server_connection::WriteSome()
+{
+  mSocket.async_write_some(
+    asio::buffer(mWriting) + mWritten,
+    [self = shared_from_this()](const net_error& aError, std::size_t aBytes) {
       if (self->mClosed) {
         return;
       }
@@ -367,6 +394,17 @@
         self->Close();
         return;
       }
+      self->mSending.Note(aBytes);
+      self->mWritten += aBytes;
+      if (self->mWritten < self->mWriting.size()) {
+        self->WriteSome();
+        return;
+      }
+      self->mWriting.clear();
+      self->mWritten = 0;
+      if (!self->mHandling && self->mPhase == phase::Idle) {
+        self->mPhaseStart = self->mOwner->Loop().Now();
+      }
       self->Flush();
     });
 }
@@ -416,8 +454,6 @@
   net_error ignored;
   mSocket.shutdown(tcp::socket::shutdown_send, ignored);
   mSocket.close(ignored);
-  if (mHandling) {
-  }
   mOwner->Remove(self);
   if (const auto onDisconnect = std::exchange(mOnDisconnect, nullptr)) {
     onDisconnect();
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/node/asio_net.hpp"
+#include "arbutusferry/node/transfer_watch.hpp"
 #include "message_parser.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -65,7 +66,7 @@
   [[nodiscard]] std::uint16_t PeerPort() const;
   [[nodiscard]] std::size_t UnsentBytes() const
   {
-    return mWriting.size() + mOutput.size();
+    return mWriting.size() - mWritten + mOutput.size();
   }
 
 private:
@@ -76,8 +77,8 @@
     Body,
   };
 
-  void OnParsedHead() override { mPhase = phase::Body; }
-  void OnParsedBody(std::string_view aPart) override { mBody += aPart; }
+  void OnParsedHead() override;
+  void OnParsedBody(std::string_view aPart) override;
   void NewParser();
   void WaitReadable();
   void ReadAvailable();
@@ -85,6 +86,7 @@
   void Dispatch();
   void SendErrorAndClose(int aStatus);
   void Flush();
+  void WriteSome();
   void Complete();
   void AppendHead(int aStatus, header_list aHeaders);
 
@@ -95,8 +97,11 @@
   time_point mPhaseStart;
   std::string mInput;
   std::string mBody;
-  std::string mOutput;  ///< Queued behind `mWriting`.
-  std::string mWriting; ///< Buffer of the write in progress.
+  std::string mOutput;       ///< Queued behind `mWriting`.
+  std::string mWriting;      ///< Buffer of the write in progress.
+  std::size_t mWritten = 0;  ///< Bytes of `mWriting` that are written.
+  transfer_watch mReceiving; ///< Body of the request.
+  transfer_watch mSending;   ///< Rest of a response that is complete.
   std::function<void()> mOnDisconnect;
   std::uint64_t mRequestNumber = 0;
   bool mHandling = false;
--- /dev/null
+++ b/src/net/transfer_watch.cpp
@@ -0,0 +1,30 @@
+#include "arbutusferry/node/transfer_watch.hpp"
+
+namespace arbutusferry::node {
+
+namespace {
+
+/// A transfer that moves fewer bytes in a window is stalled.
+constexpr std::size_t kMinBytesPerWindow = 256;
+
+} // namespace
+
+void
+transfer_watch::Restart(time_point aNow) noexcept
+{
+  mWindowStart = aNow;
+  mBytes = 0;
+}
+
+bool
+transfer_watch::Stalled(duration aWindow, time_point aNow) noexcept
+{
+  if (aNow - mWindowStart < aWindow) {
+    return false;
+  }
+  const bool stalled = mBytes < kMinBytesPerWindow;
+  Restart(aNow);
+  return stalled;
+}
+
+} // namespace arbutusferry::node
--- a/src/node/limit_coordinator.cpp
+++ b/src/node/limit_coordinator.cpp
@@ -75,6 +75,7 @@
   exchange_options options;
   options.connectTimeout = kLeaderTimeout;
   options.readTimeout = kLeaderTimeout;
+  options.madeAtOnce = true;
   mParts.client.Send(
     *leader,
     std::move(request),
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -405,6 +405,7 @@
   exchange_options options;
   options.connectTimeout = kRequestTimeout;
   options.readTimeout = kRequestTimeout;
+  options.madeAtOnce = true;
   // Orders from two VMs count as orders of two holders.
   options.directOnly = true;
   mParts.client.Send(
@@ -486,6 +487,7 @@
   exchange_options options;
   options.connectTimeout = kRequestTimeout;
   options.readTimeout = kRequestTimeout;
+  options.madeAtOnce = true;
   mParts.client.Send(found->second.target.address,
                      mParts.protocol.MakeReportRequest(),
                      options,
--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -27,6 +27,7 @@
   exchange_options options;
   options.connectTimeout = kQuestionTimeout;
   options.readTimeout = kQuestionTimeout;
+  options.madeAtOnce = true;
   return options;
 }
 
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -206,6 +206,25 @@
   CHECK(*refused->failure == exchange_failure::Refused);
 }
 
+// Guards against a stalled response that sends a byte now and then, for which
+// its reader waited for ever.
+TEST_CASE("a response made at once times out although single bytes arrive")
+{
+  net_test test;
+  exchange_options options;
+  options.readTimeout = milliseconds(200);
+  options.madeAtOnce = true;
+  const auto sent = test.Send("GET", "/never", options);
+  test.RunUntil([&] { return test.handler.held != nullptr; });
+  test.handler.held->Begin(200, {});
+  const std::unique_ptr<periodic_timer> trickle =
+    std::make_unique<periodic_timer>(test.loop, milliseconds(20), [&] {
+      test.handler.held->Write("x");
+    });
+  test.RunUntil([&] { return sent->failure.has_value(); });
+  CHECK(*sent->failure == exchange_failure::Timeout);
+}
+
 TEST_CASE("a handler is notified when the caller disconnects")
 {
   net_test test;
--- /dev/null
+++ b/tests/unit/stalled_transfer_test.cpp
@@ -0,0 +1,194 @@
+#include "arbutusferry/node/asio_net.hpp"
+#include "net/server_connection.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace arbutusferry;
+using namespace arbutusferry::node;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/// Server side of one connection, whose timeouts the test checks at times of
+/// its choice.
+struct connection_test final
+  : connection_owner
+  , request_handler
+{
+  connection_test()
+  {
+    tcp::acceptor acceptor(loop.Context(),
+                           { boost::asio::ip::address_v4::loopback(), 0 });
+    acceptor.set_option(boost::asio::socket_base::send_buffer_size(64 << 10));
+    // Small, so that most of a response waits at the server.
+    peer.open(tcp::v4());
+    peer.set_option(boost::asio::socket_base::receive_buffer_size(64 << 10));
+    peer.connect(acceptor.local_endpoint());
+    connection_owner& self = *this;
+    connection = std::make_shared<server_connection>(self, acceptor.accept());
+    connection->Start();
+  }
+
+  asio_loop& Loop() noexcept override { return loop; }
+  request_handler& Handler() noexcept override { return *this; }
+  const listener_limits& Limits() const noexcept override { return limits; }
+  bool Draining() const noexcept override { return draining; }
+  duration IdleTimeout() const noexcept override
+  {
+    return draining ? duration(seconds(1)) : duration(limits.idleTimeout);
+  }
+  void Remove(const std::shared_ptr<server_connection>&) override
+  {
+    closed = true;
+  }
+  void Handle(http_request aRequest,
+              std::shared_ptr<responder> aResponder) override
+  {
+    ++handled;
+    body = aRequest.body;
+    http_response response;
+    response.status = 200;
+    response.body = std::string(responseBytes, 'x');
+    aResponder->Send(std::move(response));
+  }
+
+  void Write(const std::string& aBytes)
+  {
+    boost::asio::write(peer, boost::asio::buffer(aBytes));
+    RunFor(milliseconds(20));
+  }
+  /// Reads from the connection as its caller.
+  void Read(std::size_t aBytes)
+  {
+    std::vector<char> bytes(aBytes);
+    std::size_t size = 0;
+    peer.non_blocking(true);
+    for (int turn = 0; turn < 500 && size < aBytes; ++turn) {
+      boost::system::error_code error;
+      size += peer.read_some(
+        boost::asio::buffer(bytes.data() + size, aBytes - size), error);
+      RunFor(milliseconds(1));
+    }
+    REQUIRE(size == aBytes);
+  }
+  void RunFor(milliseconds aTime)
+  {
+    loop.Context().restart();
+    loop.Context().run_for(aTime);
+  }
+  /// Lets time pass, with checks at the listener's interval.
+  void Pass(duration aTime)
+  {
+    const time_point end = now + aTime;
+    while (now < end) {
+      now += milliseconds(500);
+      connection->CheckTimeouts(now);
+    }
+  }
+
+  asio_loop loop;
+  tcp::socket peer{ loop.Context() };
+  listener_limits limits;
+  std::shared_ptr<server_connection> connection;
+  time_point now = loop.Now();
+  std::string body;
+  std::size_t responseBytes = 2;
+  int handled = 0;
+  bool draining = false;
+  bool closed = false;
+};
+
+constexpr std::size_t kLargeResponse = std::size_t{ 8 } << 20;
+
+} // namespace
+
+// Guards against cutting off a response whose caller reads it slowly: writing
+// it isn't idle time.
+TEST_CASE("a response that is read slowly arrives whole")
+{
+  connection_test test;
+  test.responseBytes = kLargeResponse;
+  test.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(test.connection->UnsentBytes() > 0);
+  for (int turn = 0; turn < 10; ++turn) {
+    test.Pass(seconds(10));
+    REQUIRE(!test.closed);
+    test.Read(kLargeResponse / 10);
+  }
+  CHECK(!test.closed);
+}
+
+// Guards against cutting off responses in a planned stop, where idle
+// connections are closed after one second.
+TEST_CASE("a response that is read slowly arrives whole during a stop")
+{
+  connection_test test;
+  test.responseBytes = kLargeResponse;
+  test.draining = true;
+  test.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(test.connection->UnsentBytes() > 0);
+  for (int turn = 0; turn < 10; ++turn) {
+    test.Pass(seconds(2));
+    REQUIRE(!test.closed);
+    test.Read(kLargeResponse / 10);
+  }
+}
+
+// Guards against responses that hold memory for as long as their caller likes.
+TEST_CASE("a response that nobody reads is given up")
+{
+  connection_test test;
+  test.responseBytes = kLargeResponse;
+  test.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(test.connection->UnsentBytes() > 0);
+  test.Pass(2 * test.limits.idleTimeout + seconds(1));
+  CHECK(test.closed);
+}
+
+// Guards against request bodies that stall and send a byte now and then, which
+// held their connection for ever.
+TEST_CASE("a request body that sends a byte now and then is given up")
+{
+  connection_test test;
+  test.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+  for (int turn = 0; turn < 40 && !test.closed; ++turn) {
+    boost::asio::write(test.peer, boost::asio::buffer("x", 1));
+    test.RunFor(milliseconds(5));
+    test.Pass(seconds(1));
+  }
+  CHECK(test.closed);
+  CHECK(test.handled == 0);
+}
+
+// Guards against cutting off request bodies that arrive slowly but steadily,
+// also during a planned stop.
+TEST_CASE("a request body that arrives slowly is read whole")
+{
+  connection_test test;
+  test.draining = true;
+  test.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n");
+  for (int turn = 0; turn < 100; ++turn) {
+    REQUIRE(!test.closed);
+    test.Write(std::string(200, 'y'));
+    test.Pass(seconds(1));
+  }
+  CHECK(test.handled == 1);
+  CHECK(test.body.size() == 20'000);
+}
+
+// Guards against counting the time in which a response was written as idle.
+TEST_CASE("an idle connection is closed after its idle timeout")
+{
+  connection_test test;
+  test.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(test.handled == 1);
+  test.Pass(test.limits.idleTimeout - seconds(1));
+  CHECK(!test.closed);
+  test.Pass(seconds(3));
+  CHECK(test.closed);
+}
