Let a process claim at once after an earlier one of its VM

Cause: where targets don't check fencing tokens, nobody may claim before the lease of a silent holder has run out, 3.5 s here.

Change: the process that finds an earlier process of its own VM as holder claims at once. That one has ended, since both use one address, and calls of one VM are those of one holder, so no turns are taken within a lease.

Ruled out: claims of other VMs when the holder's port refuses connections or another process answers there, as where fences are checked: a cut may refuse connections too, and a restarted holder could then act again within the lease.

Test: the claim, also after an outage of the store, fails before; another VM still waits.

--- a/include/arbutusferry/node/leader_election.hpp
+++ b/include/arbutusferry/node/leader_election.hpp
@@ -102,6 +102,15 @@
   }
 
 private:
+  /// @return Whether the holder is an earlier process of this VM. It has ended,
+  /// since it used the same address, and calls of one VM are those of one
+  /// holder: nothing is to be awaited before a claim.
+  [[nodiscard]] bool SucceedsHolder() const
+  {
+    return mHolder && mHolder->vm == mOwnRecord.vm &&
+           mHolder->holder != mOwnRecord.holder;
+  }
+
   leader_record mOwnRecord;
   timing mTiming;
   std::optional<leader_record> mHolder;
--- a/src/node/leader_election.cpp
+++ b/src/node/leader_election.cpp
@@ -131,7 +131,8 @@
     return aNow - mLastSent >= mTiming.renewInterval;
   }
   return aNow >= mNoClaimBefore && aNow - mLastSent >= mTiming.renewInterval &&
-         aNow - mSilentSince >= ElectionTimeout() + mTiming.claimDelay;
+         (SucceedsHolder() ||
+          aNow - mSilentSince >= ElectionTimeout() + mTiming.claimDelay);
 }
 
 leader_record
--- a/tests/unit/leader_election_test.cpp
+++ b/tests/unit/leader_election_test.cpp
@@ -123,6 +123,38 @@
   CHECK(election.ShouldWrite(kStart + milliseconds(500)));
 }
 
+// Guards against seconds without a leader after its process ended and was
+// started again, where others have to wait for the lease.
+TEST_CASE("a process claims at once after an earlier one of its own VM")
+{
+  leader_election::timing timing;
+  timing.minElectionTimeout = timing.maxElectionTimeout = milliseconds(3'500);
+  timing.claimDelay = milliseconds(500);
+  leader_record own = Record("a/2", 0);
+  own.vm = "a";
+  leader_record earlier = Record("a/1", 5);
+  earlier.vm = "a";
+  leader_election successor{ own, timing, kStart };
+  leader_election other = Election("b", timing);
+  for (leader_election* election : { &successor, &other }) {
+    election->Observe(4, earlier, kStart);
+  }
+  CHECK(successor.ShouldWrite(kStart));
+  CHECK(successor.NextRecord(5).fence > 5);
+  CHECK_FALSE(other.ShouldWrite(kStart + milliseconds(3'900)));
+
+  SECTION("also after an outage of the store")
+  {
+    successor.ResetSilence(kStart + milliseconds(100));
+    CHECK(successor.ShouldWrite(kStart + milliseconds(100)));
+  }
+  SECTION("but not once another VM leads")
+  {
+    successor.Observe(6, Record("b", 7), kStart + milliseconds(100));
+    CHECK_FALSE(successor.ShouldWrite(kStart + milliseconds(3'000)));
+  }
+}
+
 // Guards against holders that act in the order A, B, A within the lease.
 TEST_CASE("a process that lost leadership makes no claims for a time")
 {
