Keep VMs from leading again within the lease after a restart

Cause, found by reading: a process that lost leadership makes no claims for a time, but a process started anew on the same VM doesn't know that its VM led. Where VMs are restarted one after the other, and each leader releases its term, the holders can act in the order A, B, A within the lease. Where targets don't check fences this counts for all machines.

Change: a record of the leadership topic names the VMs that led less than a lease ago; a process whose VM is named waits that time. A holder drops the list when it has led for longer. The field is optional, so records of earlier builds are read as before.

Test: the restarted process claims at once before, and waits now; one of another VM doesn't wait.

--- a/include/arbutusferry/node/leader_election.hpp
+++ b/include/arbutusferry/node/leader_election.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace arbutusferry::node {
 
@@ -20,6 +21,8 @@
   /// Fencing token of the term; rises with every change of holder.
   std::uint64_t fence = 0;
   bool released = false; ///< The holder gave up leadership.
+  /// VMs that led before this one, if that was less than a lease ago.
+  std::vector<std::string> ledBefore{};
 };
 
 [[nodiscard]] std::string
@@ -43,7 +46,7 @@
     /// Age of the last renewal up to which the holder may act; unset where
     /// targets and the platform check fencing tokens themselves.
     std::optional<std::chrono::milliseconds> leaseValidity;
-    /// Time for which a process that lost leadership makes no claims.
+    /// Time for which a VM that lost leadership makes no claims.
     std::chrono::milliseconds cooldown{ 4'000 };
     /// Additional delay of this process's claims, so that not all processes
     /// claim at once.
@@ -73,7 +76,8 @@
   /// @return Whether to append a claim or renewal now.
   [[nodiscard]] bool ShouldWrite(time_point aNow) const;
   /// @return The record to append on condition that the topic ends at `aEnd`.
-  [[nodiscard]] leader_record NextRecord(std::uint64_t aEnd) const;
+  [[nodiscard]] leader_record NextRecord(std::uint64_t aEnd,
+                                         time_point aNow) const;
   /// Notes that a record was sent.
   void Sent(time_point aNow) { mLastSent = aNow; }
   /// Notes that the store confirmed a record sent at `aSentAt`.
@@ -114,6 +118,8 @@
   leader_record mOwnRecord;
   timing mTiming;
   std::optional<leader_record> mHolder;
+  leader_record mLastRecord; ///< Newest of the topic; empty before the first.
+  time_point mTermSeen;      ///< When the first record of its term was read.
   bool mLeads = false;
   std::uint64_t mFence = 0;
   std::uint64_t mHighestFence = 0;
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -417,7 +417,8 @@
       mElection.HolderSilence(mParts.loop.Now()) < kCutOffClaimDelay) {
     return;
   }
-  WriteLeaderRecord(mElection.NextRecord(mLeaderFollower->NextOffset()));
+  WriteLeaderRecord(
+    mElection.NextRecord(mLeaderFollower->NextOffset(), mParts.loop.Now()));
 }
 
 void
@@ -560,7 +561,8 @@
   if (!mElection.Leads()) {
     return;
   }
-  leader_record record = mElection.NextRecord(mLeaderFollower->NextOffset());
+  leader_record record =
+    mElection.NextRecord(mLeaderFollower->NextOffset(), mParts.loop.Now());
   record.released = true;
   mElection.StepDown(mParts.loop.Now());
   mEndTermTimer = mParts.loop.After(duration::zero(), [this, aReason] {
--- a/src/node/leader_election.cpp
+++ b/src/node/leader_election.cpp
@@ -10,6 +10,8 @@
 
 /// Renewal intervals for which the holder may be silent.
 constexpr int kMissedRenewals = 3;
+/// A longer list would need a change of leader each 0.5 s.
+constexpr std::size_t kMaxLedBefore = 8;
 
 } // namespace
 
@@ -23,6 +25,9 @@
   value["zone"] = aRecord.zone;
   value["fence"] = Json::UInt64(aRecord.fence);
   value["released"] = aRecord.released;
+  for (const std::string& vm : aRecord.ledBefore) {
+    value["led_before"].append(vm);
+  }
   return WriteJson(value);
 }
 
@@ -42,12 +47,23 @@
   if (!address) {
     return std::nullopt;
   }
-  return leader_record{ (*value)["holder"].asString(),
+  leader_record record{ (*value)["holder"].asString(),
                         (*value)["vm"].asString(),
                         *address,
                         (*value)["zone"].asString(),
                         (*value)["fence"].asUInt64(),
-                        (*value)["released"].asBool() };
+                        (*value)["released"].asBool(),
+                        {} };
+  // Absent in records of earlier builds.
+  if (const Json::Value& ledBefore = (*value)["led_before"];
+      ledBefore.isArray()) {
+    for (const Json::Value& vm : ledBefore) {
+      if (vm.isString()) {
+        record.ledBefore.push_back(vm.asString());
+      }
+    }
+  }
+  return record;
 }
 
 leader_election::leader_election(leader_record aSelf,
@@ -72,6 +88,17 @@
   }
   mLastOffset = aOffset;
   mHighestFence = std::max({ mHighestFence, aRecord.fence, aOffset });
+  if (mLastRecord.holder.empty() || mLastRecord.fence != aRecord.fence) {
+    mTermSeen = aNow;
+    const auto& before = aRecord.ledBefore;
+    if (aRecord.vm != mOwnRecord.vm &&
+        std::find(before.begin(), before.end(), mOwnRecord.vm) !=
+          before.end()) {
+      // An earlier process of this VM led a moment ago.
+      mNoClaimBefore = std::max(mNoClaimBefore, aNow + mTiming.cooldown);
+    }
+  }
+  mLastRecord = aRecord;
   const bool own = aRecord.holder == mOwnRecord.holder;
   if (aRecord.released) {
     mHolder.reset();
@@ -136,9 +163,19 @@
 }
 
 leader_record
-leader_election::NextRecord(std::uint64_t aEnd) const
+leader_election::NextRecord(std::uint64_t aEnd, time_point aNow) const
 {
   leader_record record = mOwnRecord;
+  if (!mLeads || aNow - mTermSeen < mTiming.cooldown) {
+    record.ledBefore = mLastRecord.ledBefore;
+    if (!mLastRecord.vm.empty() && mLastRecord.vm != mOwnRecord.vm) {
+      record.ledBefore.push_back(mLastRecord.vm);
+    }
+    std::erase(record.ledBefore, mOwnRecord.vm);
+    if (record.ledBefore.size() > kMaxLedBefore) {
+      record.ledBefore.erase(record.ledBefore.begin());
+    }
+  }
   record.fence = mLeads ? mFence : std::max(mHighestFence, aEnd) + 1;
   return record;
 }
--- a/tests/unit/leader_election_test.cpp
+++ b/tests/unit/leader_election_test.cpp
@@ -19,7 +19,7 @@
 leader_record
 Record(const std::string& aHolder, std::uint64_t aFence, bool aReleased = false)
 {
-  return { aHolder, aHolder, { "10.0.0.1", 80 }, "z", aFence, aReleased };
+  return { aHolder, aHolder, { "10.0.0.1", 80 }, "z", aFence, aReleased, {} };
 }
 
 leader_election
@@ -51,7 +51,7 @@
   election.Observe(4, Record("a", 5), kStart);
   CHECK_FALSE(election.ShouldWrite(kStart + milliseconds(800)));
   CHECK(election.ShouldWrite(kStart + milliseconds(950)));
-  CHECK(election.NextRecord(5).fence > 5);
+  CHECK(election.NextRecord(5, kStart).fence > 5);
 }
 
 // Guards against a change of leader after each outage of the store, in which
@@ -140,7 +140,7 @@
     election->Observe(4, earlier, kStart);
   }
   CHECK(successor.ShouldWrite(kStart));
-  CHECK(successor.NextRecord(5).fence > 5);
+  CHECK(successor.NextRecord(5, kStart).fence > 5);
   CHECK_FALSE(other.ShouldWrite(kStart + milliseconds(3'900)));
 
   SECTION("also after an outage of the store")
@@ -155,6 +155,84 @@
   }
 }
 
+// Guards against holders that take turns within a lease (A, B, A), where VMs
+// are restarted one after the other: a new process doesn't know that its VM led
+// a moment ago.
+TEST_CASE("a VM that led within the lease makes no claim after a restart")
+{
+  const auto process = [](const std::string& aVm, const std::string& aHolder) {
+    leader_record record = Record(aHolder, 0);
+    record.vm = aVm;
+    return leader_election{ record, {}, kStart };
+  };
+  std::vector<leader_record> topic;
+  const auto lead = [&](leader_election& aElection, time_point aNow) {
+    for (std::size_t offset = 0; offset < topic.size(); ++offset) {
+      aElection.Observe(offset, topic[offset], aNow);
+    }
+    topic.push_back(aElection.NextRecord(topic.size(), aNow));
+    aElection.Sent(aNow);
+    aElection.Observe(topic.size() - 1, topic.back(), aNow);
+    REQUIRE(aElection.Leads());
+  };
+  const auto release = [&](const leader_election& aElection, time_point aNow) {
+    topic.push_back(aElection.NextRecord(topic.size(), aNow));
+    topic.back().released = true;
+  };
+  // Only the newest record of the topic is there when a process starts.
+  const auto start = [&](leader_election& aElection, time_point aNow) {
+    aElection.Observe(topic.size() - 1, topic.back(), aNow);
+  };
+
+  leader_election first = process("a", "a/1");
+  lead(first, kStart);
+  release(first, kStart + milliseconds(500));
+  leader_election second = process("b", "b/1");
+  lead(second, kStart + milliseconds(600));
+  release(second, kStart + milliseconds(1'000));
+  leader_election third = process("c", "c/1");
+  lead(third, kStart + milliseconds(1'100));
+  const time_point end = kStart + milliseconds(1'500);
+
+  SECTION("the leader before it releases its term")
+  {
+    release(third, end);
+    for (const char* vm : { "a", "b" }) {
+      leader_election restarted = process(vm, std::string(vm) + "/2");
+      start(restarted, end);
+      CHECK_FALSE(restarted.ShouldWrite(end + milliseconds(1'500)));
+      CHECK(restarted.ShouldWrite(end + milliseconds(4'500)));
+    }
+    leader_election other = process("d", "d/1");
+    start(other, end);
+    CHECK(other.ShouldWrite(end));
+  }
+  SECTION("the leader before it has led for longer than that")
+  {
+    const time_point later = kStart + milliseconds(6'000);
+    lead(third, later);
+    release(third, later);
+    leader_election restarted = process("a", "a/2");
+    start(restarted, later);
+    CHECK(restarted.ShouldWrite(later));
+  }
+  SECTION("the VMs are part of the record")
+  {
+    const auto decoded = DecodeLeader(EncodeLeader(topic.back()));
+    REQUIRE(decoded);
+    CHECK(decoded->ledBefore == std::vector<std::string>{ "a", "b" });
+  }
+}
+
+TEST_CASE("a leader record of an earlier build names no VMs before it")
+{
+  const auto decoded = DecodeLeader(
+    R"({"holder":"v/1","vm":"v","address":"1.1.1.1:1","zone":"z","fence":1,)"
+    R"("released":false})");
+  REQUIRE(decoded);
+  CHECK(decoded->ledBefore.empty());
+}
+
 // Guards against holders that act in the order A, B, A within the lease.
 TEST_CASE("a process that lost leadership makes no claims for a time")
 {
@@ -260,7 +338,8 @@
       holders[aProcess.election.Fence()].insert(&aProcess);
     }
     if (aProcess.election.ShouldWrite(now) && !aProcess.late) {
-      const leader_record record = aProcess.election.NextRecord(aProcess.read);
+      const leader_record record =
+        aProcess.election.NextRecord(aProcess.read, now);
       aProcess.election.Sent(now);
       if (random() % 5 == 0) {
         aProcess.late = { aProcess.read, record };
