Replace silent leaders soon where targets don't check fences

Cause: where nobody checks fencing tokens, the lease bound leadership as a whole, so 3.5 s passed without a leader after each loss.

Change: leadership passes on as there (0.9 s of silence, or at once from a process that has ended), and the new holder sends orders and reports only 3.5 s after the newest record of any other VM that may still act, which acts for 2.5 s after its last renewal at most. A process that starts and reads of VMs that led a moment ago waits for them too.

Ruled out: an earlier claim by the lease's own rule, since a refused connection does not prove that a process has ended.

Tests: 2,000 histories of four VMs with pauses, late appends, restarts and releases keep the order of holders and their tokens, and some of 50 break it without the wait; the early claim fails before.

--- a/include/arbutusferry/node/leader_election.hpp
+++ b/include/arbutusferry/node/leader_election.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,6 +47,10 @@
     /// Age of the last renewal up to which the holder may act; unset where
     /// targets and the platform check fencing tokens themselves.
     std::optional<std::chrono::milliseconds> leaseValidity;
+    /// Time after the newest record of a holder for which its successor on
+    /// another VM doesn't act, since that holder still may: longer than
+    /// `leaseValidity`, and 0 where fencing tokens are checked.
+    std::chrono::milliseconds leaseWait{ 0 };
     /// Time for which a VM that lost leadership makes no claims.
     std::chrono::milliseconds cooldown{ 4'000 };
     /// Additional delay of this process's claims, so that not all processes
@@ -115,6 +120,9 @@
            mHolder->holder != mOwnRecord.holder;
   }
 
+  /// Notes until when the holder of a record may act.
+  void NoteLease(const leader_record& aRecord, time_point aNow);
+
   leader_record mOwnRecord;
   timing mTiming;
   std::optional<leader_record> mHolder;
@@ -132,6 +140,9 @@
   time_point mLastSent;  ///< Last own append.
   time_point mConfirmed; ///< Sending time of the last confirmed append.
   time_point mNoClaimBefore;
+  /// By VM, until when its processes may act that held leadership. Without own
+  /// processes: those before this one have ended.
+  std::map<std::string, time_point> mLeases;
 };
 
 } // namespace arbutusferry::node
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -62,8 +62,7 @@
 {
   leader_election::timing timing;
   if (!aSettings.fencesChecked) {
-    timing.minElectionTimeout = aSettings.lease + kClockMargin;
-    timing.maxElectionTimeout = timing.minElectionTimeout;
+    timing.leaseWait = aSettings.lease + kClockMargin;
     timing.leaseValidity = aSettings.lease - kClockMargin;
   }
   timing.cooldown = aSettings.lease + milliseconds(1'000);
@@ -263,9 +262,7 @@
 void
 ferry_node::LeaderEnded(const std::string& aHolder)
 {
-  if (mSettings.fencesChecked) {
-    mElection.HolderEnded(aHolder, mParts.loop.Now());
-  }
+  mElection.HolderEnded(aHolder, mParts.loop.Now());
 }
 
 void
--- a/src/node/leader_election.cpp
+++ b/src/node/leader_election.cpp
@@ -78,6 +78,25 @@
 {
 }
 
+void
+leader_election::NoteLease(const leader_record& aRecord, time_point aNow)
+{
+  std::erase_if(mLeases,
+                [&](const auto& aEntry) { return aEntry.second <= aNow; });
+  if (mLastRecord.holder.empty()) {
+    // What they wrote was not read by this process.
+    for (const std::string& vm : aRecord.ledBefore) {
+      mLeases[vm] = aNow + mTiming.leaseWait;
+    }
+  }
+  if (aRecord.released) {
+    mLeases.erase(aRecord.vm);
+  } else {
+    mLeases[aRecord.vm] = aNow + mTiming.leaseWait;
+  }
+  mLeases.erase(mOwnRecord.vm);
+}
+
 void
 leader_election::Observe(std::uint64_t aOffset,
                          const leader_record& aRecord,
@@ -87,6 +106,7 @@
     return;
   }
   mLastOffset = aOffset;
+  NoteLease(aRecord, aNow);
   mHighestFence = std::max({ mHighestFence, aRecord.fence, aOffset });
   if (mLastRecord.holder.empty() || mLastRecord.fence != aRecord.fence) {
     mTermSeen = aNow;
@@ -199,7 +219,11 @@
 leader_election::MayAct(time_point aNow) const
 {
   return mLeads &&
-         (!mTiming.leaseValidity || aNow - mConfirmed < *mTiming.leaseValidity);
+         (!mTiming.leaseValidity ||
+          aNow - mConfirmed < *mTiming.leaseValidity) &&
+         std::all_of(mLeases.begin(), mLeases.end(), [&](const auto& aLease) {
+           return aLease.second <= aNow;
+         });
 }
 
 bool
--- a/tests/unit/leader_election_test.cpp
+++ b/tests/unit/leader_election_test.cpp
@@ -1,5 +1,6 @@
 #include "arbutusferry/node/leader_election.hpp"
 
+#include "node-soak/holder_rule.hpp"
 #include "support/property.hpp"
 
 #include <algorithm>
@@ -281,6 +282,7 @@
 {
   struct process
   {
+    std::string vm;
     leader_election election;
     std::size_t read = 0;
     int paused = 0;
@@ -288,16 +290,36 @@
     int lateTicks = 0;
   };
 
-  explicit election_history(std::uint64_t aSeed, bool aConditional)
+  explicit election_history(std::uint64_t aSeed,
+                            bool aConditional,
+                            leader_election::timing aTiming = {})
     : random(aSeed)
     , conditional(aConditional)
+    , timing(aTiming)
   {
     for (int index = 0; index < 4; ++index) {
-      processes.push_back(
-        { Election("p" + std::to_string(index)), 0, 0, {}, 0 });
+      const std::string name = "p" + std::to_string(index);
+      processes.push_back({ name, Election(name, timing), 0, 0, {}, 0 });
     }
   }
 
+  /// Ends a process, with a release of its term or without, and starts another
+  /// one on its VM.
+  void Restart(process& aProcess)
+  {
+    if (aProcess.election.Leads() && random() % 2 == 0) {
+      leader_record release = aProcess.election.NextRecord(aProcess.read, now);
+      release.released = true;
+      Append(aProcess.read, release);
+    }
+    leader_record record = Record(aProcess.vm, 0);
+    record.holder += "/" + std::to_string(++restarts);
+    aProcess.election = { record, timing, now };
+    // The topic's newest record is all that a new process reads.
+    aProcess.read = topic.empty() ? 0 : topic.size() - 1;
+    aProcess.paused = static_cast<int>(random() % 40);
+  }
+
   void Run(int aTicks)
   {
     for (int tick = 0; tick < aTicks; ++tick) {
@@ -308,11 +330,14 @@
     }
   }
 
-  void Append(std::size_t aEnd, const leader_record& aRecord)
+  /// @return Whether the record was appended.
+  bool Append(std::size_t aEnd, const leader_record& aRecord)
   {
-    if (!conditional || aEnd == topic.size()) {
-      topic.push_back(aRecord);
+    if (conditional && aEnd != topic.size()) {
+      return false;
     }
+    topic.push_back(aRecord);
+    return true;
   }
 
   void Step(process& aProcess)
@@ -337,6 +362,17 @@
     if (aProcess.election.Leads()) {
       holders[aProcess.election.Fence()].insert(&aProcess);
     }
+    if (aProcess.election.MayAct(now)) {
+      ++acts;
+      if (auto violated =
+            turns.Note(aProcess.vm, aProcess.election.Fence(), now)) {
+        violations.push_back(std::move(*violated));
+      }
+    }
+    if (restart && random() % (aProcess.election.Leads() ? 40 : 400) == 0) {
+      Restart(aProcess);
+      return;
+    }
     if (aProcess.election.ShouldWrite(now) && !aProcess.late) {
       const leader_record record =
         aProcess.election.NextRecord(aProcess.read, now);
@@ -344,8 +380,8 @@
       if (random() % 5 == 0) {
         aProcess.late = { aProcess.read, record };
         aProcess.lateTicks = 1 + static_cast<int>(random() % 80);
-      } else {
-        Append(aProcess.read, record);
+      } else if (Append(aProcess.read, record)) {
+        aProcess.election.Confirmed(now);
       }
     }
   }
@@ -360,6 +396,12 @@
 
   std::mt19937_64 random;
   bool conditional;
+  leader_election::timing timing;
+  bool restart = false; ///< Whether processes end and start again.
+  int restarts = 0;
+  int acts = 0;
+  node_soak::holder_rule turns{ std::chrono::seconds(3) };
+  std::vector<std::string> violations;
   time_point now = kStart;
   std::vector<leader_record> topic;
   std::vector<process> processes;
@@ -389,3 +431,55 @@
   }
   CHECK(shared > 0);
 }
+
+// Guards against holders that take turns within a lease, and against orders
+// under an older fencing token, where targets don't check it: leadership passes
+// on within a second, but its new holder waits before it acts.
+TEST_CASE("where targets don't check fences, holders act one after the other")
+{
+  leader_election::timing timing;
+  timing.leaseValidity = milliseconds(2'500);
+  timing.leaseWait = milliseconds(3'500);
+  CHECK(CheckHistories("turns are kept", 2'000, [&](std::uint64_t aSeed) {
+    election_history history(aSeed, true, timing);
+    history.restart = true;
+    history.Run(1'200);
+    RC_ASSERT(history.violations.empty());
+    RC_ASSERT(!history.SharedFence());
+    RC_ASSERT(history.acts > 0);
+  }));
+}
+
+TEST_CASE("without a wait for the lease, holders take turns within it")
+{
+  leader_election::timing timing;
+  timing.leaseValidity = milliseconds(2'500);
+  int violated = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    election_history history(seed, true, timing);
+    history.restart = true;
+    history.Run(1'200);
+    violated += history.violations.empty() ? 0 : 1;
+  }
+  CHECK(violated > 0);
+}
+
+// Guards against seconds in which nobody leads: batches need no lease.
+TEST_CASE("where targets don't check fences, a silent holder is replaced soon")
+{
+  leader_election::timing timing;
+  timing.leaseValidity = milliseconds(2'500);
+  timing.leaseWait = milliseconds(3'500);
+  leader_election election = Election("b", timing);
+  election.Observe(4, Record("a", 5), kStart);
+  const time_point claimed = kStart + milliseconds(950);
+  REQUIRE(election.ShouldWrite(claimed));
+  const leader_record claim = election.NextRecord(5, claimed);
+  election.Sent(claimed);
+  election.Observe(5, claim, claimed);
+  CHECK(election.Leads());
+  CHECK_FALSE(election.MayAct(claimed));
+  const time_point later = kStart + milliseconds(3'500);
+  election.Confirmed(later);
+  CHECK(election.MayAct(later));
+}
