--- a/tests/unit/item_scheduler_test.cpp
+++ b/tests/unit/item_scheduler_test.cpp
@@ -202,6 +202,24 @@
   CHECK_FALSE(average.Milliseconds(now + milliseconds(3'000)));
 }
 
+// Load pattern: the last long item of a step runs alone at a sampler that is
+// several times slower than the others. Guards against a speed that stays
+// unknown, so that the item stays there until its step has run out of time.
+TEST_CASE("the speed of a slow sampler with one run becomes known")
+{
+  for (const int intervalMs : { 150, 280, 390 }) {
+    interval_average average;
+    time_point now = kStart;
+    while (!average.Milliseconds(now) && now < kStart + milliseconds(5'000)) {
+      average.Note(milliseconds(intervalMs), now += milliseconds(intervalMs));
+    }
+    CAPTURE(intervalMs);
+    REQUIRE(average.Milliseconds(now));
+    CHECK(*average.Milliseconds(now) == Approx(intervalMs));
+    CHECK(now - kStart <= milliseconds(4 * intervalMs));
+  }
+}
+
 // Guards against runs that are moved when a load of weights ends.
 TEST_CASE("silence counts from the end of a load")
 {
