Spread the nodes' retries when the store is away

Cause: each follower retried every 200 ms, so 330 nodes with six topics send 9,900 reads a second to a store that refuses them, where the grown deployments' store takes 6,000; a store that comes back under that load stays over its limit.

Change: retry_delay doubles a delay from 400 to 800 ms and draws each one between half and all of it; the leadership topic, for which elections wait, stays at 150 to 300 ms.

--- a/include/arbutusferry/node/interval_average.hpp
+++ b/include/arbutusferry/node/interval_average.hpp
@@ -22,7 +22,7 @@
   double mTotalMs = 0.0;
   double mCount = 0.0;
   int mIntervals = 0; ///< Noted since the mean was empty.
-  time_point mFirst; ///< First interval since the mean was empty.
+  time_point mFirst;  ///< First interval since the mean was empty.
   time_point mLast;
 };
 
--- a/include/arbutusferry/node/keyed_follower.hpp
+++ b/include/arbutusferry/node/keyed_follower.hpp
@@ -2,8 +2,10 @@
 
 #include "arbutusferry/node/event_loop.hpp"
 #include "arbutusferry/node/record_log.hpp"
+#include "arbutusferry/node/retry_delay.hpp"
 
 #include <map>
+#include <random>
 #include <set>
 
 namespace arbutusferry::node {
@@ -36,8 +38,15 @@
     std::chrono::milliseconds pollWait{ 1'000 };
     /// Delay after a read that returned records, so that the next returns many.
     std::chrono::milliseconds batchDelay{ 0 };
-    /// Delay after a failed call.
-    std::chrono::milliseconds retryDelay{ 200 };
+    /// Delay after a call that failed, and after many that did.
+    std::chrono::milliseconds retryDelay{ 400 };
+    std::chrono::milliseconds longestRetryDelay{ 800 };
+    /// Spreads the retries; random by default.
+    std::uint64_t retrySeed = std::random_device{}();
+
+    /// @return The timing for a topic on which other decisions wait: retries
+    /// stay frequent.
+    [[nodiscard]] static timing Prompt(std::chrono::milliseconds aPollWait);
   };
 
   keyed_follower(event_loop& aLoop,
@@ -72,6 +81,7 @@
   log_partition mPartition;
   timing mTiming;
   record_observer& mObserver;
+  retry_delay mRetryDelay;
   std::unique_ptr<timer> mTimer;
   std::map<std::string, std::uint64_t> mOffsets; ///< Of each present key.
   /// Keys of the listing that is being read.
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -123,7 +123,7 @@
       mParts.loop,
       mParts.log,
       kLeaderPartition,
-      keyed_follower::timing{ kLeaderPollWait },
+      keyed_follower::timing::Prompt(kLeaderPollWait),
       *mLeaderObserver))
   , mElection({ mInstance,
                 mSettings.vm,
--- a/src/node/keyed_follower.cpp
+++ b/src/node/keyed_follower.cpp
@@ -4,6 +4,21 @@
 
 namespace arbutusferry::node {
 
+namespace {
+
+constexpr std::chrono::milliseconds kPromptRetryDelay{ 300 };
+
+} // namespace
+
+keyed_follower::timing
+keyed_follower::timing::Prompt(std::chrono::milliseconds aPollWait)
+{
+  timing prompt;
+  prompt.pollWait = aPollWait;
+  prompt.retryDelay = prompt.longestRetryDelay = kPromptRetryDelay;
+  return prompt;
+}
+
 keyed_follower::keyed_follower(event_loop& aLoop,
                                record_log& aLog,
                                log_partition aPartition,
@@ -14,6 +29,9 @@
   , mPartition(std::move(aPartition))
   , mTiming(aTiming)
   , mObserver(aObserver)
+  , mRetryDelay(aTiming.retryDelay,
+                aTiming.longestRetryDelay,
+                aTiming.retrySeed)
   , mLastContact(aLoop.Now())
 {
 }
@@ -42,6 +60,7 @@
 {
   if (!aDisconnected) {
     mLastContact = mLoop.Now();
+    mRetryDelay.Reset();
   }
   if (aDisconnected != mDisconnected) {
     mDisconnected = aDisconnected;
@@ -66,7 +85,7 @@
                 }
                 SetDisconnected(!aResult.done);
                 if (!aResult.done) {
-                  Schedule(mTiming.retryDelay, &keyed_follower::Relist);
+                  Schedule(mRetryDelay.Next(), &keyed_follower::Relist);
                   return;
                 }
                 if (aAfter.empty()) {
@@ -85,7 +104,7 @@
                 if (mListEnd < mNext) {
                   // The store returned a state older than what was read
                   // before.
-                  Schedule(mTiming.retryDelay, &keyed_follower::Relist);
+                  Schedule(mRetryDelay.Next(), &keyed_follower::Relist);
                   return;
                 }
                 // Keys missing from the listing were deleted before its end.
@@ -116,7 +135,7 @@
       }
       SetDisconnected(aResult.status == read_status::Failed);
       if (aResult.status == read_status::Failed) {
-        Schedule(mTiming.retryDelay, &keyed_follower::Poll);
+        Schedule(mRetryDelay.Next(), &keyed_follower::Poll);
         return;
       }
       if (aResult.status == read_status::Truncated) {
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -218,9 +218,8 @@
   test.RunUntil([&] { return test.handler.held != nullptr; });
   test.handler.held->Begin(200, {});
   const std::unique_ptr<periodic_timer> trickle =
-    std::make_unique<periodic_timer>(test.loop, milliseconds(20), [&] {
-      test.handler.held->Write("x");
-    });
+    std::make_unique<periodic_timer>(
+      test.loop, milliseconds(20), [&] { test.handler.held->Write("x"); });
   test.RunUntil([&] { return sent->failure.has_value(); });
   CHECK(*sent->failure == exchange_failure::Timeout);
 }
