Count a write from its own start when looking for stalls

The window in which a write must move bytes was started only when a response was complete, so a check of timeouts that came between an interim response and its completion closed the connection.

Test: a check after each callback closes the connection before, and nothing now.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -378,6 +378,7 @@
   }
   mWriting.swap(mOutput);
   mWritten = 0;
+  mSending.Restart(mOwner->Loop().Now());
   WriteSome();
 }
 
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -101,7 +101,7 @@
   std::string mWriting;      ///< Buffer of the write in progress.
   std::size_t mWritten = 0;  ///< Bytes of `mWriting` that are written.
   transfer_watch mReceiving; ///< Body of the request.
-  transfer_watch mSending;   ///< Rest of a response that is complete.
+  transfer_watch mSending;   ///< Write in progress.
   std::function<void()> mOnDisconnect;
   std::uint64_t mRequestNumber = 0;
   bool mHandling = false;
--- a/tests/unit/stalled_transfer_test.cpp
+++ b/tests/unit/stalled_transfer_test.cpp
@@ -181,6 +181,28 @@
   CHECK(test.body.size() == 20'000);
 }
 
+// Guards against closing a connection on which a few bytes are being written:
+// the check may come between the write and its completion.
+TEST_CASE("a check of timeouts during a short write closes nothing")
+{
+  connection_test test;
+  boost::asio::write(test.peer,
+                     boost::asio::buffer(std::string(
+                       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                       "Expect: 100-continue\r\n\r\n")));
+  test.loop.Context().restart();
+  bool checkedDuringWrite = false;
+  while (test.loop.Context().run_one_for(milliseconds(100)) > 0) {
+    checkedDuringWrite =
+      checkedDuringWrite || test.connection->UnsentBytes() > 0;
+    test.connection->CheckTimeouts(test.loop.Now());
+    REQUIRE(!test.closed);
+  }
+  CHECK(checkedDuringWrite);
+  test.Write("body");
+  CHECK(test.handled == 1);
+}
+
 // Guards against counting the time in which a response was written as idle.
 TEST_CASE("an idle connection is closed after its idle timeout")
 {
