--- a/include/arbutusferry/node/software_history.hpp
+++ b/include/arbutusferry/node/software_history.hpp
@@ -42,6 +42,10 @@
   void NoteFirstStart();
   /// Notes the versions of all known targets. Call `Begin` before.
   void Note(const version_map& aVersions, std::int64_t aUnixMs);
+  /// @return Whether targets of a service are known to have a version now, so
+  /// that another one which has it changes nothing.
+  [[nodiscard]] bool Serves(const std::string& aService,
+                            const std::string& aVersion) const;
   /// Adds what another process has stored.
   void Restore(const std::string& aService, const software_record& aStored);
   /// @return The records that say more than the stored ones, by service.
--- a/include/arbutusferry/node/software_watch.hpp
+++ b/include/arbutusferry/node/software_watch.hpp
@@ -31,6 +31,9 @@
   void NoteTargetsRead();
   /// Notes the versions of the known targets.
   void Observe();
+  /// Notes the version of a target that was added. Costs nothing where another
+  /// target has the version: in a large fleet many are added at once.
+  void NoteAdded(const target_entry& aTarget);
   /// Stores what the store doesn't know. Called on the leader.
   void Save();
   /// Declares that no node has served before: no leader was ever elected.
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -221,8 +221,10 @@
     before && before->entry.software != aTarget.software;
   mTargets.Update(aTarget, mParts.loop.Now());
   mCrashes.NoteRecord(aTarget);
-  if (added || softwareChanged) {
+  if (softwareChanged) {
     mSoftware.Observe();
+  } else if (added) {
+    mSoftware.NoteAdded(aTarget);
   }
   if (mLeader) {
     if (softwareChanged) {
--- a/src/node/software_history.cpp
+++ b/src/node/software_history.cpp
@@ -107,6 +107,18 @@
   }
 }
 
+bool
+software_history::Serves(const std::string& aService,
+                         const std::string& aVersion) const
+{
+  const auto record = mRecords.find(aService);
+  if (record == mRecords.end()) {
+    return false;
+  }
+  const auto left = record->second.left.find(aVersion);
+  return left != record->second.left.end() && left->second == 0;
+}
+
 void
 software_history::Restore(const std::string& aService,
                           const software_record& aStored)
--- a/src/node/software_watch.cpp
+++ b/src/node/software_watch.cpp
@@ -75,6 +75,14 @@
   }
 }
 
+void
+software_watch::NoteAdded(const target_entry& aTarget)
+{
+  if (!mHistory.Serves(aTarget.service, aTarget.software)) {
+    Observe();
+  }
+}
+
 void
 software_watch::OnRecord(const std::string& aKey,
                          const std::string* aValue,
--- a/tests/unit/software_version_test.cpp
+++ b/tests/unit/software_version_test.cpp
@@ -522,3 +522,21 @@
   CHECK(test.samplers.mixedItems.empty());
   CheckComplete(*leader, 40);
 }
+
+// Load pattern: a thousand targets are added in a few seconds. Guards against
+// versions that are collected from all targets again for each of them, which
+// grows with the square of the fleet, and against a version that this misses.
+TEST_CASE("a version that other targets have needs no new look at all targets")
+{
+  software_history history;
+  history.Begin(1'000);
+  CHECK_FALSE(history.Serves("s", "v1"));
+  history.Note({ { "s", { "v1" } } }, 1'000);
+  CHECK(history.Serves("s", "v1"));
+  CHECK_FALSE(history.Serves("s", "v2"));
+  CHECK_FALSE(history.Serves("other", "v1"));
+  // Its last target has left, and then another one comes with it.
+  history.Note({ { "s", { "v2" } } }, 2'000);
+  CHECK_FALSE(history.Serves("s", "v1"));
+  CHECK(history.Serves("s", "v2"));
+}
