--- a/tests/unit/item_scoring_test.cpp
+++ b/tests/unit/item_scoring_test.cpp
@@ -76,6 +76,7 @@
         room["desk"] = RoomForRewardCalls(simulation.mView, "desk", kNow);
       }
       std::vector<waiting_reward> waiting;
+      waiting.reserve(static_cast<std::size_t>(unsent));
       for (int index = 0; index < unsent; ++index) {
         waiting.push_back(Reward(static_cast<std::size_t>(index), 1));
       }
