Show that a large text loses the results listed behind it

Cause: a result that the store refuses for its size keeps its position, but its record is dropped with all records of the same call. The next leader stops at the gap and drops all stored results behind it.

One item of a batch has a text of 308,000 bytes; the results are read, and the leader's process is killed.

--- a/review/harness/sampler.cpp
+++ b/review/harness/sampler.cpp
@@ -151,6 +151,9 @@
   }
   const work task = mPlanner(id);
   if (mSettings.model.empty()) {
+    Note("sampler " + mSettings.id + ": request " + id +
+         " arrives: " + aRequest.method + " " + aRequest.target + ", tenant '" +
+         Field(aRequest.fields, "Arbutusferry-Tenant") + "'");
     RunPlain(id, task, aChannel);
   } else {
     Note("sampler " + mSettings.id + ": item " + id + " arrives from node " +
@@ -239,7 +242,6 @@
 void
 sampler::RunPlain(const std::string& aId, const work& aWork, channel& aChannel)
 {
-  Note("sampler " + mSettings.id + ": request " + aId + " begins");
   const std::int64_t until = NowMs() + aWork.plainMs;
   while (NowMs() < until) {
     SleepMs(std::min(kWaitStepMs, std::max<std::int64_t>(1, until - NowMs())));
--- a/review/harness/store.cpp
+++ b/review/harness/store.cpp
@@ -9,6 +9,8 @@
 
 /// Latency of an append.
 constexpr std::int64_t kAppendMs = 4;
+/// `record-bytes`; a call with a larger record is refused whole.
+constexpr std::size_t kMaxRecordBytes = 262'144;
 constexpr std::size_t kMaxPageItems = 500;
 constexpr std::size_t kMaxPageBytes = 1'000'000;
 /// Appends of a producer whose answers are repeated.
@@ -155,6 +157,10 @@
     for (int byte = 0; byte < 4; ++byte) {
       size = size << 8U | static_cast<unsigned char>(aRequest.body[at++]);
     }
+    if (size > kMaxRecordBytes) {
+      aChannel.Send(413, {}, {});
+      return;
+    }
     added.push_back(aRequest.body.substr(at, size));
     at += size;
   }
--- a/review/harness/world.cpp
+++ b/review/harness/world.cpp
@@ -87,7 +87,8 @@
 node_fleet::node_fleet(std::string aProgram,
                        const platform_store& aStore,
                        const platform_duties& aDuties,
-                       int aCount)
+                       int aCount,
+                       bool aFencesChecked)
   : mProgram(std::move(aProgram))
 {
   std::string pattern =
@@ -122,7 +123,7 @@
     settings["max_call_bytes"] = 2'097'152;
     settings["lease_ms"] = 3'000;
     settings["cancel_within_ms"] = 3'000;
-    settings["fences_checked"] = true;
+    settings["fences_checked"] = aFencesChecked;
     settings["usage_window_s"] = 5;
     settings["usage_due_s"] = 10;
     settings["batch_readable_s"] = 120;
@@ -271,9 +272,10 @@
 }
 
 bool
-world::StartNodes(const std::string& aProgram, int aCount)
+world::StartNodes(const std::string& aProgram, int aCount, bool aFencesChecked)
 {
-  nodes = std::make_unique<node_fleet>(aProgram, store, duties, aCount);
+  nodes = std::make_unique<node_fleet>(
+    aProgram, store, duties, aCount, aFencesChecked);
   for (const auto& entry : samplers) {
     entry->findSender = [this](int aPeerPort) {
       return nodes->Sender(aPeerPort);
@@ -374,9 +376,10 @@
 request
 Submission(const std::string& aPrefix,
            const std::string& aId,
-           const std::vector<std::string>& aItems,
+           const std::vector<submitted_item>& aItems,
            int aDeadlineMs)
 {
+  constexpr int kPromptTokens = 271;
   Json::Value body(Json::objectValue);
   body["step"] = 0;
   body["model"] = kModel;
@@ -384,15 +387,24 @@
   body["target-count"] =
     Json::UInt64(std::max<std::size_t>(1, aItems.size() / 4 * 9 / 10));
   for (std::size_t index = 0; index < aItems.size(); ++index) {
+    const submitted_item& given = aItems[index];
     Json::Value item(Json::objectValue);
-    item["id"] = aItems[index];
-    item["path"] = aPrefix + "3/" + aItems[index];
+    item["id"] = given.id;
+    item["path"] = aPrefix + "3/" + given.id;
     item["headers"]["Arbutusferry-Model"] = kModel;
-    item["headers"]["Arbutusferry-Token-Usage"] = "271,26";
+    item["headers"]["Arbutusferry-Token-Usage"] =
+      std::to_string(kPromptTokens) + "," + std::to_string(given.outputTokens);
     item["headers"]["Arbutusferry-Prompt-Prefix"] = "9c2e41:255,5d07b8:16";
     item["body"] = "q83vEjRWeJA=";
-    item["tokens"] = 297;
+    item["tokens"] = kPromptTokens + given.outputTokens;
     item["group"] = "g" + std::to_string(index / 4);
+    if (!given.rewardPath.empty()) {
+      Json::Value& reward = item["scorer"];
+      reward["id"] = "w-" + given.id;
+      reward["host"] = kHost;
+      reward["path"] = given.rewardPath;
+      reward["body"] = "q83vEjRWeJA=";
+    }
     body["items"].append(std::move(item));
   }
   request call = TenantCall("POST", aPrefix + aId, aDeadlineMs);
@@ -402,6 +414,19 @@
   return call;
 }
 
+request
+Submission(const std::string& aPrefix,
+           const std::string& aId,
+           const std::vector<std::string>& aItems,
+           int aDeadlineMs)
+{
+  std::vector<submitted_item> items;
+  for (const std::string& id : aItems) {
+    items.push_back({ id });
+  }
+  return Submission(aPrefix, aId, items, aDeadlineMs);
+}
+
 result_page
 ReadResults(int aPort, const std::string& aBatch, std::size_t aAfter)
 {
--- a/review/harness/world.hpp
+++ b/review/harness/world.hpp
@@ -166,7 +166,8 @@
   node_fleet(std::string aProgram,
              const platform_store& aStore,
              const platform_duties& aDuties,
-             int aCount);
+             int aCount,
+             bool aFencesChecked);
   node_fleet(const node_fleet&) = delete;
   node_fleet& operator=(const node_fleet&) = delete;
 
@@ -222,8 +223,12 @@
   std::unique_ptr<node_fleet> nodes;
 
   /// Starts the nodes and waits until all are ready and in touch.
+  /// @param aFencesChecked Whether samplers and the platform check fencing
+  /// tokens (`require-fencing`).
   /// @return Whether they are.
-  [[nodiscard]] bool StartNodes(const std::string& aProgram, int aCount);
+  [[nodiscard]] bool StartNodes(const std::string& aProgram,
+                                int aCount,
+                                bool aFencesChecked = true);
   /// @return All starts at samplers so far.
   [[nodiscard]] std::vector<run_start> Starts() const;
 };
@@ -254,8 +259,22 @@
 TenantCall(const std::string& aMethod,
            const std::string& aTarget,
            int aDeadlineMs);
+/// One item of a submission.
+struct submitted_item
+{
+  std::string id;
+  /// Most tokens of its output.
+  int outputTokens = 26;
+  /// Path of its reward call, whose id is "w-" and the item's; none if empty.
+  std::string rewardPath = {};
+};
 /// @return The submission of a batch, with groups of four items each.
 [[nodiscard]] request
+Submission(const std::string& aPrefix,
+           const std::string& aId,
+           const std::vector<submitted_item>& aItems,
+           int aDeadlineMs);
+[[nodiscard]] request
 Submission(const std::string& aPrefix,
            const std::string& aId,
            const std::vector<std::string>& aItems,
