--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,97 +1,212 @@
 #include "world.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 
-/// The operator removes a host's only rollout route. All nodes then answer 404
-/// for a batch that they accepted, and whose results were read.
+/// Nodes are stopped in turn. A stopping node takes requests until it ends, and
+/// cuts off those that samplers work on.
 namespace review {
 
 namespace {
 
 constexpr int kNodes = 3;
-constexpr std::size_t kItems = 8;
-/// `config-apply-ms`, `settle-ms` and `contact-ms` of the small deployments.
-constexpr std::int64_t kConfigApplyMs = 2'000;
-constexpr std::int64_t kSettleMs = 1'000;
-constexpr std::int64_t kContactMs = 3'000;
-constexpr int kReads = 12;
+/// Between the stops of two nodes (`roll_term`, `gap_s`).
+constexpr std::int64_t kGapMs = 2'000;
+/// `grace-s`: SIGKILL follows a SIGTERM after this time.
+constexpr std::int64_t kGraceMs = 8'000;
+constexpr std::int64_t kRestartMs = 500;
+/// A request sent later than this after the SIGTERM has no excuse.
+constexpr std::int64_t kExcusedSentMs = 3'000;
+constexpr std::int64_t kWorkMs = 800;
+constexpr int kTimeLimitMs = 5'000;
+constexpr std::int64_t kArrivalMs = 50;
+constexpr std::size_t kPrefixLength = 8;
+
+/// The platform's ingress: checks readiness once a second and chooses the node
+/// of a new channel.
+class ingress
+{
+public:
+  explicit ingress(const node_fleet& aNodes)
+    : mNodes(aNodes)
+    , mMisses(static_cast<std::size_t>(aNodes.Count()), 0)
+  {
+  }
+
+  void Run()
+  {
+    for (std::int64_t next = NowMs();; next += 1'000) {
+      for (int index = 0; index < mNodes.Count(); ++index) {
+        const bool ready = mNodes.Ready(index);
+        const std::lock_guard lock(mMutex);
+        int& misses = mMisses[static_cast<std::size_t>(index)];
+        if (ready != (misses == 0)) {
+          Note("ingress: node " + std::to_string(index + 1) +
+               (ready ? " is ready" : " isn't ready"));
+        }
+        misses = ready ? 0 : misses + 1;
+      }
+      SleepUntilMs(next + 1'000);
+    }
+  }
+
+  /// @return The node for a new channel: after two misses a node gets none,
+  /// unless fewer than half are left.
+  int Choose(std::size_t aConsumer)
+  {
+    const std::lock_guard lock(mMutex);
+    std::vector<int> rotation;
+    for (int index = 0; index < mNodes.Count(); ++index) {
+      if (mMisses[static_cast<std::size_t>(index)] < 2) {
+        rotation.push_back(index);
+      }
+    }
+    if (2 * static_cast<int>(rotation.size()) < mNodes.Count()) {
+      rotation.clear();
+      for (int index = 0; index < mNodes.Count(); ++index) {
+        rotation.push_back(index);
+      }
+    }
+    return rotation[aConsumer % rotation.size()];
+  }
+
+private:
+  const node_fleet& mNodes;
+  std::mutex mMutex;
+  std::vector<int> mMisses;
+};
+
+struct sent_request
+{
+  std::string id;
+  int node = 0;
+  std::int64_t sentAt = 0;
+  std::int64_t endedAt = 0;
+  call_result result;
+};
 
 verdict
 Run(const scenario_paths& aPaths)
 {
   auto& all = *new world;
-  const route plain{ "r-35ieisp", "/lohu930/", "idempotent", "wuno96b" };
-  const route rollout{ "r-uxsr7i4", "/pufi791/", "rollout", "huvo11a" };
-  PutManifest(all.store, 1, { plain, rollout });
-  work output;
-  for (int event = 1; event <= 10; ++event) {
-    output.events.push_back("piece " + std::to_string(event));
-  }
-  output.eventMs = 30;
-  for (const char* id : { "i-7f3a91c2", "i-02d9e6b4", "i-desk0" }) {
-    const bool desk = std::string(id) == "i-desk0";
+  PutManifest(
+    all.store,
+    1,
+    { { "r-35ieisp", "/lohu930/", "non_idempotent", "wuno96b", 2, 5'000 } });
+  for (int index = 0; index < 3; ++index) {
     sampler_settings settings;
-    settings.id = id;
-    settings.service = desk ? "wuno96b" : "huvo11a";
-    settings.model = desk ? "" : kModel;
-    all.samplers.push_back(std::make_unique<sampler>(
-      settings, all.store, [output](const std::string&) { return output; }));
+    settings.id = "i-desk" + std::to_string(index);
+    settings.service = "wuno96b";
+    settings.slots = 24;
+    all.samplers.push_back(
+      std::make_unique<sampler>(settings, all.store, [](const std::string&) {
+        work task;
+        task.plainMs = kWorkMs;
+        return task;
+      }));
   }
   if (!all.StartNodes(aPaths.node, kNodes)) {
     return verdict::CouldNotRun;
   }
+  auto& entry = *new ingress(*all.nodes);
+  std::thread([&entry] { entry.Run(); }).detach();
+  SleepMs(2'000);
 
-  const std::string batch = "7c41e09b52d6a3f8";
-  std::vector<std::string> items;
-  for (std::size_t index = 0; index < kItems; ++index) {
-    items.push_back("e5b2907c14da" + std::to_string(1'000 + index));
-  }
-  const auto accepted = CallWithRetries(
-    *all.nodes, 0, Submission("/pufi791/", batch, items, 12'000), 13'500, 2);
-  if (accepted.answer.status != 202) {
-    return verdict::CouldNotRun;
-  }
-  std::size_t read = 0;
-  for (int tries = 0; tries < 20 && read < kItems; ++tries) {
-    SleepMs(500);
-    const result_page page =
-      ReadResults(all.nodes->CallerPort(tries % kNodes), batch, 0);
-    read = page.items.size();
-    Note("consumer: GET /lots/" + batch +
-         "?after=0: " + std::to_string(page.status) + ", " +
-         std::to_string(read) + " results");
-  }
-  if (read < kItems) {
-    return verdict::CouldNotRun;
-  }
+  auto& mutex = *new std::mutex;
+  auto& sent = *new std::vector<sent_request>;
+  std::atomic<bool> stop = false;
+  std::thread traffic([&] {
+    std::vector<std::thread> consumers;
+    std::size_t number = 0;
+    for (std::int64_t next = NowMs(); !stop; next += kArrivalMs) {
+      SleepUntilMs(next);
+      consumers.emplace_back([&, number] {
+        sent_request made;
+        made.id = "9c41d07b" + std::to_string(100'000 + number);
+        request call = TenantCall(
+          "POST", "/lohu930/" + made.id.substr(kPrefixLength), kTimeLimitMs);
+        call.fields.emplace_back("Arbutusferry-Request-Id", made.id);
+        call.body = "slip";
+        made.node = entry.Choose(number);
+        made.sentAt = NowMs();
+        made.result =
+          Call(all.nodes->CallerPort(made.node), call, kTimeLimitMs + 1'500);
+        made.endedAt = NowMs();
+        Note("consumer: " + made.id + " to node " +
+             std::to_string(made.node + 1) + ", sent at " +
+             std::to_string(made.sentAt) + " ms: " + DescribeEnd(made.result));
+        const std::lock_guard lock(mutex);
+        sent.push_back(std::move(made));
+      });
+      ++number;
+    }
+    for (std::thread& consumer : consumers) {
+      consumer.join();
+    }
+  });
+  SleepMs(3'000);
 
+  std::vector<std::int64_t> stoppedAt(kNodes, -1);
   if (WithTrouble()) {
-    PutManifest(all.store, 4, { plain });
+    const std::int64_t begin = NowMs();
+    for (int index = 0; index < kNodes; ++index) {
+      SleepUntilMs(begin + index * kGapMs);
+      stoppedAt[static_cast<std::size_t>(index)] = NowMs();
+      all.nodes->Signal(index, SIGTERM);
+    }
+    for (int index = 0; index < kNodes; ++index) {
+      const std::int64_t kill =
+        stoppedAt[static_cast<std::size_t>(index)] + kGraceMs;
+      if (!all.nodes->AwaitEnd(index, kill - NowMs())) {
+        all.nodes->Signal(index, SIGKILL);
+        if (!all.nodes->AwaitEnd(index, 1'000)) {
+          return verdict::CouldNotRun;
+        }
+      }
+      SleepMs(kRestartMs);
+      all.nodes->Start(index);
+    }
   } else {
-    PutManifest(all.store, 4, { plain, rollout });
+    SleepMs(3 * kGapMs + kGraceMs);
+  }
+  SleepMs(3'000);
+  stop = true;
+  traffic.join();
+
+  std::set<std::string> begun;
+  for (const run_start& start : all.Starts()) {
+    begun.insert(start.item);
   }
-  SleepMs(kConfigApplyMs + kSettleMs + kContactMs);
-  int missing = 0;
-  int good = 0;
-  for (int tries = 0; tries < kReads; ++tries) {
-    const int node = tries % kNodes;
-    const result_page page = ReadResults(all.nodes->CallerPort(node), batch, 0);
-    Note("consumer: GET /lots/" + batch + "?after=0 at node " +
-         std::to_string(node + 1) + ": " + std::to_string(page.status) + ", " +
-         std::to_string(page.items.size()) + " results");
-    good += page.status == 200 && page.items.size() == kItems ? 1 : 0;
-    if (page.status == 404 || page.status == 410) {
-      ++missing;
-      Note("LOST: node " + std::to_string(node + 1) + ", in touch, answers " +
-           std::to_string(page.status) + " for a batch that was accepted");
+  std::size_t answered = 0;
+  std::size_t lost = 0;
+  for (const sent_request& made : sent) {
+    answered +=
+      made.result.end == call_end::Answered && made.result.answer.status == 200
+        ? 1
+        : 0;
+    const std::int64_t stopped = stoppedAt[static_cast<std::size_t>(made.node)];
+    const bool cut = made.result.end == call_end::Closed;
+    const bool limitReached = made.endedAt - made.sentAt >= kTimeLimitMs;
+    if (stopped >= 0 && cut && begun.contains(made.id) && !limitReached &&
+        made.sentAt > stopped + kExcusedSentMs &&
+        made.endedAt <= stopped + kGraceMs + 1'000) {
+      ++lost;
+      Note("LOST: " + made.id + ", sent to node " +
+           std::to_string(made.node + 1) + " " +
+           std::to_string(made.sentAt - stopped) +
+           " ms after its SIGTERM, was passed on to a sampler; its channel "
+           "ended without an answer " +
+           std::to_string(made.endedAt - stopped) + " ms after the SIGTERM");
     }
-    SleepMs(500);
   }
-  if (missing == 0 && good < kReads) {
+  Note(std::to_string(sent.size()) + " requests sent, " +
+       std::to_string(answered) + " answered with 200, " +
+       std::to_string(lost) + " lost around a planned stop");
+  if (answered == 0) {
     return verdict::CouldNotRun;
   }
-  return missing > 0 ? verdict::Broken : verdict::Held;
+  return lost > 0 ? verdict::Broken : verdict::Held;
 }
 
 } // namespace
