--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr int kNodes = 3;
-constexpr std::size_t kItems = 160;
+constexpr int kSamplers = 8;
+constexpr std::size_t kItems = 240;
 constexpr int kEvents = 10;
 constexpr std::int64_t kEventMs = 60;
 /// `cancel-ms` and `contact-ms` of the small deployments.
@@ -127,11 +128,13 @@
     output.events.push_back("piece " + std::to_string(event));
   }
   output.eventMs = kEventMs;
-  for (const char* id : { "i-7f3a91c2", "i-02d9e6b4" }) {
+  // Several, so that each node passes items on to some of them.
+  for (int index = 0; index < kSamplers; ++index) {
     sampler_settings settings;
-    settings.id = id;
+    settings.id = "i-7f3a91c" + std::to_string(index);
     settings.service = "huvo11a";
     settings.model = kModel;
+    settings.slots = 2;
     all.samplers.push_back(std::make_unique<sampler>(
       settings, all.store, [output](const std::string&) { return output; }));
   }
