Acknowledge the end of a batch only once it is stored

What callers saw: 200 for the end of a batch, and samplers that ran its items up to 5 s (partition) or 15 s (outage of the store) after it.

Cause: batch_leader::End marked the batch as ended in memory, appended the end, and took the mark for the end when the call was repeated, by another caller or by a node that had waited 3 s for the leader. A leader that is cut off from the store has the mark, and its successor doesn't have the end.

Ruled out: the relays, which refuse runs of the replaced leader; a missing check of the term, which would leave the 0.9 s for which a term is taken as confirmed.

Change: each call waits for the store's acknowledgement of the end.

--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -101,7 +101,11 @@
     std::function<void(std::map<std::size_t, std::string>&)> aDone);
   /// Appends records atomically.
   /// @param aDone Called when they are durable.
-  void Append(std::vector<log_record> aRecords, std::function<void()> aDone);
+  /// @param aOnRejected Called instead if the store rejects them as invalid.
+  /// Neither is called if the term ends first.
+  void Append(std::vector<log_record> aRecords,
+              std::function<void()> aDone,
+              std::function<void()> aOnRejected = {});
   /// @return Appends that are not durable yet.
   [[nodiscard]] std::size_t PendingAppends() const noexcept
   {
@@ -118,6 +122,7 @@
   {
     std::vector<log_record> records;
     std::function<void()> done;
+    std::function<void()> onRejected;
   };
 
   void Fence();
@@ -125,6 +130,9 @@
   void SendNext();
   void SendCall();
   void OnAppendResult(const append_result& aResult);
+  /// Takes the appends out of flight and calls one of their functions.
+  /// @return Whether the journal still exists afterwards.
+  [[nodiscard]] bool Conclude(std::function<void()> pending_append::*aFunction);
   void Retry();
 
   event_loop& mLoop;
--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -86,8 +86,9 @@
   void LoadTexts(const std::string& aId,
                  std::size_t aFrom,
                  std::function<void()> aDone);
-  /// Cancels the runs of a batch and ends it.
-  /// @param aDone Called when the end is durable.
+  /// Cancels the runs of a batch and ends it. May be repeated.
+  /// @param aDone Called when the end is durable. Destroyed without a call if
+  /// the store rejects the end, or the term ends first.
   void End(batch& aBatch, std::function<void()> aDone);
   /// Appends other journal records of the leader, such as usage counts.
   void AppendRecords(std::vector<log_record> aRecords,
@@ -118,6 +119,11 @@
   [[nodiscard]] bool Due(waiter& aEntry);
 
   void Restore(journal_contents aContents);
+  /// Ends a batch in memory: cancels its runs and reward calls, and keeps the
+  /// progress of its items.
+  void CloseBatch(batch& aBatch);
+  /// Stores the end of a batch, and answers all who wait for it.
+  void StoreEnd(const batch& aBatch);
   void SchedulePlacement();
   /// Saves limits of targets that have changed.
   void SaveLimits();
@@ -208,6 +214,8 @@
   std::map<std::string, std::size_t> mUnplaced;
   std::vector<waiter> mWaiters;
   std::map<std::string, std::vector<std::function<void()>>> mPendingSubmits;
+  /// Calls that wait until the end of a batch is durable, by batch.
+  std::map<std::string, std::vector<std::function<void()>>> mPendingEnds;
   std::unique_ptr<timer> mPlacementTimer;
   std::unique_ptr<timer> mRewardTimer;
   std::unique_ptr<periodic_timer> mTicker;
--- a/include/arbutusferry/node/batch_table.hpp
+++ b/include/arbutusferry/node/batch_table.hpp
@@ -168,6 +168,9 @@
   /// Number of journal records that hold the request.
   std::size_t journalParts = 1;
   time_point endedAt;
+  /// Whether the end is durable. A new leader resumes an ended batch whose end
+  /// isn't.
+  bool endStored = false;
   /// Positions assigned to results, including those not durable yet.
   std::size_t assignedPositions = 0;
 
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -449,9 +449,11 @@
 
 void
 batch_journal::Append(std::vector<log_record> aRecords,
-                      std::function<void()> aDone)
+                      std::function<void()> aDone,
+                      std::function<void()> aOnRejected)
 {
-  mQueue.push_back({ std::move(aRecords), std::move(aDone) });
+  mQueue.push_back(
+    { std::move(aRecords), std::move(aDone), std::move(aOnRejected) });
   SendNext();
 }
 
@@ -532,8 +534,9 @@
             { "records", std::to_string(mCallRecords.size()) },
             { "first_key",
               mCallRecords.empty() ? "" : mCallRecords.front().key } });
-      mInFlight.clear();
-      SendNext();
+      if (Conclude(&pending_append::onRejected)) {
+        SendNext();
+      }
       return;
   }
   if (mRetryingSince) {
@@ -545,16 +548,24 @@
     mRetryingSince.reset();
   }
   ++mSequence;
+  if (Conclude(&pending_append::done)) {
+    SendNext();
+  }
+}
+
+bool
+batch_journal::Conclude(std::function<void()> pending_append::*aFunction)
+{
   const auto alive = std::weak_ptr<bool>(mAlive);
-  for (pending_append& sent : std::exchange(mInFlight, {})) {
-    if (sent.done) {
-      sent.done();
+  for (const pending_append& sent : std::exchange(mInFlight, {})) {
+    if (const auto& function = sent.*aFunction) {
+      function();
     }
     if (alive.expired()) {
-      return;
+      return false;
     }
   }
-  SendNext();
+  return true;
 }
 
 void
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -68,6 +68,7 @@
     batch& added =
       mBatches.Add(std::move(request), aContents.ended.contains(id));
     added.journalParts = aContents.partCounts[id];
+    added.endStored = added.Ended();
     added.endedAt = mParts.loop.Now();
     for (auto& [position, result] : aContents.results[id]) {
       // Positions are written in order, so there should be no gap.
@@ -276,10 +277,24 @@
 void
 batch_leader::End(batch& aBatch, std::function<void()> aDone)
 {
-  if (aBatch.Ended()) {
+  if (aBatch.endStored) {
     aDone();
     return;
   }
+  const auto [pending, first] = mPendingEnds.try_emplace(aBatch.Request().id);
+  pending->second.push_back(std::move(aDone));
+  if (!first) {
+    return;
+  }
+  if (!aBatch.Ended()) {
+    CloseBatch(aBatch);
+  }
+  StoreEnd(aBatch);
+}
+
+void
+batch_leader::CloseBatch(batch& aBatch)
+{
   const std::string id = aBatch.Request().id;
   const auto runs = mPool.Runs();
   for (const auto& run : runs) {
@@ -305,15 +320,6 @@
         { "ms",
           std::to_string(mParts.loop.UnixMilliseconds() -
                          aBatch.Request().submittedUnixMs) } });
-  // Only the ids and groups of an ended batch's items are still needed.
-  std::vector<log_record> records{
-    { EndKey(id), "1" },
-    { BatchKey(id, 0), "1:" + EncodeBatch(aBatch.Request(), false) }
-  };
-  for (std::size_t part = 1; part < aBatch.journalParts; ++part) {
-    records.push_back({ BatchKey(id, part), {} });
-  }
-  aBatch.journalParts = 1;
   for (std::size_t index = 0; index < aBatch.Items().size(); ++index) {
     const item_state& item = aBatch.Items()[index];
     if (item.phase == item_phase::Committed ||
@@ -328,7 +334,46 @@
   mBatches.End(aBatch, mParts.loop.Now());
   WakeWaiters();
   SchedulePlacement();
-  mJournal.Append(std::move(records), std::move(aDone));
+}
+
+void
+batch_leader::StoreEnd(const batch& aBatch)
+{
+  const std::string id = aBatch.Request().id;
+  mJournal.Append(
+    { { EndKey(id), "1" } },
+    [this, id, since = mParts.loop.Now()] {
+      if (batch* stored = mBatches.Find(id)) {
+        stored->endStored = true;
+      }
+      const auto waiting = mPendingEnds.extract(id);
+      Log(log_level::Info,
+          "batch_end_stored",
+          { { "batch", id },
+            { "calls", std::to_string(waiting.mapped().size()) },
+            { "ms",
+              std::to_string(ToMilliseconds(mParts.loop.Now() - since)) } });
+      for (const auto& done : waiting.mapped()) {
+        done();
+      }
+    },
+    [this, id] { mPendingEnds.extract(id); });
+  // Only the ids and groups of an ended batch's items are still needed.
+  std::vector<log_record> shortened{
+    { BatchKey(id, 0), "1:" + EncodeBatch(aBatch.Request(), false) }
+  };
+  if (shortened.front().value.size() + kRecordOverhead >
+      mParts.log.MaxRecordBytes()) {
+    return; // The whole request stays until the batch expires.
+  }
+  for (std::size_t part = 1; part < aBatch.journalParts; ++part) {
+    shortened.push_back({ BatchKey(id, part), {} });
+  }
+  mJournal.Append(std::move(shortened), [this, id] {
+    if (batch* stored = mBatches.Find(id)) {
+      stored->journalParts = 1;
+    }
+  });
 }
 
 void
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -103,6 +103,104 @@
   CHECK_FALSE(test.samplers.resumedAfter.empty());
 }
 
+// Guards against an acknowledged end that no store has: the next leader would
+// run the batch's items.
+TEST_CASE("each end of a batch is acknowledged only once the end is durable")
+{
+  leader_test test;
+  const auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 2), [] {});
+  test.loop.Advance(milliseconds(150));
+  test.log.down = true;
+  int ended = 0;
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  test.loop.Advance(milliseconds(1'000));
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  CHECK(ended == 0);
+  test.loop.Advance(milliseconds(2'000));
+  CHECK(ended == 0);
+  test.log.down = false;
+  test.loop.Advance(milliseconds(300));
+  CHECK(ended == 2);
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  CHECK(ended == 3);
+}
+
+// Guards against calls that are never answered, or answered as a success, when
+// the leader is lost before the end of a batch is durable.
+TEST_CASE("ends that a lost leader hasn't stored are not acknowledged")
+{
+  leader_test test;
+  auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 2), [] {});
+  test.loop.Advance(milliseconds(100));
+  test.log.down = true;
+  int ended = 0;
+  const auto waiting = std::make_shared<int>();
+  for (int call = 0; call < 2; ++call) {
+    leader->End(*leader->Find("b", "acme"), [&ended, waiting] { ++ended; });
+    test.loop.Advance(milliseconds(1'000));
+  }
+  CHECK(waiting.use_count() == 3);
+  leader.reset();
+  CHECK(waiting.use_count() == 1);
+  test.log.down = false;
+  leader = test.StartLeader(2);
+  CHECK(ended == 0);
+  batch* found = leader->Find("b", "acme");
+  CHECK_FALSE(found->Ended());
+  leader->End(*found, [&] { ++ended; });
+  test.loop.Advance(milliseconds(50));
+  CHECK(ended == 1);
+  leader = test.StartLeader(3);
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  CHECK(ended == 2);
+}
+
+// Guards against an end that is lost for good with another append that the
+// store rejects.
+TEST_CASE("an end that the store has rejected is stored by a repeated call")
+{
+  leader_test test;
+  auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 2), [] {});
+  test.loop.Advance(milliseconds(100));
+  // The second and third append wait for the first and share a call.
+  leader->AppendRecords({ { UsageKey(1), "x" } }, {});
+  leader->AppendRecords({ { UsageKey(2), std::string(5'000, 'x') } }, {});
+  int ended = 0;
+  const auto waiting = std::make_shared<int>();
+  leader->End(*leader->Find("b", "acme"), [&ended, waiting] { ++ended; });
+  test.loop.Advance(milliseconds(50));
+  REQUIRE(test.log.invalid == 1);
+  CHECK(ended == 0);
+  CHECK(waiting.use_count() == 1);
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  CHECK(ended == 0);
+  test.loop.Advance(milliseconds(50));
+  CHECK(ended == 1);
+  leader = test.StartLeader(2);
+  CHECK(leader->Find("b", "acme")->Ended());
+}
+
+// Guards against an end that the store always rejects, since the names of the
+// batch's items don't fit into one record.
+TEST_CASE("a batch with more items than a record can name is ended")
+{
+  leader_test test;
+  auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 300), [] {});
+  test.loop.Advance(milliseconds(100));
+  int ended = 0;
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  test.loop.Advance(milliseconds(50));
+  CHECK(ended == 1);
+  CHECK(test.log.invalid == 0);
+  leader = test.StartLeader(2);
+  CHECK(leader->Find("b", "acme")->Ended());
+  CHECK(leader->Find("b", "acme")->Items().size() == 300);
+}
+
 TEST_CASE("reads wait for results or for their timeout")
 {
   leader_test test;
