Read empty texts, and results behind them, after they leave memory

What callers saw: where a model ended an answer with its first token, all reads from that result on were answered 503 for good, after a change of leader or 8 s after the batch's end.

Cause: a record without a value removes its key, so an empty text has no record, but a restored or released result waits for one. The log's texts_unreadable looked like an absent store.

Ruled out: unreadable records (other texts of the page are read) and the paging of texts.

Change: the result's record says if its text is empty, and only texts that have a record are released.

--- a/include/arbutusferry/node/batch_journal.hpp
+++ b/include/arbutusferry/node/batch_journal.hpp
@@ -20,7 +20,13 @@
 EncodeBatch(const batch_request& aBatch, bool aWithRequests = true);
 [[nodiscard]] std::optional<batch_request>
 DecodeBatch(const std::string& aText);
-/// Encodes a result without its text, which has a separate record.
+/// Encodes a batch as the values of consecutive journal records.
+/// @param aMaxBytes Size limit of a value.
+/// @return At least one value; none is empty, since that removes a record.
+[[nodiscard]] std::vector<std::string>
+EncodeBatchParts(const batch_request& aBatch, std::size_t aMaxBytes);
+/// Encodes a result without its text, which has a separate record unless it is
+/// empty: a record without a value is removed.
 [[nodiscard]] std::string
 EncodeResult(const batch_result& aResult);
 [[nodiscard]] std::optional<batch_result>
--- a/include/arbutusferry/node/batch_table.hpp
+++ b/include/arbutusferry/node/batch_table.hpp
@@ -165,6 +165,8 @@
   void SetText(std::size_t aPosition, std::string aText);
   /// Frees the texts of all results, which stay in the journal.
   void ReleaseTexts();
+  /// @return Whether the text of a result is in memory.
+  [[nodiscard]] bool HoldsTexts() const noexcept { return mHoldsTexts; }
   /// Number of journal records that hold the request.
   std::size_t journalParts = 1;
   time_point endedAt;
@@ -182,6 +184,7 @@
   std::map<std::string, std::size_t> mUncommittedByGroup;
   std::size_t mCompleteGroups = 0;
   bool mEnded = false;
+  bool mHoldsTexts = false;
 };
 
 /// All readable batches, and the progress of unfinished items of ended ones.
--- a/src/node/batch_journal.cpp
+++ b/src/node/batch_journal.cpp
@@ -92,8 +92,9 @@
   result.item = aValue["item"].asUInt64();
   result.state = aValue["errored"].asBool() ? result_state::Errored
                                             : result_state::Completed;
-  // An errored result has no text.
-  result.loaded = result.state == result_state::Errored;
+  // Neither an errored result nor an empty text has a text record.
+  result.loaded =
+    result.state == result_state::Errored || aValue["empty_text"].asBool();
   for (const Json::Value& version : aValue["versions"]) {
     result.versions.push_back(version.asInt64());
   }
@@ -182,12 +183,33 @@
   });
 }
 
+std::vector<std::string>
+EncodeBatchParts(const batch_request& aBatch, std::size_t aMaxBytes)
+{
+  const std::string encoded = EncodeBatch(aBatch);
+  // The number of parts stands in front, so its digits count too.
+  std::size_t count = 1;
+  while (std::to_string(count).size() + 1 + encoded.size() >
+         count * aMaxBytes) {
+    ++count;
+  }
+  const std::string text = std::to_string(count) + ":" + encoded;
+  std::vector<std::string> parts;
+  for (std::size_t at = 0; at < text.size(); at += aMaxBytes) {
+    parts.push_back(text.substr(at, aMaxBytes));
+  }
+  return parts;
+}
+
 std::string
 EncodeResult(const batch_result& aResult)
 {
   Json::Value value(Json::objectValue);
   value["item"] = Json::UInt64(aResult.item);
   value["errored"] = aResult.state == result_state::Errored;
+  if (aResult.state == result_state::Completed && aResult.text.empty()) {
+    value["empty_text"] = true;
+  }
   Json::Value& versions = value["versions"] = Json::Value(Json::arrayValue);
   for (const std::int64_t version : aResult.versions) {
     versions.append(Json::Int64(version));
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -149,15 +149,13 @@
     return;
   }
   mPendingSubmits[id].push_back(std::move(aDone));
-  const std::string encoded = EncodeBatch(aRequest);
-  // 16 bytes are reserved for the part count in front.
-  const std::size_t room = mParts.log.MaxRecordBytes() - kRecordOverhead;
-  const std::size_t count = (encoded.size() + 16 + room - 1) / room;
-  const std::string text = std::to_string(count) + ":" + encoded;
+  std::vector<std::string> values =
+    EncodeBatchParts(aRequest, mParts.log.MaxRecordBytes() - kRecordOverhead);
+  const std::size_t count = values.size();
   auto shared = std::make_shared<batch_request>(std::move(aRequest));
   for (std::size_t part = 0; part < count; ++part) {
     std::vector<log_record> records{ { BatchKey(id, part),
-                                       text.substr(part * room, room) } };
+                                       std::move(values[part]) } };
     std::function<void()> done;
     if (part + 1 == count) {
       done = [this, shared, id, count] {
@@ -398,7 +396,7 @@
   for (const auto& [id, entry] : mBatches.All()) {
     const batch_request& request = entry->Request();
     if (entry->Ended() && entry->endedAt + kTextCacheTime < mParts.loop.Now() &&
-        !entry->Results().empty() && entry->Results().front().loaded) {
+        entry->HoldsTexts()) {
       entry->ReleaseTexts();
     }
     // Twice the guaranteed time, since clocks differ.
--- a/src/node/batch_table.cpp
+++ b/src/node/batch_table.cpp
@@ -74,6 +74,7 @@
   if (--mUncommittedByGroup[request.group] == 0) {
     ++mCompleteGroups;
   }
+  mHoldsTexts = mHoldsTexts || !aResult.text.empty();
   mResults.push_back(std::move(aResult));
   assignedPositions = std::max(assignedPositions, mResults.size());
 }
@@ -97,16 +98,19 @@
   batch_result& result = mResults.at(aPosition);
   result.text = std::move(aText);
   result.loaded = true;
+  mHoldsTexts = true;
 }
 
 void
 batch::ReleaseTexts()
 {
   for (batch_result& result : mResults) {
+    // An empty text has no record to read it from again.
+    result.loaded = result.loaded && result.text.empty();
     result.text.clear();
     result.text.shrink_to_fit();
-    result.loaded = result.state == result_state::Errored;
   }
+  mHoldsTexts = false;
 }
 
 std::size_t
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -96,6 +96,7 @@
 
   std::map<std::string, sampler> samplers; ///< By address.
   std::size_t events = 6;                  ///< Per item.
+  std::set<std::string> emptyItems;        ///< Items with one empty event.
   std::map<std::string, int> starts;       ///< Number of runs by item.
   std::vector<std::size_t> resumedAfter;
   int reports = 0;
@@ -210,12 +211,13 @@
         return;
       }
       const auto sink = aSent->sink;
-      sink->OnBody("id: " + std::to_string(aId) + "\ndata: " + aItem + "." +
-                   std::to_string(aId) + "\n\n");
+      const bool empty = emptyItems.contains(aItem);
+      sink->OnBody("id: " + std::to_string(aId) + "\ndata: " +
+                   (empty ? "" : aItem + "." + std::to_string(aId)) + "\n\n");
       if (!aSent->sink) {
         return;
       }
-      if (aId == events) {
+      if (empty || aId == events) {
         aSent->sink.reset();
         sink->OnEnd();
       } else {
--- a/tests/unit/batch_journal_test.cpp
+++ b/tests/unit/batch_journal_test.cpp
@@ -82,6 +82,9 @@
   CHECK(decoded->versions == result.versions);
   CHECK(decoded->state == result_state::Completed);
   CHECK_FALSE(DecodeResult("garbage"));
+  // There is no text record to wait for.
+  result.text.clear();
+  CHECK(DecodeResult(EncodeResult(result))->loaded);
 
   item_progress progress;
   progress.events = { "a", "b" };
@@ -119,6 +122,23 @@
   CHECK(restored->rewardErrors == 3);
 }
 
+// Guards against values that are empty, over the limit or not the whole batch.
+TEST_CASE("the parts of a batch fill records up to their limit")
+{
+  const std::size_t encoded = EncodeBatch(Batch("b1", 2)).size();
+  for (std::size_t limit = 3; limit <= encoded + 4; ++limit) {
+    const auto parts = EncodeBatchParts(Batch("b1", 2), limit);
+    std::string text;
+    for (const std::string& part : parts) {
+      CHECK_FALSE(part.empty());
+      CHECK(part.size() <= limit);
+      text += part;
+    }
+    CHECK(text ==
+          std::to_string(parts.size()) + ":" + EncodeBatch(Batch("b1", 2)));
+  }
+}
+
 TEST_CASE("the next term reads what was appended")
 {
   journal_test test;
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -1,11 +1,41 @@
 #include "support/leader_fixture.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace arbutusferry;
 using namespace arbutusferry::node;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// Reads all results from the first position on, as callers do.
+/// @return Their texts, up to the first that can't be read.
+std::vector<std::string>
+ReadTexts(leader_test& aTest, batch_leader& aLeader, const std::string& aBatch)
+{
+  std::vector<std::string> texts;
+  batch* found = aLeader.Find(aBatch, "acme");
+  REQUIRE(found);
+  while (texts.size() < found->Results().size()) {
+    const std::size_t from = texts.size();
+    aLeader.LoadTexts(aBatch, from, [&] {
+      for (std::size_t at = from;
+           at < found->Results().size() && found->Results()[at].loaded;
+           ++at) {
+        texts.push_back(found->Results()[at].text);
+      }
+    });
+    aTest.loop.Advance(milliseconds(20));
+    if (texts.size() == from) {
+      break;
+    }
+  }
+  return texts;
+}
+
+} // namespace
+
 TEST_CASE("a batch is accepted once it is durable, and its items complete")
 {
   leader_test test;
@@ -83,6 +113,53 @@
   CHECK_FALSE(test.samplers.resumedAfter.empty());
 }
 
+// Guards against results that can't be read any more from an empty text on,
+// which has no record of its own, once its text is no longer in memory.
+TEST_CASE("an empty text and the results behind it are read again")
+{
+  const bool ended = GENERATE(true, false);
+  leader_test test;
+  test.samplers.emptyItems = { "i1", "i3" };
+  auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 6), [] {});
+  test.loop.Advance(milliseconds(1'000));
+  const auto before = ReadTexts(test, *leader, "b");
+  REQUIRE(before.size() == 6);
+  CHECK(std::count(before.begin(), before.end(), "") == 2);
+  if (ended) {
+    leader->End(*leader->Find("b", "acme"), [] {});
+    test.loop.Advance(milliseconds(8'000));
+    CHECK_FALSE(leader->Find("b", "acme")->HoldsTexts());
+  } else {
+    leader = test.StartLeader(2);
+  }
+  CHECK(ReadTexts(test, *leader, "b") == before);
+}
+
+// Guards against accepted batches that the next leader doesn't find: a last
+// part without content would remove its record.
+TEST_CASE("a batch of any size is found by the next leader")
+{
+  leader_test test;
+  auto leader = test.StartLeader(1);
+  int accepted = 0;
+  const std::size_t room = test.log.MaxRecordBytes() - kRecordOverhead;
+  const std::size_t least = EncodeBatch(test.Request("b00", 1)).size();
+  for (int size = 0; size < 40; ++size) {
+    auto request = test.Request("b" + std::to_string(10 + size), 1);
+    const std::size_t encoded = 2 * room - 20 + static_cast<std::size_t>(size);
+    request.route += std::string(encoded - least, 'r');
+    leader->Submit(std::move(request), [&] { ++accepted; });
+    test.loop.Advance(milliseconds(20));
+  }
+  CHECK(accepted == 40);
+  leader = test.StartLeader(2);
+  for (int size = 0; size < 40; ++size) {
+    CAPTURE(size);
+    CHECK(leader->Find("b" + std::to_string(10 + size), "acme"));
+  }
+}
+
 TEST_CASE("an ended batch starts no runs, and its items can be resubmitted")
 {
   leader_test test;
--- a/tests/unit/batch_table_test.cpp
+++ b/tests/unit/batch_table_test.cpp
@@ -49,6 +49,30 @@
   CHECK(entry.Results()[1].item == 2);
 }
 
+// Guards against results whose text must be read from the journal although no
+// record holds it.
+TEST_CASE("only texts that have a record are released")
+{
+  batch entry(Request("b", { "a1", "a2", "a3" }, 1), true);
+  batch_result empty = Result(0);
+  empty.text.clear();
+  entry.CommitResult(empty);
+  CHECK_FALSE(entry.HoldsTexts());
+  entry.CommitResult(Result(1));
+  batch_result unread = Result(2);
+  unread.text.clear();
+  unread.loaded = false;
+  entry.CommitResult(unread);
+  CHECK(entry.HoldsTexts());
+  entry.ReleaseTexts();
+  CHECK_FALSE(entry.HoldsTexts());
+  CHECK(entry.Results()[0].loaded);
+  CHECK_FALSE(entry.Results()[1].loaded);
+  CHECK_FALSE(entry.Results()[2].loaded);
+  entry.SetText(2, "t");
+  CHECK(entry.HoldsTexts());
+}
+
 TEST_CASE("missing items are those of the groups nearest to completion")
 {
   batch_request request =
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -200,6 +200,8 @@
          "[]" }) {
     CHECK_FALSE(Value(Capture([&] { return DecodeSubmission("b", broken); })));
   }
+  // The journal would not find it again.
+  CHECK_FALSE(Value(Capture([&] { return DecodeSubmission("", text); })));
 }
 
 TEST_CASE("the request that scores an item is decoded, and a bad one rejected")
