Store an end and what it shortens in one append

If the store rejects the call that carries it, for the sake of another record, the shortened request in the next call is stored without the end, and a new leader has an open batch whose items have no request.

Change: both are one append again; a shortened request that doesn't fit into a record is left out.

--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -338,11 +338,24 @@
 batch_leader::StoreEnd(const batch& aBatch)
 {
   const std::string id = aBatch.Request().id;
+  std::vector<log_record> records{ { EndKey(id), "1" } };
+  // Only the ids and groups of an ended batch's items are still needed. They
+  // must not be stored without the end: no item could run.
+  std::string shortened = "1:" + EncodeBatch(aBatch.Request(), false);
+  const bool fits =
+    shortened.size() + kRecordOverhead <= mParts.log.MaxRecordBytes();
+  if (fits) {
+    records.push_back({ BatchKey(id, 0), std::move(shortened) });
+    for (std::size_t part = 1; part < aBatch.journalParts; ++part) {
+      records.push_back({ BatchKey(id, part), {} });
+    }
+  }
   mJournal.Append(
-    { { EndKey(id), "1" } },
-    [this, id, since = mParts.loop.Now()] {
+    std::move(records),
+    [this, id, fits, since = mParts.loop.Now()] {
       if (batch* stored = mBatches.Find(id)) {
         stored->endStored = true;
+        stored->journalParts = fits ? 1 : stored->journalParts;
       }
       const auto waiting = mPendingEnds.extract(id);
       Log(log_level::Info,
@@ -356,22 +369,6 @@
       }
     },
     [this, id] { mPendingEnds.extract(id); });
-  // Only the ids and groups of an ended batch's items are still needed.
-  std::vector<log_record> shortened{
-    { BatchKey(id, 0), "1:" + EncodeBatch(aBatch.Request(), false) }
-  };
-  if (shortened.front().value.size() + kRecordOverhead >
-      mParts.log.MaxRecordBytes()) {
-    return; // The whole request stays until the batch expires.
-  }
-  for (std::size_t part = 1; part < aBatch.journalParts; ++part) {
-    shortened.push_back({ BatchKey(id, part), {} });
-  }
-  mJournal.Append(std::move(shortened), [this, id] {
-    if (batch* stored = mBatches.Find(id)) {
-      stored->journalParts = 1;
-    }
-  });
 }
 
 void
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -260,6 +260,34 @@
   CHECK(leader->Find("b", "acme")->Ended());
 }
 
+// Guards against items whose requests were removed from the journal although
+// the end of their batch was not stored.
+TEST_CASE("a batch keeps its requests in the journal until its end is there")
+{
+  leader_test test;
+  test.mayStartRuns = false; // No progress is saved in between.
+  auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 60), [] {});
+  test.loop.Advance(milliseconds(50));
+  // They wait for the first, and fill the next call up to the end's record.
+  leader->AppendRecords({ { UsageKey(1), "x" } }, {});
+  for (int filler = 0; filler < 14; ++filler) {
+    leader->AppendRecords({ { UsageKey(2), std::string(3'750, 'x') } }, {});
+  }
+  leader->AppendRecords({ { UsageKey(3), std::string(7'650, 'x') } }, {});
+  int ended = 0;
+  leader->End(*leader->Find("b", "acme"), [&] { ++ended; });
+  test.loop.Advance(milliseconds(50));
+  REQUIRE(test.log.invalid == 1);
+  leader = test.StartLeader(2);
+  batch* found = leader->Find("b", "acme");
+  REQUIRE(found);
+  CHECK(found->Ended() == (ended == 1));
+  for (const batch_item& item : found->Request().items) {
+    CHECK(item.path == (found->Ended() ? "" : "/p/x"));
+  }
+}
+
 // Guards against an end that the store always rejects, since the names of the
 // batch's items don't fit into one record.
 TEST_CASE("a batch with more items than a record can name is ended")
