--- a/include/arbutusferry/node/batch_table.hpp
+++ b/include/arbutusferry/node/batch_table.hpp
@@ -170,6 +170,7 @@
   /// Number of journal records that hold the request.
   std::size_t journalParts = 1;
   time_point endedAt;
+  time_point textsReadAt; ///< When texts were last read from the journal.
   /// Whether the end is durable. A new leader resumes an ended batch whose end
   /// isn't.
   bool endStored = false;
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -16,7 +16,8 @@
 /// worth its bytes. A new leader generates unsaved events again.
 constexpr milliseconds kProgressSaveInterval{ 300 };
 constexpr std::size_t kMinEventsToSave = 8;
-/// How long the result texts of an ended batch stay in memory.
+/// How long the result texts of an ended batch stay in memory, also after they
+/// were read from the journal: callers read a batch page by page.
 constexpr milliseconds kTextCacheTime{ 5'000 };
 const log_partition kBatchPartition{ "af.batches", 0, true };
 
@@ -246,6 +247,9 @@
     [this, aId, done = std::move(aDone), alive = std::weak_ptr<bool>(mAlive)](
       std::map<std::size_t, std::string>& aTexts) {
       batch* owner = alive.expired() ? nullptr : mBatches.Find(aId);
+      if (owner) {
+        owner->textsReadAt = mParts.loop.Now();
+      }
       for (auto& [position, text] : aTexts) {
         if (owner && position < owner->Results().size() &&
             !owner->Results()[position].loaded) {
@@ -392,8 +396,9 @@
   std::vector<std::string> expiredIds;
   for (const auto& [id, entry] : mBatches.All()) {
     const batch_request& request = entry->Request();
-    if (entry->Ended() && entry->endedAt + kTextCacheTime < mParts.loop.Now() &&
-        entry->HoldsTexts()) {
+    if (entry->Ended() && entry->HoldsTexts() &&
+        std::max(entry->endedAt, entry->textsReadAt) + kTextCacheTime <
+          mParts.loop.Now()) {
       entry->ReleaseTexts();
     }
     // Twice the guaranteed time, since clocks differ.
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -136,6 +136,27 @@
   CHECK(ReadTexts(test, *leader, "b") == before);
 }
 
+// Guards against a leader that reads the same texts from the journal for each
+// page that a caller fetches.
+TEST_CASE("texts that were read from the journal stay for the next reads")
+{
+  leader_test test;
+  auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b", 6), [] {});
+  test.loop.Advance(milliseconds(1'000));
+  leader->End(*leader->Find("b", "acme"), [] {});
+  test.loop.Advance(milliseconds(100));
+  leader = test.StartLeader(2);
+  test.loop.Advance(milliseconds(8'000));
+  const auto texts = ReadTexts(test, *leader, "b");
+  REQUIRE(texts.size() == 6);
+  test.loop.Advance(milliseconds(1'000));
+  test.log.down = true;
+  CHECK(ReadTexts(test, *leader, "b") == texts);
+  test.loop.Advance(milliseconds(6'000));
+  CHECK_FALSE(leader->Find("b", "acme")->HoldsTexts());
+}
+
 // Guards against accepted batches that the next leader doesn't find: a last
 // part without content would remove its record.
 TEST_CASE("a batch of any size is found by the next leader")
