Drop an accepted connection whose listener is gone

Cause: closing an acceptor doesn't cancel an accept whose completion is queued already, so its handler ran on the destroyed listener. In the node listeners live as long as the process; stand-ins that end and start again destroy theirs.

The kernel's log has the same code address four times of five, in the constructor of server_connection.

Ruled out: ports shared by two soaks (9410 ran beside none).

--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -2,6 +2,7 @@
 #include "server_connection.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <set>
 
 namespace arbutusferry::node {
@@ -84,6 +85,9 @@
   std::unique_ptr<timer> mBackoff;
   bool mDraining = false;
   duration mDrainIdle{};
+  /// Expires with the listener: closing doesn't cancel an accept whose
+  /// completion is queued already.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
 asio_listener::~asio_listener()
@@ -100,8 +104,9 @@
 void
 asio_listener::Accept()
 {
-  mAcceptor.async_accept([this](const net_error& aError, tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
+  mAcceptor.async_accept([this, alive = std::weak_ptr<bool>(mAlive)](
+                           const net_error& aError, tcp::socket aSocket) {
+    if (alive.expired() || aError == asio::error::operation_aborted) {
       return;
     }
     if (aError) {
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -518,3 +518,29 @@
   CHECK(probe(FreePort()) == exchange_failure::Refused);
   CHECK(handler.handled == 0);
 }
+
+// Guards against a connection that is handed to a listener which was destroyed
+// after the accept had completed.
+TEST_CASE("a listener that is gone takes no accepted connection")
+{
+  net_test test;
+  boost::asio::io_context context;
+  std::vector<tcp::socket> callers;
+  for (int caller = 0; caller < 2; ++caller) {
+    callers.emplace_back(context);
+    callers.back().connect(
+      { boost::asio::ip::make_address(test.address.ip), test.address.port });
+  }
+  // Taking the first completes the accept of the second at once.
+  test.loop.Context().run_one();
+  test.listener.reset();
+  test.loop.Context().restart();
+  test.loop.Context().poll();
+  boost::system::error_code ended;
+  for (tcp::socket& caller : callers) {
+    char byte = 0;
+    (void)caller.read_some(boost::asio::buffer(&byte, 1), ended);
+    CHECK(ended);
+  }
+  CHECK(test.handler.handled == 0);
+}
