Split the three longest files of the node by their jobs

Change: batch_records, batch_moves and ferry_node_leadership take them over. Functions, constants and comments are moved, no statement changes.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -28,7 +28,8 @@
 /// Owns all batches during one leadership term: accepts them, runs their items,
 /// has their texts scored, stores their results and orders weight loads on
 /// samplers. batch_leader.cpp has the term and the calls on batches,
-/// batch_runs.cpp the runs of items, batch_rewards.cpp their scoring.
+/// batch_runs.cpp the runs of items, batch_moves.cpp their moves to faster
+/// samplers, batch_rewards.cpp their scoring.
 class batch_leader final : private run_observer
 {
 public:
