--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -10,6 +10,7 @@
 #include "arbutusferry/node/software_watch.hpp"
 #include "arbutusferry/node/target_gateway.hpp"
 #include "arbutusferry/node/usage_windows.hpp"
+#include "recovery/isolation_check.hpp"
 
 #include <memory>
 #include <string>
@@ -104,10 +105,12 @@
   {
     return mInstance;
   }
-  /// @return Whether routes and targets are known.
+  /// @return Whether routes and targets are known, and no network partition
+  /// separates this node from the store and from all other zones.
   [[nodiscard]] bool Serving() const noexcept
   {
-    return mEnvironment.Version() > 0 && !mTargets.All().empty();
+    return mEnvironment.Version() > 0 && !mTargets.All().empty() &&
+           !mIsolation.Isolated();
   }
 
 private:
@@ -140,6 +143,7 @@
   std::function<void(const environment_view&)> mOnEnvironment;
   target_view mTargets;
   node_directory mNodes;
+  isolation_check mIsolation;
   target_client mTargetClient;
   target_gateway mGateway;
   std::map<std::string, std::int64_t> mNewestVersions;
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -65,6 +65,12 @@
     const std::string& aTarget,
     const std::set<std::string>& aTried,
     time_point aNow) const;
+  /// Chooses nodes of other zones; others of the own zone if there are none.
+  /// @param aSalt Varies the choice.
+  [[nodiscard]] std::vector<node_entry> ChooseOutside(const std::string& aZone,
+                                                      const std::string& aOwnVm,
+                                                      std::uint64_t aSalt,
+                                                      std::size_t aCount) const;
   /// Notes that a node reaches no target itself.
   void NoteCutOff(const socket_address& aAddress, time_point aNow);
 
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -64,6 +64,8 @@
   , mSettings(std::move(aSettings))
   , mInstance(mSettings.vm + "/" + RandomHex(6))
   , mNodes(mInstance)
+  , mIsolation(
+      { mParts.loop, mParts.client, mNodes, mSettings.vm, mSettings.zone })
   , mTargetClient({ mParts.loop, mParts.client, mNodes, mTargets })
   , mGateway(mParts.loop, mTargetClient)
   , mLimits({ mParts.loop,
@@ -128,8 +130,11 @@
   mLeaderFollower->Start();
   mCrashes.Start();
   mSoftware.Start();
-  mElectionTicker = std::make_unique<periodic_timer>(
-    mParts.loop, kElectionTick, [this] { StepElection(); });
+  mElectionTicker =
+    std::make_unique<periodic_timer>(mParts.loop, kElectionTick, [this] {
+      StepElection();
+      mIsolation.Step(mLeaderFollower->LastContact());
+    });
   mSlowTicker =
     std::make_unique<periodic_timer>(mParts.loop, kSlowTick, [this] {
       SaveUsage();
@@ -144,6 +149,8 @@
         "ferry_targets", {}, static_cast<double>(mTargets.All().size()));
       mMetrics.SetGauge(
         "ferry_targets_out_of_reach", {}, mTargetClient.CutOff() ? 1.0 : 0.0);
+      mMetrics.SetGauge(
+        "ferry_isolated", {}, mIsolation.Isolated() ? 1.0 : 0.0);
       mMetrics.SetGauge("ferry_blocked_requests",
                         {},
                         static_cast<double>(mCrashes.CountBlocked()));
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 namespace arbutusferry::node {
 
@@ -145,6 +146,32 @@
   return keepers;
 }
 
+std::vector<node_entry>
+node_directory::ChooseOutside(const std::string& aZone,
+                              const std::string& aOwnVm,
+                              std::uint64_t aSalt,
+                              std::size_t aCount) const
+{
+  std::vector<std::tuple<bool, std::uint64_t, const node_entry*>> ranked;
+  for (const auto& [vm, known] : mNodes) {
+    if (vm != aOwnVm) {
+      ranked.emplace_back(
+        known.entry.zone == aZone, Hash64(vm, aSalt), &known.entry);
+    }
+  }
+  const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(
+                                       std::min(aCount, ranked.size()));
+  std::partial_sort(ranked.begin(), last, ranked.end());
+  std::vector<node_entry> chosen;
+  for (auto entry = ranked.begin(); entry != last; ++entry) {
+    // A node of the own zone may lie behind the same partition.
+    if (std::get<0>(*entry) == std::get<0>(ranked.front())) {
+      chosen.push_back(*std::get<2>(*entry));
+    }
+  }
+  return chosen;
+}
+
 node_directory::known_node*
 node_directory::Find(const socket_address& aAddress)
 {
