Bound the memory and connections that clients can take

Cause: nothing added up what callers had sent and not got answered. Trailers and chunk headers had no bound, a stalled body was kept for the idle time, a body was copied for each attempt, and every connection was accepted. Bytes after a refused request could be parsed as a request of their own.

Change: memory_budget adds up buffers, bodies, requests in handlers and unsent responses of all listeners; when it is used up, the holder with the least progress gives way (503 if its request has not begun, else a closed connection). Bounds on trailers, header fields, chunk framing, body rate, connections in all and by address; receive buffers of fixed size; responses that are made at once, and framing of all responses, are bounded. Copies of a request share its body. Freed memory goes back to the system.

--- a/include/arbutusferry/node/asio_net.hpp
+++ b/include/arbutusferry/node/asio_net.hpp
@@ -28,9 +28,15 @@
   boost::asio::io_context mContext{ 1 };
 };
 
+/// Default bound on responses that are made at once: twice the largest request
+/// body.
+inline constexpr std::size_t kMaxMadeAtOnce = std::size_t{ 64 } << 20;
+
+/// @param aMaxMadeAtOnce Longest body of a response that is made at once; a
+/// longer one is a protocol failure.
 /// @return A client that reuses idle connections.
 [[nodiscard]] std::unique_ptr<http_client>
-MakeHttpClient(asio_loop& aLoop);
+MakeHttpClient(asio_loop& aLoop, std::size_t aMaxMadeAtOnce = kMaxMadeAtOnce);
 
 /// Listens on an address.
 /// @param aHandler Must outlive the listener.
@@ -38,6 +44,7 @@
 [[nodiscard]] result<std::unique_ptr<http_listener>>
 Listen(asio_loop& aLoop,
        const socket_address& aAddress,
-       request_handler& aHandler);
+       request_handler& aHandler,
+       listener_options aOptions = {});
 
 } // namespace arbutusferry::node
--- a/include/arbutusferry/node/http_listener.hpp
+++ b/include/arbutusferry/node/http_listener.hpp
@@ -37,6 +37,13 @@
   /// Sets a function that is called once if the caller disconnects before the
   /// response is complete.
   virtual void OnDisconnect(std::function<void()> aFunction) = 0;
+  /// Reserves memory that the handler needs for the request beyond the request
+  /// itself, until the responder is destroyed.
+  /// @return Whether it is available.
+  [[nodiscard]] virtual bool ReserveMemory(std::size_t /*aBytes*/)
+  {
+    return true;
+  }
 };
 
 class request_handler
@@ -58,6 +65,37 @@
   std::chrono::milliseconds idleTimeout{ 15'000 };
 };
 
+/// Bounds on the framing of requests. No client that keeps to `listener_limits`
+/// reaches the defaults.
+struct framing_limits
+{
+  /// Bytes of trailers, or of one chunk's size line with its extensions.
+  std::size_t maxTrailerBytes = std::size_t{ 16 } * 1024;
+  /// As many as fit into the largest header, at four bytes each.
+  std::size_t maxHeaderFields = 4'096;
+  /// Bytes of chunk framing allowed for each byte of payload, beyond 64 KiB. A
+  /// chunk of one byte takes five.
+  std::size_t maxChunkOverhead = 16;
+  /// Bytes a second below which a body is stalled, measured over the idle
+  /// timeout. 0: 256 bytes in that time.
+  std::size_t minBodyBytesPerSecond = 0;
+};
+
+class memory_budget;
+
+/// What a listener may use of the machine.
+struct listener_options
+{
+  /// Accounts for the memory of all connections; null: not bounded.
+  std::shared_ptr<memory_budget> budget;
+  framing_limits framing;
+  /// Open connections, in all and of one peer address; 0: not bounded.
+  std::size_t maxConnections = 0;
+  std::size_t maxConnectionsPerAddress = 0;
+  /// Kernel buffer for received bytes of a connection; 0: the system's choice.
+  std::size_t receiveBufferBytes = 0;
+};
+
 /// Serves HTTP/1.1, one request at a time on each connection.
 class http_listener
 {
--- a/include/arbutusferry/node/http_message.hpp
+++ b/include/arbutusferry/node/http_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,12 +52,46 @@
 [[nodiscard]] bool
 HasToken(std::string_view aList, std::string_view aToken) noexcept;
 
+/// Body of a request. Copies share its bytes, since the attempts at a request
+/// each hold one and bodies are up to 32 MiB.
+class request_body
+{
+public:
+  request_body() = default;
+  request_body(std::string aText)
+    : mText(aText.empty()
+              ? nullptr
+              : std::make_shared<const std::string>(std::move(aText)))
+  {
+  }
+  request_body(const char* aText)
+    : request_body(std::string(aText))
+  {
+  }
+
+  [[nodiscard]] const std::string& Text() const noexcept
+  {
+    static const std::string sEmpty;
+    return mText ? *mText : sEmpty;
+  }
+  operator const std::string&() const noexcept { return Text(); }
+  [[nodiscard]] bool empty() const noexcept { return !mText; }
+  [[nodiscard]] std::size_t size() const noexcept { return Text().size(); }
+  friend bool operator==(const request_body& aLeft, std::string_view aRight)
+  {
+    return aLeft.Text() == aRight;
+  }
+
+private:
+  std::shared_ptr<const std::string> mText; ///< Null if empty.
+};
+
 struct http_request
 {
   std::string method;
   std::string target; ///< Path and query as received.
   header_list headers;
-  std::string body;
+  request_body body;
 };
 
 struct http_response
--- a/include/arbutusferry/node/transfer_watch.hpp
+++ b/include/arbutusferry/node/transfer_watch.hpp
@@ -17,9 +17,12 @@
   /// Counts bytes that were moved.
   void Note(std::size_t aBytes) noexcept { mBytes += aBytes; }
   /// @param aWindow Time in which a sound transfer moves some hundred bytes.
+  /// @param aMinBytes Bytes that it moves at least, if more than that.
   /// @return Whether the transfer is stalled. To be asked several times in each
   /// window.
-  [[nodiscard]] bool Stalled(duration aWindow, time_point aNow) noexcept;
+  [[nodiscard]] bool Stalled(duration aWindow,
+                             time_point aNow,
+                             std::size_t aMinBytes = 0) noexcept;
 
 private:
   time_point mWindowStart;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
+#include "arbutusferry/logging.hpp"
 #include "arbutusferry/node/asio_net.hpp"
 #include "message_parser.hpp"
+#include "probe_connection.hpp"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -30,20 +32,16 @@
 constexpr std::size_t kMaxIdleConnectionsPerPeer = 64;
 /// Fewer bytes of a response that is made at once don't extend its timeout.
 constexpr std::size_t kMinBytesMadeAtOnce = 256;
+constexpr std::size_t kMaxHeaderBytes = std::size_t{ 64 } * 1024;
+/// A request body up to this size is copied behind its head; a larger one is
+/// sent from where it is.
+constexpr std::size_t kMaxCopiedBody = std::size_t{ 16 } * 1024;
+/// Larger buffers are released after each exchange, so that idle connections
+/// stay small.
+constexpr std::size_t kMaxKeptBuffer = std::size_t{ 16 } * 1024;
 
 class asio_client;
 
-/// @return Why a connection wasn't made, or nothing if it was.
-std::optional<exchange_failure>
-ConnectFailure(const net_error& aError)
-{
-  if (!aError) {
-    return std::nullopt;
-  }
-  return aError == asio::error::connection_refused ? exchange_failure::Refused
-                                                   : exchange_failure::NotSent;
-}
-
 /// @return The id that the response must name; empty if there is none.
 std::string_view
 RequestId(const http_request& aRequest, const exchange_options& aOptions)
@@ -95,6 +93,8 @@
   void Parse();
   void Finish();
   void Fail(exchange_failure aFailure);
+  /// Ends an exchange whose response exceeds a limit.
+  void FailTooLong(const char* aPart);
   void ArmReadTimer();
   void NewParser();
   void SetReuseDeadline(time_point aNow);
@@ -109,7 +109,9 @@
   bool mDiscardMessage = false; ///< Interim or for another request.
   bool mHeadRequest = false;
   std::string mOutput;
+  request_body mOutputBody; ///< Sent behind `mOutput`.
   std::string mInput;
+  std::size_t mBodyBytes = 0; ///< Of the response so far.
   std::string mRequestId;
   exchange_options mOptions;
   std::shared_ptr<response_sink> mSink;
@@ -136,61 +138,12 @@
   std::weak_ptr<response_sink> mSink;
 };
 
-/// A connection attempt that carries no request.
-class probe_connection final
-  : public std::enable_shared_from_this<probe_connection>
-{
-public:
-  using callback = std::function<void(std::optional<exchange_failure>)>;
-
-  probe_connection(asio_loop& aLoop, callback aDone)
-    : mLoop(aLoop)
-    , mSocket(aLoop.Context())
-    , mDone(std::move(aDone))
-  {
-  }
-
-  void Start(const socket_address& aPeer, milliseconds aTimeout)
-  {
-    net_error error;
-    const auto address = asio::ip::make_address(aPeer.ip, error);
-    auto self = shared_from_this();
-    if (error) {
-      asio::post(mLoop.Context(),
-                 [self] { self->Finish(exchange_failure::NotSent); });
-      return;
-    }
-    mTimer = mLoop.After(aTimeout,
-                         [self] { self->Finish(exchange_failure::NotSent); });
-    mSocket.async_connect({ address, aPeer.port },
-                          [self](const net_error& aError) {
-                            self->Finish(ConnectFailure(aError));
-                          });
-  }
-
-private:
-  void Finish(std::optional<exchange_failure> aFailure)
-  {
-    const auto self = shared_from_this();
-    mTimer.reset();
-    net_error ignored;
-    mSocket.close(ignored);
-    if (const auto done = std::exchange(mDone, nullptr)) {
-      done(aFailure);
-    }
-  }
-
-  asio_loop& mLoop;
-  tcp::socket mSocket;
-  callback mDone;
-  std::unique_ptr<timer> mTimer;
-};
-
 class asio_client final : public http_client
 {
 public:
-  explicit asio_client(asio_loop& aLoop)
+  asio_client(asio_loop& aLoop, std::size_t aMaxMadeAtOnce)
     : mLoop(aLoop)
+    , mMaxMadeAtOnce(aMaxMadeAtOnce)
   {
   }
   ~asio_client() override
@@ -235,6 +188,12 @@
       ->Start(aPeer, aTimeout);
   }
 
+  /// @return Longest body of a response that is made at once.
+  [[nodiscard]] std::size_t MaxMadeAtOnce() const noexcept
+  {
+    return mMaxMadeAtOnce;
+  }
+
   void AddIdle(const std::shared_ptr<client_connection>& aConnection)
   {
     auto& list = mIdle[aConnection->Peer()];
@@ -293,6 +252,7 @@
   }
 
   asio_loop& mLoop;
+  std::size_t mMaxMadeAtOnce;
   std::map<std::string, std::deque<std::shared_ptr<client_connection>>> mIdle;
 };
 
@@ -347,6 +307,7 @@
   mSink = std::move(aSink);
   mRequestWritten = false;
   mUncounted = 0;
+  mBodyBytes = 0;
   mHeadRequest = aRequest.method == "HEAD";
   mRequestId = RequestId(aRequest, mOptions);
   NewParser();
@@ -358,7 +319,11 @@
                          std::to_string(aRequest.body.size()));
   }
   AppendHeaders(mOutput, aRequest.headers);
-  mOutput += aRequest.body;
+  if (aRequest.body.size() <= kMaxCopiedBody) {
+    mOutput += aRequest.body.Text();
+  } else {
+    mOutputBody = std::move(aRequest.body);
+  }
   if (mConnected) {
     Write();
   }
@@ -370,7 +335,7 @@
   mDiscardMessage = false;
   mParser.emplace(static_cast<parse_events&>(*this));
   mParser->skip(mHeadRequest);
-  mParser->header_limit(64 * 1024);
+  mParser->header_limit(kMaxHeaderBytes);
   mParser->body_limit(boost::none);
 }
 
@@ -381,12 +346,17 @@
   ArmReadTimer();
   asio::async_write(
     mSocket,
-    asio::buffer(mOutput),
+    std::array<asio::const_buffer, 2>{ asio::buffer(mOutput),
+                                       asio::buffer(mOutputBody.Text()) },
     [self = shared_from_this()](const net_error& aError, std::size_t) {
       if (self->mClosed) {
         return;
       }
       self->mOutput.clear();
+      if (self->mOutput.capacity() > kMaxKeptBuffer) {
+        self->mOutput.shrink_to_fit();
+      }
+      self->mOutputBody = {};
       self->mRequestWritten = !aError;
       // A failed write is not reported here: a peer may respond and close
       // before it has read the whole request, so the read decides.
@@ -476,12 +446,20 @@
     }
     mInput.erase(0, used);
     if (error == http::error::need_more) {
+      // Only a chunk's header or trailers can grow without an end.
+      if (mInput.size() > kMaxHeaderBytes) {
+        FailTooLong("framing");
+      }
       return;
     }
     if (error) {
       Fail(exchange_failure::Protocol);
       return;
     }
+    if (mOptions.madeAtOnce && mBodyBytes > mClient.MaxMadeAtOnce()) {
+      FailTooLong("body");
+      return;
+    }
     if (mParser->is_done()) {
       if (mDiscardMessage) {
         NewParser();
@@ -513,6 +491,7 @@
 void
 client_connection::OnParsedBody(std::string_view aPart)
 {
+  mBodyBytes += aPart.size();
   if (!mDiscardMessage && mSink) {
     const auto sink = mSink;
     sink->OnBody(aPart);
@@ -560,6 +539,15 @@
   }
 }
 
+void
+client_connection::FailTooLong(const char* aPart)
+{
+  Log(log_level::Warning,
+      "response_too_long",
+      { { "peer", mPeer }, { "part", aPart } });
+  Fail(exchange_failure::Protocol);
+}
+
 void
 client_connection::Cancel(const response_sink* aSink)
 {
@@ -586,9 +574,9 @@
 } // namespace
 
 std::unique_ptr<http_client>
-MakeHttpClient(asio_loop& aLoop)
+MakeHttpClient(asio_loop& aLoop, std::size_t aMaxMadeAtOnce)
 {
-  return std::make_unique<asio_client>(aLoop);
+  return std::make_unique<asio_client>(aLoop, aMaxMadeAtOnce);
 }
 
 } // namespace arbutusferry::node
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,7 +1,10 @@
 #include "arbutusferry/node/asio_net.hpp"
+#include "memory_budget.hpp"
 #include "server_connection.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -28,11 +31,17 @@
 public:
   asio_listener(asio_loop& aLoop,
                 tcp::acceptor aAcceptor,
-                request_handler& aHandler)
+                request_handler& aHandler,
+                listener_options aOptions)
     : mLoop(aLoop)
     , mAcceptor(std::move(aAcceptor))
     , mHandler(aHandler)
+    , mOptions(std::move(aOptions))
   {
+    if (!mOptions.budget) {
+      mOptions.budget = std::make_shared<memory_budget>(
+        std::numeric_limits<std::size_t>::max());
+    }
     Accept();
     mTimeoutCheck = std::make_unique<periodic_timer>(
       aLoop, kTimeoutCheckInterval, [this] { CheckTimeouts(); });
@@ -63,6 +72,10 @@
   {
     return mLimits;
   }
+  [[nodiscard]] const listener_options& Options() const noexcept override
+  {
+    return mOptions;
+  }
   [[nodiscard]] bool Draining() const noexcept override { return mDraining; }
   [[nodiscard]] duration IdleTimeout() const noexcept override
   {
@@ -71,7 +84,14 @@
   void Remove(const std::shared_ptr<server_connection>& aConnection) override
   {
     mConnections.erase(aConnection);
+    if (const auto found = mByAddress.find(aConnection->PeerAddress());
+        found != mByAddress.end() && --found->second == 0) {
+      mByAddress.erase(found);
+    }
   }
+  /// Closes the connection that can be spared best if there are too many.
+  void MakeRoom();
+  void Add(const std::shared_ptr<server_connection>& aConnection);
 
   void Accept();
   void CheckTimeouts();
@@ -79,7 +99,10 @@
   asio_loop& mLoop;
   tcp::acceptor mAcceptor;
   request_handler& mHandler;
+  listener_options mOptions;
   listener_limits mLimits;
+  /// Connections by address of the peer, where these are bounded.
+  std::map<std::string, std::size_t> mByAddress;
   std::set<std::shared_ptr<server_connection>> mConnections;
   std::unique_ptr<periodic_timer> mTimeoutCheck;
   std::unique_ptr<timer> mBackoff;
@@ -113,19 +136,55 @@
       mBackoff = mLoop.After(kAcceptBackoff, [this] { Accept(); });
       return;
     }
+    MakeRoom();
     connection_owner& self = *this;
-    auto connection =
-      std::make_shared<server_connection>(self, std::move(aSocket));
-    mConnections.insert(connection);
-    connection->Start();
+    Add(std::make_shared<server_connection>(self, std::move(aSocket)));
     Accept();
   });
 }
 
+void
+asio_listener::MakeRoom()
+{
+  if (mOptions.maxConnections == 0 ||
+      mConnections.size() < mOptions.maxConnections) {
+    return;
+  }
+  std::shared_ptr<server_connection> chosen;
+  for (const auto& connection : mConnections) {
+    const auto order = connection->CloseOrder();
+    if (order && (!chosen || *order < *chosen->CloseOrder())) {
+      chosen = connection;
+    }
+  }
+  if (chosen) {
+    chosen->CloseForLimit("connections");
+  }
+}
+
+void
+asio_listener::Add(const std::shared_ptr<server_connection>& aConnection)
+{
+  mConnections.insert(aConnection);
+  std::size_t ofAddress = 0;
+  if (mOptions.maxConnectionsPerAddress > 0) {
+    ofAddress = ++mByAddress[aConnection->PeerAddress()];
+  }
+  if (mOptions.maxConnections > 0 &&
+      mConnections.size() > mOptions.maxConnections) {
+    aConnection->CloseForLimit("connections");
+  } else if (ofAddress > mOptions.maxConnectionsPerAddress) {
+    aConnection->CloseForLimit("connections_of_address");
+  } else {
+    aConnection->Start();
+  }
+}
+
 void
 asio_listener::CheckTimeouts()
 {
   const time_point now = mLoop.Now();
+  mOptions.budget->Check(now);
   const auto connections = mConnections;
   for (const auto& connection : connections) {
     connection->CheckTimeouts(now);
@@ -137,7 +196,8 @@
 result<std::unique_ptr<http_listener>>
 Listen(asio_loop& aLoop,
        const socket_address& aAddress,
-       request_handler& aHandler)
+       request_handler& aHandler,
+       listener_options aOptions)
 {
   net_error error;
   const auto ip = asio::ip::make_address(aAddress.ip, error);
@@ -148,6 +208,12 @@
     if (!error) {
       acceptor.set_option(asio::socket_base::reuse_address(true), error);
     }
+    if (!error && aOptions.receiveBufferBytes > 0) {
+      // Accepted connections inherit it.
+      acceptor.set_option(asio::socket_base::receive_buffer_size(
+                            static_cast<int>(aOptions.receiveBufferBytes)),
+                          error);
+    }
     if (!error) {
       acceptor.bind(endpoint, error);
     }
@@ -161,8 +227,8 @@
                      FormatAddress(aAddress),
                      error.message());
   }
-  return std::unique_ptr<http_listener>(
-    std::make_unique<asio_listener>(aLoop, std::move(acceptor), aHandler));
+  return std::unique_ptr<http_listener>(std::make_unique<asio_listener>(
+    aLoop, std::move(acceptor), aHandler, std::move(aOptions)));
 }
 
 } // namespace arbutusferry::node
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,7 +1,9 @@
 #include "server_connection.hpp"
 
 #include "arbutusferry/logging.hpp"
+#include "connection_responder.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -19,57 +21,23 @@
 /// is handled.
 constexpr std::size_t kMaxReadAhead = std::size_t{ 64 } * 1024;
 
-class connection_responder final : public responder
+/// Memory of a header field beside its text.
+constexpr std::size_t kHeaderFieldBytes = 96;
+/// Memory of a request in a handler beside its text.
+constexpr std::size_t kRequestBytes = std::size_t{ 1 } * 1024;
+/// Copies of a body that a handler may hold: its own, and one in a message to
+/// another node.
+constexpr std::size_t kBodyCopies = 2;
+/// Larger empty buffers are released, so that idle connections stay small.
+constexpr std::size_t kMaxKeptBuffer = std::size_t{ 4 } * 1024;
+
+void
+ReleaseIfLarge(std::string& aBuffer)
 {
-public:
-  connection_responder(std::shared_ptr<server_connection> aConnection,
-                       std::uint64_t aRequestNumber)
-    : mConnection(std::move(aConnection))
-    , mRequestNumber(aRequestNumber)
-  {
-  }
-  /// Closes the connection if the response is not complete.
-  ~connection_responder() override
-  {
-    WithoutThrowing([this] { mConnection->Abort(mRequestNumber); });
-  }
-  connection_responder(const connection_responder&) = delete;
-  connection_responder& operator=(const connection_responder&) = delete;
-  void Send(http_response aResponse) override
-  {
-    mConnection->Send(mRequestNumber, std::move(aResponse));
-  }
-  void Begin(int aStatus, const header_list& aHeaders) override
-  {
-    mConnection->Begin(mRequestNumber, aStatus, aHeaders);
-  }
-  void Write(std::string_view aPart) override
-  {
-    mConnection->Write(mRequestNumber, aPart);
-  }
-  void End() override { mConnection->End(mRequestNumber); }
-  void Abort() override { mConnection->Abort(mRequestNumber); }
-  [[nodiscard]] bool Closed() const override
-  {
-    return mConnection->ResponseClosed(mRequestNumber);
-  }
-  [[nodiscard]] std::size_t UnsentBytes() const override
-  {
-    return mConnection->UnsentBytes();
-  }
-  [[nodiscard]] std::uint16_t PeerPort() const override
-  {
-    return mConnection->PeerPort();
-  }
-  void OnDisconnect(std::function<void()> aFunction) override
-  {
-    mConnection->OnDisconnect(mRequestNumber, std::move(aFunction));
-  }
-
-private:
-  std::shared_ptr<server_connection> mConnection;
-  std::uint64_t mRequestNumber;
-};
+  if (aBuffer.empty() && aBuffer.capacity() > kMaxKeptBuffer) {
+    aBuffer = {};
+  }
+}
 
 } // namespace
 
@@ -78,8 +46,12 @@
   : mOwner(&aOwner)
   , mSocket(std::move(aSocket))
   , mPhaseStart(aOwner.Loop().Now())
+  , mAccount(aOwner.Options().budget, this)
 {
   net_error ignored;
+  if (aOwner.Options().maxConnectionsPerAddress > 0) {
+    mPeerAddress = mSocket.remote_endpoint(ignored).address().to_string();
+  }
   mSocket.set_option(tcp::no_delay(true), ignored);
   mSocket.non_blocking(true, ignored);
   NewParser();
@@ -89,17 +61,31 @@
 server_connection::NewParser()
 {
   mPhase = phase::Idle;
-  mBody.clear();
+  mBody = {};
+  mHeaderBytes = 0;
+  mBodyBytes = 0;
+  mFramingBytes = 0;
+  mRefusal = 0;
   mParser.emplace(static_cast<parse_events&>(*this));
   mParser->header_limit(
     static_cast<std::uint32_t>(mOwner->Limits().maxHeaderBytes));
   mParser->body_limit(mOwner->Limits().maxBodyBytes);
 }
 
+void
+server_connection::Start()
+{
+  if (Account()) {
+    WaitReadable();
+  } else {
+    CloseForLimit("memory");
+  }
+}
+
 void
 server_connection::CheckTimeouts(time_point aNow)
 {
-  if (mHandling) {
+  if (mHandling && UnsentBytes() == 0) {
     return;
   }
   const duration idleTimeout = mOwner->Limits().idleTimeout;
@@ -107,7 +93,13 @@
   if (UnsentBytes() > 0) {
     expired = mSending.Stalled(idleTimeout, aNow);
   } else if (mPhase == phase::Body) {
-    expired = mReceiving.Stalled(idleTimeout, aNow);
+    expired = mReceiving.Stalled(
+      idleTimeout,
+      aNow,
+      mOwner->Options().framing.minBodyBytesPerSecond *
+        static_cast<std::size_t>(
+          std::chrono::duration_cast<std::chrono::seconds>(idleTimeout)
+            .count()));
   } else if (mPhase == phase::Header) {
     expired = aNow - mPhaseStart >= mOwner->Limits().headerTimeout;
   } else {
@@ -123,13 +115,30 @@
 {
   mPhase = phase::Body;
   mReceiving.Restart(mOwner->Loop().Now());
+  const auto fields = static_cast<std::size_t>(
+    std::distance(mParser->headers.begin(), mParser->headers.end()));
+  mHeaderBytes = fields * kHeaderFieldBytes + mInput.size();
+  if (fields > mOwner->Options().framing.maxHeaderFields) {
+    mRefusal = 431;
+    mRefusalReason = "header_fields";
+  }
 }
 
 void
 server_connection::OnParsedBody(std::string_view aPart)
 {
-  mBody += aPart;
+  mBodyBytes += aPart.size();
   mReceiving.Note(aPart.size());
+  if (mRefusal != 0) {
+    return;
+  }
+  if (!ReserveBody(aPart.size())) {
+    mRefusal = 503;
+    mRefusalReason = "memory";
+    mBody = {};
+    return;
+  }
+  mBody += aPart;
 }
 
 void
@@ -167,11 +176,28 @@
     Close();
     return;
   }
+  if (mCloseAfterResponse && !mHandling) {
+    WaitReadable(); // What follows an error is no request.
+    return;
+  }
   mInput.append(sBuffer.data(), size);
+  mAccount.NoteProgress(size);
   if (!mHandling) {
     Parse();
   }
-  if (!mClosed && (!mHandling || mInput.size() < kMaxReadAhead)) {
+  if (mClosed) {
+    return;
+  }
+  ReleaseIfLarge(mInput);
+  mPaused = mHandling && mInput.size() >= kMaxReadAhead;
+  if (!Account()) {
+    if (mHandling) {
+      CloseForLimit("memory");
+      return;
+    }
+    Refuse(503, "memory");
+  }
+  if (!mClosed && !mPaused) {
     WaitReadable();
   }
 }
@@ -179,18 +205,30 @@
 void
 server_connection::Parse()
 {
-  while (!mHandling && !mClosed && !mInput.empty()) {
+  while (!mHandling && !mClosed && !mCloseAfterResponse && !mInput.empty()) {
     if (mPhase == phase::Idle) {
       mPhase = phase::Header;
       mPhaseStart = mOwner->Loop().Now();
     }
     net_error error;
+    const bool inBody = mPhase == phase::Body;
+    const std::size_t bodyBytes = mBodyBytes;
     const std::size_t used = mParser->put(asio::buffer(mInput), error);
     mInput.erase(0, used);
+    if (inBody) {
+      NoteFraming(used - (mBodyBytes - bodyBytes));
+    }
+    if (mRefusal != 0) {
+      Refuse(mRefusal, mRefusalReason);
+      return;
+    }
     if (error == http::error::need_more) {
       if (mPhase == phase::Header &&
           mInput.size() > mOwner->Limits().maxHeaderBytes) {
         SendErrorAndClose(431);
+      } else if (mPhase == phase::Body &&
+                 mInput.size() > mOwner->Options().framing.maxTrailerBytes) {
+        Refuse(431, "trailers");
       }
       return;
     }
@@ -225,7 +263,7 @@
 void
 server_connection::Dispatch()
 {
-  const auto& headers = mParser->headers;
+  auto& headers = mParser->headers;
   // Guards against request smuggling: with two lengths, or a length beside a
   // transfer coding, one request can hide inside another.
   if (headers.Count("Content-Length") > 1 || headers.Count("Host") > 1 ||
@@ -234,15 +272,26 @@
     SendErrorAndClose(400);
     return;
   }
-  http_request request{
-    mParser->method, mParser->target, headers, std::move(mBody)
-  };
+  const std::size_t memory =
+    kRequestBytes + mHeaderBytes + kBodyCopies * mBody.size();
+  http_request request{ std::move(mParser->method),
+                        std::move(mParser->target),
+                        std::move(headers),
+                        std::move(mBody) };
+  mBody = {};
   mCloseAfterResponse = !mParser->keep_alive();
   mHeadRequest = request.method == "HEAD";
   mHandling = true;
   ++mRequestNumber;
-  auto answer =
-    std::make_shared<connection_responder>(shared_from_this(), mRequestNumber);
+  auto answer = std::make_shared<connection_responder>(
+    shared_from_this(), mRequestNumber, mOwner->Options().budget);
+  // The request's memory counts with the responder from now on.
+  mHeaderBytes = 0;
+  if (!Account() || !answer->ReserveMemory(memory)) {
+    request = {};
+    Refuse(503, "memory");
+    return;
+  }
   try {
     mOwner->Handler().Handle(std::move(request), answer);
   } catch (const std::exception& error) {
@@ -329,6 +378,9 @@
     mOutput += aPart;
   }
   Flush();
+  if (!mClosed && !Account()) {
+    CloseForLimit("memory");
+  }
 }
 
 void
@@ -352,13 +404,20 @@
   mSending.Restart(mPhaseStart);
   NewParser();
   Flush();
+  if (!mClosed && !Account()) {
+    CloseForLimit("memory");
+  }
   if (!mClosed && !mCloseAfterResponse) {
     // The next request may already be buffered. Posting keeps its handler from
     // running inside the handler of this one.
     asio::post(mOwner->Loop().Context(), [self = shared_from_this()] {
       if (!self->mClosed) {
+        self->mPaused = false;
         self->Parse();
-        self->WaitReadable();
+        if (!self->mClosed) {
+          ReleaseIfLarge(self->mInput);
+          self->WaitReadable();
+        }
       }
     });
   }
@@ -396,6 +455,7 @@
         return;
       }
       self->mSending.Note(aBytes);
+      self->mAccount.NoteProgress(aBytes);
       self->mWritten += aBytes;
       if (self->mWritten < self->mWriting.size()) {
         self->WriteSome();
@@ -403,6 +463,9 @@
       }
       self->mWriting.clear();
       self->mWritten = 0;
+      ReleaseIfLarge(self->mWriting);
+      ReleaseIfLarge(self->mOutput);
+      (void)self->Account();
       if (!self->mHandling && self->mPhase == phase::Idle) {
         self->mPhaseStart = self->mOwner->Loop().Now();
       }
@@ -455,6 +518,7 @@
   net_error ignored;
   mSocket.shutdown(tcp::socket::shutdown_send, ignored);
   mSocket.close(ignored);
+  ReleaseBuffers();
   mOwner->Remove(self);
   if (const auto onDisconnect = std::exchange(mOnDisconnect, nullptr)) {
     onDisconnect();
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/node/asio_net.hpp"
 #include "arbutusferry/node/transfer_watch.hpp"
+#include "memory_budget.hpp"
 #include "message_parser.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +24,8 @@
   [[nodiscard]] virtual asio_loop& Loop() noexcept = 0;
   [[nodiscard]] virtual request_handler& Handler() noexcept = 0;
   [[nodiscard]] virtual const listener_limits& Limits() const noexcept = 0;
+  /// @return Options whose budget is not null.
+  [[nodiscard]] virtual const listener_options& Options() const noexcept = 0;
   /// @return Whether every response closes its connection.
   [[nodiscard]] virtual bool Draining() const noexcept = 0;
   /// @return Time after which an idle connection is closed.
@@ -36,12 +39,13 @@
 class server_connection final
   : public std::enable_shared_from_this<server_connection>
   , private parse_events
+  , private memory_holder
 {
 public:
   server_connection(connection_owner& aOwner,
                     boost::asio::ip::tcp::socket aSocket);
 
-  void Start() { WaitReadable(); }
+  void Start();
   void CheckTimeouts(time_point aNow);
   void Close();
 
@@ -64,6 +68,17 @@
   /// written yet.
   [[nodiscard]] bool Idle() const;
   [[nodiscard]] std::uint16_t PeerPort() const;
+  /// @return The address of the peer; empty if the connection is closed.
+  [[nodiscard]] const std::string& PeerAddress() const noexcept
+  {
+    return mPeerAddress;
+  }
+  /// @return How well the connection can be closed to make room for another,
+  /// the best first, and since when; nothing if a request is handled or bytes
+  /// arrive.
+  [[nodiscard]] std::optional<std::pair<int, time_point>> CloseOrder() const;
+  /// Closes the connection for a limit that it or the process has reached.
+  void CloseForLimit(const char* aReason);
   [[nodiscard]] std::size_t UnsentBytes() const
   {
     return mWriting.size() - mWritten + mOutput.size();
@@ -79,6 +94,19 @@
 
   void OnParsedHead() override;
   void OnParsedBody(std::string_view aPart) override;
+  void GiveWay() override;
+  /// Grows the buffer of the body for a part.
+  /// @return Whether there was memory for it.
+  bool ReserveBody(std::size_t aPart);
+  /// Accounts for the memory that is held now.
+  /// @return Whether it is available.
+  bool Account();
+  /// Counts the framing of chunks that was parsed.
+  void NoteFraming(std::size_t aBytes);
+  void ReleaseBuffers();
+  /// Answers with an error, after which the connection is closed, and logs why.
+  void Refuse(int aStatus, const char* aReason);
+  void LogLimit(const char* aReason);
   void NewParser();
   void WaitReadable();
   void ReadAvailable();
@@ -95,8 +123,15 @@
   std::optional<message_parser<true>> mParser;
   phase mPhase = phase::Idle;
   time_point mPhaseStart;
+  std::string mPeerAddress; ///< Only where connections of one are counted.
+  memory_account mAccount;
   std::string mInput;
   std::string mBody;
+  std::size_t mHeaderBytes = 0;  ///< Memory of the parsed header.
+  std::size_t mBodyBytes = 0;    ///< Parsed bytes of the body.
+  std::size_t mFramingBytes = 0; ///< Parsed bytes around those.
+  int mRefusal = 0;              ///< Status set while parsing.
+  const char* mRefusalReason = "";
   std::string mOutput;       ///< Queued behind `mWriting`.
   std::string mWriting;      ///< Buffer of the write in progress.
   std::size_t mWritten = 0;  ///< Bytes of `mWriting` that are written.
@@ -106,6 +141,7 @@
   std::uint64_t mRequestNumber = 0;
   bool mHandling = false;
   bool mReading = false;
+  bool mPaused = false; ///< Not reading while a request is handled.
   bool mClosed = false;
   bool mCloseAfterResponse = false;
   bool mChunked = false;
--- a/src/net/transfer_watch.cpp
+++ b/src/net/transfer_watch.cpp
@@ -1,5 +1,7 @@
 #include "arbutusferry/node/transfer_watch.hpp"
 
+#include <algorithm>
+
 namespace arbutusferry::node {
 
 namespace {
@@ -17,12 +19,14 @@
 }
 
 bool
-transfer_watch::Stalled(duration aWindow, time_point aNow) noexcept
+transfer_watch::Stalled(duration aWindow,
+                        time_point aNow,
+                        std::size_t aMinBytes) noexcept
 {
   if (aNow - mWindowStart < aWindow) {
     return false;
   }
-  const bool stalled = mBytes < kMinBytesPerWindow;
+  const bool stalled = mBytes < std::max(aMinBytes, kMinBytesPerWindow);
   Restart(aNow);
   return stalled;
 }
--- a/src/node/request_text.cpp
+++ b/src/node/request_text.cpp
@@ -9,7 +9,7 @@
   for (const auto& [name, value] : aRequest.headers) {
     text.append(name).append(": ").append(value).append("\n");
   }
-  return text.append("\n").append(aRequest.body);
+  return text.append("\n").append(aRequest.body.Text());
 }
 
 std::optional<http_request>
@@ -47,7 +47,7 @@
     request.headers.Add(std::string(header->substr(0, colon)),
                         std::string(header->substr(colon + 2)));
   }
-  request.body = aText;
+  request.body = std::string(aText);
   return request;
 }
 
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -368,7 +368,7 @@
                  std::shared_ptr<responder> aResponder)
 {
   const auto target = ParseAddress(aRequest.headers.Get(kTargetHeader));
-  auto request = ParseRequest(aRequest.body);
+  auto request = ParseRequest(aRequest.body.Text());
   if (!target || !request) {
     Log(log_level::Error, "run_unreadable", { { "run", aRun } });
     SendError(mParts.loop, *aResponder, relay_error::Unknown);
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -187,7 +187,7 @@
 {
   auto call = ReadCall(aRequest.headers);
   const bool probe = aRequest.target == kProbePath;
-  auto request = probe ? std::nullopt : ParseRequest(aRequest.body);
+  auto request = probe ? std::nullopt : ParseRequest(aRequest.body.Text());
   if (!call || (!probe && !request)) {
     Log(log_level::Error, "gateway_message_unreadable");
     SendError(mLoop, *aResponder, gateway_error::Malformed);
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -160,9 +160,10 @@
   for (std::size_t at = 0; at + 4 <= aRequest.body.size();) {
     std::size_t size = 0;
     for (int byte = 0; byte < 4; ++byte) {
-      size = size << 8U | static_cast<unsigned char>(aRequest.body[at++]);
+      size =
+        size << 8U | static_cast<unsigned char>(aRequest.body.Text()[at++]);
     }
-    append.payloads.push_back(aRequest.body.substr(at, size));
+    append.payloads.push_back(aRequest.body.Text().substr(at, size));
     at += size;
   }
   const bool loseReply = NextDraw() < lostRepliesPer10;
--- a/tests/support/hostile_clients.cpp
+++ b/tests/support/hostile_clients.cpp
@@ -74,9 +74,6 @@
      "service":"desk","max-attempts":2,"timeout-ms":20000}],
     "services":[{"name":"desk"}],"limits":{},
     "tenants":[{"name":"acme","api-keys":["key"]}]})");
-  // The reader of settings refuses names that it doesn't know, so the machine's
-  // memory and descriptors are not part of them yet; the bounds hold all the
-  // same.
   std::ostringstream settings;
   settings << R"({"vm":"vm0","zone":"z0","zones":["z0"],"cpu_share":1.0,)"
            << R"("listen_callers":")" << Local(mCallerPort)
@@ -88,7 +85,9 @@
            << R"(","max_record_bytes":262144,"max_call_bytes":2097152,)"
            << R"("lease_ms":3000,"cancel_within_ms":3000,)"
            << R"("fences_checked":true,"usage_window_s":1,"usage_due_s":10,)"
-           << R"("batch_readable_s":120,"stop_within_s":4})";
+           << R"("batch_readable_s":120,"stop_within_s":4,"memory_mb":)"
+           << mMachine.memoryMb << R"(,"max_descriptors":)"
+           << mMachine.maxDescriptors << "}";
   mThread = std::thread([this] {
     const auto work = boost::asio::make_work_guard(mLoop.Context());
     mLoop.Run();
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -127,14 +127,15 @@
     }
     const auto& request = aSent->request;
     if (request.target == "/order") {
-      const auto at = request.body.find("\"version\":");
-      if (request.body.find("\"expected-rev\":" +
-                            std::to_string(self.orders)) == std::string::npos) {
+      const auto at = request.body.Text().find("\"version\":");
+      if (request.body.Text().find("\"expected-rev\":" +
+                                   std::to_string(self.orders)) ==
+          std::string::npos) {
         aSent->Answer(409);
         return;
       }
       self.previousVersion = self.version;
-      self.version = std::stoll(request.body.substr(at + 10));
+      self.version = std::stoll(request.body.Text().substr(at + 10));
       self.loadedAt = mLoop.Now() + self.loadTime;
       ++self.orders;
       aSent->Answer(202);
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -63,7 +63,7 @@
     http_response response;
     response.status = 200;
     response.body =
-      aRequest.method + " " + aRequest.target + " " + aRequest.body;
+      aRequest.method + " " + aRequest.target + " " + aRequest.body.Text();
     aResponder->Send(std::move(response));
   }
   int handled = 0;
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -266,7 +266,7 @@
   CHECK(FingerprintOf("acme", other) != fingerprint);
   other = request;
   other.target = "/xbody";
-  other.body.clear();
+  other.body = {};
   CHECK(FingerprintOf("acme", other) != fingerprint);
 }
 
--- a/tests/unit/run_relay_test.cpp
+++ b/tests/unit/run_relay_test.cpp
@@ -71,7 +71,7 @@
   CHECK(sent->peer == socket_address{ "10.0.0.9", 80 });
   CHECK(sent->request.method == "POST");
   CHECK(sent->request.target == "/p/x?y=1");
-  CHECK(sent->request.body == test.Item().body);
+  CHECK(sent->request.body.Text() == test.Item().body.Text());
   CHECK(sent->request.headers.Get("A-Header") == "v: w");
   CHECK_FALSE(sent->request.headers.Find("Ferry-Target"));
   sent->Answer(200, { { "Stamp", "s" }, { "Connection", "close" } }, "whole");
--- a/tests/unit/stalled_transfer_test.cpp
+++ b/tests/unit/stalled_transfer_test.cpp
@@ -1,9 +1,12 @@
 #include "arbutusferry/node/asio_net.hpp"
+#include "net/memory_budget.hpp"
 #include "net/server_connection.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <limits>
+#include <memory>
 #include <vector>
 
 using namespace arbutusferry;
@@ -22,6 +25,8 @@
 {
   connection_test()
   {
+    options.budget =
+      std::make_shared<memory_budget>(std::numeric_limits<std::size_t>::max());
     tcp::acceptor acceptor(loop.Context(),
                            { boost::asio::ip::address_v4::loopback(), 0 });
     acceptor.set_option(boost::asio::socket_base::send_buffer_size(64 << 10));
@@ -37,6 +42,7 @@
   asio_loop& Loop() noexcept override { return loop; }
   request_handler& Handler() noexcept override { return *this; }
   const listener_limits& Limits() const noexcept override { return limits; }
+  const listener_options& Options() const noexcept override { return options; }
   bool Draining() const noexcept override { return draining; }
   duration IdleTimeout() const noexcept override
   {
@@ -91,6 +97,7 @@
     }
   }
 
+  listener_options options;
   asio_loop loop;
   tcp::socket peer{ loop.Context() };
   listener_limits limits;
