--- a/include/arbutusferry/node/http_listener.hpp
+++ b/include/arbutusferry/node/http_listener.hpp
@@ -89,6 +89,10 @@
   /// Accounts for the memory of all connections; null: not bounded.
   std::shared_ptr<memory_budget> budget;
   framing_limits framing;
+  /// Whether a request that there is no memory for gets 503. Not between nodes,
+  /// which could take it for the response of a target or leader; it ends like a
+  /// broken connection there.
+  bool answersWithoutMemory = true;
   /// Open connections, in all and of one peer address; 0: not bounded.
   std::size_t maxConnections = 0;
   std::size_t maxConnectionsPerAddress = 0;
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -117,7 +117,8 @@
 void
 server_connection::GiveWay()
 {
-  if (!mHandling && mPhase != phase::Idle && UnsentBytes() == 0) {
+  if (!mHandling && mPhase != phase::Idle && UnsentBytes() == 0 &&
+      mOwner->Options().answersWithoutMemory) {
     net_error ignored;
     mSocket.write_some(asio::buffer(kMemoryRefusal), ignored);
   }
@@ -127,6 +128,10 @@
 void
 server_connection::Refuse(int aStatus, const char* aReason)
 {
+  if (aStatus == 503 && !mOwner->Options().answersWithoutMemory) {
+    CloseForLimit(aReason);
+    return;
+  }
   LogLimit(aReason);
   mBody = {};
   SendErrorAndClose(aStatus);
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -401,6 +401,37 @@
         std::string::npos);
 }
 
+// Guards against bounds on clients that old settings files would have to name,
+// and against values that are not applied.
+TEST_CASE("settings that bound clients are optional")
+{
+  const auto defaults =
+    Value(Capture([] { return ReadPlatformSettings(kSettings, "node.json"); }));
+  REQUIRE(defaults);
+  CHECK(defaults->memoryMb == 120);
+  CHECK(defaults->maxDescriptors == 3'075);
+  CHECK(defaults->maxConnectionsPerAddress == 0);
+  std::string text = kSettings;
+  text.insert(1,
+              R"("memory_mb": 512, "max_descriptors": 10250,
+    "max_trailer_bytes": 2048, "max_header_fields": 64, "max_chunk_overhead": 8,
+    "min_body_bytes_per_s": 100, "max_connections_per_address": 50,
+    "receive_buffer_bytes": 65536,)");
+  const auto settings =
+    Value(Capture([&] { return ReadPlatformSettings(text, "node.json"); }));
+  REQUIRE(settings);
+  CHECK(settings->memoryMb == 512);
+  CHECK(settings->maxDescriptors == 10'250);
+  CHECK(settings->framing.maxTrailerBytes == 2'048);
+  CHECK(settings->framing.maxHeaderFields == 64);
+  CHECK(settings->framing.maxChunkOverhead == 8);
+  CHECK(settings->framing.minBodyBytesPerSecond == 100);
+  CHECK(settings->maxConnectionsPerAddress == 50);
+  CHECK(settings->receiveBufferBytes == 65'536);
+  CHECK(SettingsError(kSettings, "\"vm\"", "\"memory_mb\": 8, \"vm\"")
+          .find("memory_mb") != std::string::npos);
+}
+
 TEST_CASE("paths of batch results and items are recognized")
 {
   CHECK(batch_handler::IsBatchPath("/lots/1?after=2"));
--- a/tests/unit/untrusted_clients_test.cpp
+++ b/tests/unit/untrusted_clients_test.cpp
@@ -369,3 +369,16 @@
   }
   CHECK(failure == exchange_failure::Protocol);
 }
+
+// Guards against a 503 between nodes that is taken for a target's response.
+TEST_CASE("between nodes, a request without memory ends without a response")
+{
+  clients_test test;
+  test.options.answersWithoutMemory = false;
+  test.Start();
+  const int client = test.Connect();
+  test.Write(client, PostWithLength(12 * kMiB) + std::string(12 * kMiB, 'x'));
+  CHECK(test.Read(client).empty());
+  CHECK(test.Refused("memory"));
+  CHECK(test.handler.handled == 0);
+}
