Free the buffers of connections that give way

Cause: assigning {} to a string keeps its capacity, so buffers of a connection that had given up its memory lived until its last callback, and empty buffers of idle connections stayed large. Found by reading; a small program showed it.

Change: Free swaps with an empty string.

--- a/include/arbutusferry/node/http_message.hpp
+++ b/include/arbutusferry/node/http_message.hpp
@@ -71,8 +71,8 @@
 
   [[nodiscard]] const std::string& Text() const noexcept
   {
-    static const std::string sEmpty;
-    return mText ? *mText : sEmpty;
+    static const std::string kEmpty;
+    return mText ? *mText : kEmpty;
   }
   operator const std::string&() const noexcept { return Text(); }
   [[nodiscard]] bool empty() const noexcept { return !mText; }
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -35,7 +35,7 @@
 ReleaseIfLarge(std::string& aBuffer)
 {
   if (aBuffer.empty() && aBuffer.capacity() > kMaxKeptBuffer) {
-    aBuffer = {};
+    Free(aBuffer);
   }
 }
 
@@ -61,7 +61,7 @@
 server_connection::NewParser()
 {
   mPhase = phase::Idle;
-  mBody = {};
+  Free(mBody);
   mHeaderBytes = 0;
   mBodyBytes = 0;
   mFramingBytes = 0;
@@ -135,7 +135,7 @@
   if (!ReserveBody(aPart.size())) {
     mRefusal = 503;
     mRefusalReason = "memory";
-    mBody = {};
+    Free(mBody);
     return;
   }
   mBody += aPart;
@@ -278,7 +278,7 @@
                         std::move(mParser->target),
                         std::move(headers),
                         std::move(mBody) };
-  mBody = {};
+  Free(mBody);
   mCloseAfterResponse = !mParser->keep_alive();
   mHeadRequest = request.method == "HEAD";
   mHandling = true;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -16,6 +16,13 @@
 
 class server_connection;
 
+/// Empties a buffer and frees its memory, which assigning `{}` would keep.
+inline void
+Free(std::string& aBuffer)
+{
+  std::string().swap(aBuffer);
+}
+
 /// Interface of the listener to the connections that it accepted.
 class connection_owner
 {
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -78,10 +78,10 @@
 void
 server_connection::ReleaseBuffers()
 {
-  mInput = {};
-  mBody = {};
-  mOutput = {};
-  mWriting = {};
+  Free(mInput);
+  Free(mBody);
+  Free(mOutput);
+  Free(mWriting);
   mWritten = 0;
   mPaused = false;
   mAccount.Clear();
@@ -133,7 +133,7 @@
     return;
   }
   LogLimit(aReason);
-  mBody = {};
+  Free(mBody);
   SendErrorAndClose(aStatus);
 }
 
--- a/tests/unit/stalled_transfer_test.cpp
+++ b/tests/unit/stalled_transfer_test.cpp
@@ -57,6 +57,12 @@
   {
     ++handled;
     body = aRequest.body;
+    if (streams) {
+      held = std::move(aResponder);
+      held->Begin(200, {});
+      held->Write(std::string(responseBytes, 'x'));
+      return;
+    }
     http_response response;
     response.status = 200;
     response.body = std::string(responseBytes, 'x');
@@ -106,6 +112,8 @@
   std::string body;
   std::size_t responseBytes = 2;
   int handled = 0;
+  bool streams = false; ///< Responses are begun and not ended.
+  std::shared_ptr<responder> held;
   bool draining = false;
   bool closed = false;
 };
@@ -221,3 +229,48 @@
   test.Pass(seconds(3));
   CHECK(test.closed);
 }
+
+// Guards against a setting for the least rate of a body that acts by default,
+// or on a sender that keeps to it.
+TEST_CASE("a body below the least rate ends its connection")
+{
+  connection_test slow;
+  slow.options.framing.minBodyBytesPerSecond = 100;
+  connection_test sound;
+  sound.options.framing.minBodyBytesPerSecond = 100;
+  connection_test unbounded;
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n";
+  slow.Write(head);
+  sound.Write(head);
+  unbounded.Write(head);
+  for (int turn = 0; turn < 20; ++turn) {
+    if (!slow.closed) {
+      slow.Write(std::string(50, 'y'));
+    }
+    sound.Write(std::string(150, 'y'));
+    unbounded.Write(std::string(50, 'y'));
+    slow.Pass(seconds(1));
+    sound.Pass(seconds(1));
+    unbounded.Pass(seconds(1));
+  }
+  CHECK(slow.closed);
+  CHECK(slow.handled == 0);
+  CHECK(!sound.closed);
+  CHECK(!unbounded.closed);
+}
+
+// Guards against a streamed response that waits without an end for a caller
+// who doesn't read it.
+TEST_CASE("a caller that reads nothing of a stream is disconnected")
+{
+  connection_test test;
+  test.streams = true;
+  test.responseBytes = kLargeResponse;
+  test.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(test.connection->UnsentBytes() > 0);
+  test.Pass(test.limits.idleTimeout - seconds(1));
+  CHECK(!test.closed);
+  test.Pass(seconds(3) + test.limits.idleTimeout);
+  CHECK(test.closed);
+}
