Send nothing to evacuated zones

The operator may order that nothing more is sent to a zone's targets (key evacuate/ZONE of its topic), and nodes ignored that. Now each node applies the key until it is dropped, by a record or by a listing that no longer holds it, and sends nothing to any target before it has read the topic to its end once. Choice of targets, counts of ready ones, samplers, room for reward calls, weight orders and report requests leave such zones out. target_client, through which all requests to targets pass, checks again when it sends and when a new connection is made, and fails the exchange as not sent; gateways and relays refuse by the same check, with the zone that the sender names.

cut_off_leader_test now tells its nodes that the operator's records were read: they have no store with that topic, and gateways refuse before.

--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -69,6 +69,15 @@
   void SetNewestVersion(const std::string& aModel, std::int64_t aVersion);
   void UpdateTarget(const target_entry& aTarget);
   void RemoveTarget(const std::string& aId);
+  /// Sends nothing more to the targets of a zone.
+  void EvacuateZone(const std::string& aZone, std::uint64_t aOffset);
+  void LiftEvacuation(const std::string& aZone, std::uint64_t aOffset);
+  /// Notes that the operator's records have been read to their present end.
+  void NoteOrdersRead();
+  [[nodiscard]] bool OrdersRead() const noexcept
+  {
+    return mTargets.Evacuations().OrdersRead();
+  }
   /// Notes that the registry of targets has been read to its present end.
   void NoteTargetsRead() { mSoftware.NoteTargetsRead(); }
 
@@ -107,7 +116,8 @@
   /// @return Whether routes and targets are known.
   [[nodiscard]] bool Serving() const noexcept
   {
-    return mEnvironment.Version() > 0 && !mTargets.All().empty();
+    return mEnvironment.Version() > 0 && !mTargets.All().empty() &&
+           OrdersRead();
   }
 
 private:
@@ -131,6 +141,7 @@
   /// from the leader itself.
   void HandOverIfCutOff();
   void RunLeaderDuties();
+  void SetZoneMetrics();
 
   parts mParts;
   node_settings mSettings;
--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -77,6 +77,11 @@
   /// Never send through another node: the peer tells senders apart by where
   /// they connect from.
   bool directOnly = false;
+  /// Zone of the target that gets the request, if the sender knows it.
+  std::string targetZone;
+  /// Asked right before the request is written. If it says no, the exchange
+  /// fails with `NotSent`.
+  std::function<bool()> mayWrite;
 };
 
 /// A request whose response is not complete yet.
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -116,7 +116,8 @@
   void Conclude(run_outcome aEnd);
   void Send(http_client& aClient,
             const socket_address& aPeer,
-            http_request aRequest);
+            http_request aRequest,
+            std::string aZone = {});
   [[nodiscard]] run_outcome RelayErrorEnd() const noexcept;
 
   run_observer* mObserver; ///< Null after the end.
--- a/include/arbutusferry/node/run_relay.hpp
+++ b/include/arbutusferry/node/run_relay.hpp
@@ -42,7 +42,8 @@
                std::uint64_t aFence,
                std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
-               const http_request& aRequest);
+               const http_request& aRequest,
+               const std::string& aZone = {});
 [[nodiscard]] http_request
 MakeRelayedAttach(const std::string& aRun, std::uint64_t aFence);
 [[nodiscard]] http_request
@@ -75,6 +76,9 @@
     std::function<void()> leaderDisconnected;
     /// Handles all other paths.
     request_handler& fallback;
+    /// @return Whether this node may start runs: it knows which zones are
+    /// evacuated.
+    std::function<bool()> mayStart = [] { return true; };
   };
 
   explicit run_relay(parts aParts);
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/node/request_limit.hpp"
 #include "arbutusferry/node/software_history.hpp"
 #include "arbutusferry/time.hpp"
+#include "zones/evacuations.hpp"
 
 #include <cstdint>
 #include <map>
@@ -70,6 +71,22 @@
     time_point nextStart;
   };
 
+  /// The operator's orders, which `Choose` and `CountReady` follow.
+  [[nodiscard]] evacuations& Evacuations() noexcept { return mEvacuations; }
+  [[nodiscard]] const evacuations& Evacuations() const noexcept
+  {
+    return mEvacuations;
+  }
+  /// @return Whether requests may be sent to a target's zone.
+  [[nodiscard]] bool Allows(const known_target& aTarget) const
+  {
+    return mEvacuations.Allows(aTarget.entry.zone);
+  }
+  /// @param aZone Zone of the address; if empty, the known target there tells.
+  /// @return Whether requests may be sent to an address.
+  [[nodiscard]] bool Allows(const socket_address& aAddress,
+                            const std::string& aZone) const;
+
   /// Adds or changes a target.
   void Update(const target_entry& aEntry, time_point aNow);
   /// Notes that the registry removed a target.
@@ -95,7 +112,7 @@
   [[nodiscard]] std::string Choose(const target_query& aQuery,
                                    time_point aNow) const;
   /// @return The number of targets that neither drain nor are gone nor
-  /// excluded.
+  /// excluded, in zones that aren't evacuated.
   [[nodiscard]] std::size_t CountReady(const target_query& aQuery) const;
   /// @return The software versions of all known targets.
   [[nodiscard]] software_history::version_map SoftwareVersions() const;
@@ -116,10 +133,11 @@
                  time_point aNow);
 
 private:
-  [[nodiscard]] static bool Fits(const known_target& aTarget,
-                                 const target_query& aQuery);
+  [[nodiscard]] bool Fits(const known_target& aTarget,
+                          const target_query& aQuery) const;
 
   std::map<std::string, known_target> mTargets;
+  evacuations mEvacuations;
 };
 
 } // namespace arbutusferry::node
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -333,6 +333,10 @@
       self->mSocket.set_option(tcp::no_delay(true), ignored);
       self->mSocket.non_blocking(true, ignored);
       self->mConnected = true;
+      if (self->mOptions.mayWrite && !self->mOptions.mayWrite()) {
+        self->Fail(exchange_failure::NotSent);
+        return;
+      }
       self->Write();
       self->WaitReadable();
     });
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -205,7 +205,7 @@
 {
   const time_point now = mParts.loop.Now();
   auto* known = mParts.targets.Find(aTarget);
-  if (!known || known->entry.draining ||
+  if (!known || known->entry.draining || !mParts.targets.Allows(*known) ||
       (mQuery.software && known->entry.software != *mQuery.software)) {
     TryNextTarget();
     return;
@@ -225,6 +225,7 @@
   options.connectTimeout = kConnectTimeout;
   options.readTimeout = std::max(left, milliseconds(1'000));
   options.echoHeader = mParts.protocol.EchoHeader();
+  options.targetZone = known->entry.zone;
   auto sink =
     std::make_shared<attempt>(shared_from_this(), known->entry, mParts.loop);
   mAttempts.push_back(sink);
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -116,6 +116,7 @@
               ElectionTiming(mSettings),
               mParts.loop.Now())
 {
+  mTargets.Evacuations().AwaitOrders();
 }
 
 ferry_node::~ferry_node() = default;
@@ -150,6 +151,7 @@
       mMetrics.SetGauge("ferry_environment_version",
                         {},
                         static_cast<double>(mEnvironment.Version()));
+      SetZoneMetrics();
       RunLeaderDuties();
       HandOverIfCutOff();
     });
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -49,7 +49,10 @@
 void
 item_run::Start(http_client& aClient, const target_entry& aTarget)
 {
-  Send(aClient, aTarget.address, mProtocol.MakeItemRequest(mCall, aTarget));
+  Send(aClient,
+       aTarget.address,
+       mProtocol.MakeItemRequest(mCall, aTarget),
+       aTarget.zone);
 }
 
 void
@@ -66,7 +69,8 @@
                       aFence,
                       aSentAt,
                       aTarget.address,
-                      mProtocol.MakeItemRequest(mCall, aTarget)));
+                      mProtocol.MakeItemRequest(mCall, aTarget),
+                      aTarget.zone));
 }
 
 void
@@ -84,9 +88,11 @@
 void
 item_run::Send(http_client& aClient,
                const socket_address& aPeer,
-               http_request aRequest)
+               http_request aRequest,
+               std::string aZone)
 {
   exchange_options options;
+  options.targetZone = std::move(aZone);
   options.connectTimeout = kRunConnectTimeout;
   options.readTimeout = kRunIdleTimeout;
   if (!mPlace) {
--- a/src/node/item_scoring.cpp
+++ b/src/node/item_scoring.cpp
@@ -45,7 +45,7 @@
   bool registered = false;
   for (const auto& [id, known] : aTargets.All()) {
     if (known.entry.service != aService || known.entry.draining ||
-        known.removedSince) {
+        known.removedSince || !aTargets.Allows(known)) {
       continue;
     }
     registered = true;
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::string_view kRunPath = "/runs/";
 constexpr const char* kTargetHeader = "Ferry-Target";
+/// Zone of the sampler.
+constexpr const char* kZoneHeader = "Ferry-Target-Zone";
 constexpr const char* kFenceHeader = "Ferry-Fence";
 constexpr const char* kErrorHeader = "Ferry-Relay-Error";
 constexpr const char* kSentAtHeader = "Ferry-Sent-At";
@@ -78,9 +80,13 @@
                std::uint64_t aFence,
                std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
-               const http_request& aRequest)
+               const http_request& aRequest,
+               const std::string& aZone)
 {
   http_request request = MakeRunRequest("POST", aRun);
+  if (!aZone.empty()) {
+    request.headers.Add(kZoneHeader, aZone);
+  }
   if (aSentAt) {
     request.headers.Add(kSentAtHeader, std::to_string(*aSentAt));
   }
@@ -150,12 +156,14 @@
 
   void Start(http_client& aClient,
              const socket_address& aTarget,
+             std::string aZone,
              http_request aRequest)
   {
     exchange_options options;
     options.connectTimeout = kRunConnectTimeout;
     options.readTimeout = kRunIdleTimeout;
     options.echoHeader = mProtocol.EchoHeader();
+    options.targetZone = std::move(aZone);
     mExchange =
       aClient.Send(aTarget, std::move(aRequest), options, shared_from_this());
   }
@@ -374,6 +382,12 @@
     SendError(mParts.loop, *aResponder, relay_error::Unknown);
     return;
   }
+  if (!mParts.mayStart()) {
+    // Without a response the leader avoids this node, not the sampler.
+    Log(log_level::Info, "run_before_orders", { { "run", aRun } });
+    aResponder->Abort();
+    return;
+  }
   const time_point now = mParts.loop.Now();
   const std::string address = FormatAddress(*target);
   const auto limit = mLimits->find(address);
@@ -385,7 +399,10 @@
   auto started = std::make_shared<run>(
     mParts.loop, mParts.protocol, address, mLimits, mParts.leaderDisconnected);
   mRuns[aRun] = started;
-  started->Start(mParts.client, *target, std::move(*request));
+  started->Start(mParts.client,
+                 *target,
+                 std::string(aRequest.headers.Get(kZoneHeader)),
+                 std::move(*request));
   started->Attach(std::move(aResponder));
 }
 
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -73,7 +73,7 @@
 {
   const auto* known = mParts.targets.Find(aSampler.target.id);
   return known && !known->removedSince && !known->entry.draining &&
-         aSampler.avoidUntil <= aNow;
+         mParts.targets.Allows(*known) && aSampler.avoidUntil <= aNow;
 }
 
 sampler_state
@@ -355,15 +355,16 @@
       RequestReport(id);
     }
     const auto* known = mParts.targets.Find(id);
-    samplers.push_back(
-      { id,
-        entry.versions,
-        known && !known->removedSince && !known->entry.draining,
-        entry.order.has_value(),
-        entry.running,
-        entry.orderNotBefore,
-        entry.target.slots,
-        Capacity(entry) });
+    samplers.push_back({ id,
+                         entry.versions,
+                         known && !known->removedSince &&
+                           !known->entry.draining &&
+                           mParts.targets.Allows(*known),
+                         entry.order.has_value(),
+                         entry.running,
+                         entry.orderNotBefore,
+                         entry.target.slots,
+                         Capacity(entry) });
     if (entry.order) {
       demands[entry.order->load.model].slots +=
         std::max(0, entry.target.slots - entry.running);
@@ -408,6 +409,7 @@
   options.madeAtOnce = true;
   // Orders from two VMs count as orders of two holders.
   options.directOnly = true;
+  options.targetZone = entry.target.zone;
   mParts.client.Send(
     entry.target.address,
     mParts.protocol.MakeOrder(order, entry.target),
@@ -480,7 +482,8 @@
 sampler_pool::RequestReport(const std::string& aId)
 {
   const auto found = mSamplers.find(aId);
-  if (found == mSamplers.end() || found->second.reportPending) {
+  if (found == mSamplers.end() || found->second.reportPending ||
+      !mParts.targets.Evacuations().Allows(found->second.target.zone)) {
     return;
   }
   found->second.reportPending = true;
@@ -488,6 +491,7 @@
   options.connectTimeout = kRequestTimeout;
   options.readTimeout = kRequestTimeout;
   options.madeAtOnce = true;
+  options.targetZone = found->second.target.zone;
   mParts.client.Send(found->second.target.address,
                      mParts.protocol.MakeReportRequest(),
                      options,
--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -33,6 +33,9 @@
 /// that the target can't be reached.
 constexpr std::size_t kMaxGateways = 8;
 constexpr int kMaxUnreachable = 2;
+/// Log lines a second about requests that are held back; each holds the count
+/// of all.
+constexpr int kHeldBackLinesPerSecond = 5;
 
 std::optional<exchange_failure>
 FailureOf(gateway_error aError)
@@ -84,7 +87,9 @@
 
   void Start()
   {
-    if (mProbe || (mOwner.CutOff() && !mOptions.directOnly)) {
+    if (!Allowed()) {
+      FailLater(exchange_failure::NotSent);
+    } else if (mProbe || (mOwner.CutOff() && !mOptions.directOnly)) {
       TryGateway();
     } else {
       SendDirectly();
@@ -144,7 +149,8 @@
   void OnFailure(exchange_failure aFailure) override
   {
     mTimer.reset();
-    if (!NothingSent(aFailure)) {
+    if (!NothingSent(aFailure) ||
+        (!mProbe && !Parts().targets.Allows(mTarget, mOptions.targetZone))) {
       Fail(aFailure);
     } else if (mGateway) {
       Parts().nodes.NoteFailure(mGateway->address, Now());
@@ -163,6 +169,18 @@
 
 private:
   [[nodiscard]] const parts& Parts() const { return mOwner.mParts; }
+  /// Probes open connections and send no request.
+  [[nodiscard]] bool Allowed() const
+  {
+    return mProbe || mOwner.Allows(mTarget, mOptions.targetZone);
+  }
+  [[nodiscard]] std::function<bool()> WriteCheck() const
+  {
+    return [self = weak_from_this(), alive = std::weak_ptr<bool>(mOwnerAlive)] {
+      const auto exchange = self.lock();
+      return exchange && !alive.expired() && exchange->Allowed();
+    };
+  }
   [[nodiscard]] time_point Now() const { return mOwner.mParts.loop.Now(); }
   [[nodiscard]] milliseconds TimeLeft() const
   {
@@ -176,6 +194,7 @@
     if (!mOptions.directOnly) {
       options.connectTimeout /= kDirectConnectDivisor;
     }
+    options.mayWrite = WriteCheck();
     mInner =
       Parts().client.Send(mTarget, mRequest, options, shared_from_this());
     mTimer = Parts().loop.After(
@@ -198,6 +217,10 @@
       FailLater(mLastFailure);
       return;
     }
+    if (!Allowed()) {
+      FailLater(exchange_failure::NotSent);
+      return;
+    }
     mTried.insert(gateway->vm);
     mGateway = *gateway;
     SendToGateway();
@@ -213,6 +236,7 @@
     options.connectTimeout =
       std::min(call.options.connectTimeout, kGatewayConnectTimeout);
     options.readTimeout = mOptions.readTimeout + mOptions.connectTimeout;
+    options.mayWrite = WriteCheck();
     mGatewayError.reset();
     mInner = Parts().client.Send(mGateway->address,
                                  mProbe ? MakeGatewayProbe(call)
@@ -305,6 +329,32 @@
 
 } // namespace
 
+target_client::target_client(parts aParts)
+  : mParts(aParts)
+  , mHeldBackLines(kHeldBackLinesPerSecond)
+{
+}
+
+bool
+target_client::Allows(const socket_address& aTarget, const std::string& aZone)
+{
+  if (mParts.targets.Allows(aTarget, aZone)) {
+    return true;
+  }
+  ++mHeldBack;
+  if (mHeldBackLines.Allow("request_held_back", mParts.loop.Now())) {
+    Log(log_level::Info,
+        "request_held_back",
+        { { "address", FormatAddress(aTarget) },
+          { "zone", aZone },
+          { "reason",
+            mParts.targets.Evacuations().OrdersRead() ? "zone_evacuated"
+                                                      : "orders_not_read" },
+          { "held_back", std::to_string(mHeldBack) } });
+  }
+  return false;
+}
+
 std::shared_ptr<http_exchange>
 target_client::Send(const socket_address& aPeer,
                     http_request aRequest,
@@ -365,7 +415,8 @@
 {
   std::vector<std::pair<std::uint64_t, socket_address>> ranked;
   for (const auto& [id, known] : mParts.targets.All()) {
-    if (!known.removedSince) {
+    // A zone that is evacuated may be switched off.
+    if (!known.removedSince && mParts.targets.Allows(known)) {
       ranked.emplace_back(Hash64(id, mChecks), known.entry.address);
     }
   }
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -17,6 +17,7 @@
 /// Time from sending the message within which the target must be connected.
 constexpr const char* kConnectWithinHeader = "Ferry-Connect-Within-Ms";
 constexpr const char* kReadTimeoutHeader = "Ferry-Read-Timeout-Ms";
+constexpr const char* kZoneHeader = "Ferry-Target-Zone";
 constexpr const char* kEchoHeader = "Ferry-Echo-Header";
 constexpr const char* kErrorHeader = "Ferry-Gateway-Error";
 constexpr const char* kClockHeader = "Ferry-Time";
@@ -70,6 +71,9 @@
   if (!aCall.options.echoHeader.empty()) {
     message.headers.Add(kEchoHeader, aCall.options.echoHeader);
   }
+  if (!aCall.options.targetZone.empty()) {
+    message.headers.Add(kZoneHeader, aCall.options.targetZone);
+  }
   if (aCall.sentAt) {
     message.headers.Add(kSentAtHeader, std::to_string(*aCall.sentAt));
   }
@@ -90,6 +94,7 @@
   call.options.connectTimeout = milliseconds(*connectWithin);
   call.options.readTimeout = milliseconds(*readTimeout);
   call.options.echoHeader = aHeaders.Get(kEchoHeader);
+  call.options.targetZone = aHeaders.Get(kZoneHeader);
   call.sentAt = ParseInteger(aHeaders.Get(kSentAtHeader));
   return call;
 }
@@ -193,7 +198,7 @@
     SendError(mLoop, *aResponder, gateway_error::Malformed);
     return;
   }
-  if (mStopping || mTargets.CutOff()) {
+  if (mStopping || mTargets.CutOff() || !mTargets.OrdersRead()) {
     SendError(mLoop, *aResponder, gateway_error::CutOff);
     return;
   }
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -82,12 +82,30 @@
 }
 
 bool
-target_view::Fits(const known_target& aTarget, const target_query& aQuery)
+target_view::Fits(const known_target& aTarget, const target_query& aQuery) const
 {
   const target_entry& entry = aTarget.entry;
   return entry.service == aQuery.service && !entry.draining &&
          (!aQuery.software || entry.software == *aQuery.software) &&
-         !aQuery.excluded.contains(entry.id);
+         !aQuery.excluded.contains(entry.id) && Allows(aTarget);
+}
+
+bool
+target_view::Allows(const socket_address& aAddress,
+                    const std::string& aZone) const
+{
+  if (mEvacuations.AllowsAll()) {
+    return true;
+  }
+  if (!aZone.empty()) {
+    return mEvacuations.Allows(aZone);
+  }
+  const auto found =
+    std::find_if(mTargets.begin(), mTargets.end(), [&](const auto& aEntry) {
+      return aEntry.second.entry.address == aAddress;
+    });
+  // A target that isn't known may be in an evacuated zone.
+  return found != mTargets.end() && Allows(found->second);
 }
 
 std::string
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -260,7 +260,12 @@
     loop.Post(std::chrono::milliseconds(1), [this, &aNode, aSent] {
       switch (aNode.link) {
         case link_state::Up:
-          Arrive(aSent);
+          // As the client does when the connection is made.
+          if (aSent->options.mayWrite && !aSent->options.mayWrite()) {
+            aSent->Fail(exchange_failure::NotSent);
+          } else {
+            Arrive(aSent);
+          }
           break;
         case link_state::Silent:
           loop.Post(aSent->options.connectTimeout,
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -164,6 +164,29 @@
   test.RunUntil([&] { return test.listener->Idle(); });
 }
 
+// Guards against a request that goes out although it was forbidden while its
+// connection was being made.
+TEST_CASE("a request is checked again when its connection is made")
+{
+  net_test test;
+  exchange_options options;
+  bool allowed = false;
+  int asked = 0;
+  options.mayWrite = [&] {
+    ++asked;
+    return allowed;
+  };
+  auto sent = test.Send("POST", "/a", options);
+  CHECK(asked == 0);
+  test.RunUntil([&] { return sent->failure.has_value(); });
+  CHECK(*sent->failure == exchange_failure::NotSent);
+  CHECK(asked == 1);
+  allowed = true;
+  sent = test.Send("POST", "/a", options);
+  test.RunUntil([&] { return sent->response.has_value(); });
+  CHECK(test.handler.handled == 1);
+}
+
 TEST_CASE("a handler that drops its responder closes the connection")
 {
   net_test test;
--- a/tests/unit/cut_off_leader_test.cpp
+++ b/tests/unit/cut_off_leader_test.cpp
@@ -32,6 +32,7 @@
         entry.zone = "z";
         added->node.UpdateTarget(entry);
       }
+      added->node.NoteOrdersRead();
       added->node.Start();
     }
   }
