Limit the starts at cold targets over all nodes

A target that has just started, or is back after an outage, crashes when it gets the load of a warm one (cold-start-s, coldstart-per-s of a service). Nodes now take a target for cold by its records (cold-left-ms) and responses (Arbutusferry-Cold-Ms), and presume it after failed exchanges, after its zone's evacuation, and for new processes whose record lacks the figure. The rate is a second source of target_limit, so that the leader grants each start; the lower rate binds. Grants are used within 250 ms and sent within 200 ms, through whichever nodes, relays refuse granted runs that were held up, and each node on the way refuses what was sent as to a warm target. Items start at cold samplers only while the leadership was confirmed as recently as for grants; warm targets come first.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -56,6 +56,9 @@
     /// Whether runs may start now. False while the term is unconfirmed, since a
     /// later leader may have ended batches.
     std::function<bool()> mayStartRuns;
+    /// Whether runs may start at cold samplers, where the starts of two leaders
+    /// would add up. Unset, the same as `mayStartRuns`.
+    std::function<bool()> mayStartCold = {};
   };
 
   /// @param aFence Fencing token of the term; also the epoch of the journal.
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/enum_names.hpp"
+#include "zones/cold_state.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -73,6 +74,8 @@
   std::string name;
   std::optional<scaling_bounds> scaling;
   std::vector<std::string> models;
+  /// What its targets can take while they are cold, if they may be.
+  std::optional<cold_rate> coldRate;
 };
 
 struct team_entry
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -142,6 +142,8 @@
   void HandOverIfCutOff();
   void RunLeaderDuties();
   void SetZoneMetrics();
+  /// Applies the cold rates of the environment's services.
+  void ApplyColdRates();
 
   parts mParts;
   node_settings mSettings;
--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/address.hpp"
+#include "arbutusferry/enum_names.hpp"
 #include "arbutusferry/node/http_message.hpp"
 #include "arbutusferry/time.hpp"
 
@@ -60,6 +61,18 @@
   virtual void OnFailure(exchange_failure aFailure) = 0;
 };
 
+/// By what right a request may start at a target that may be cold.
+enum class start_right
+{
+  Any,     ///< Not counted among a cold target's requests.
+  Warm,    ///< The sender took the target for warm.
+  Granted, ///< The leader granted the start, within the connect timeout.
+};
+
+/// Connect timeout of granted starts at cold targets: many times a round trip
+/// within a region. Late arrivals add to the requests of a later second.
+inline constexpr std::chrono::milliseconds kColdConnectTimeout{ 200 };
+
 struct exchange_options
 {
   /// Longest time to establish a connection.
@@ -79,6 +92,7 @@
   bool directOnly = false;
   /// Zone of the target that gets the request, if the sender knows it.
   std::string targetZone;
+  start_right start = start_right::Any;
   /// Asked right before the request is written. If it says no, the exchange
   /// fails with `NotSent`.
   std::function<bool()> mayWrite;
@@ -144,3 +158,13 @@
 };
 
 } // namespace arbutusferry::node
+
+template<>
+inline constexpr std::array
+  arbutusferry::kEnumNames<arbutusferry::node::start_right>{
+    std::pair{ arbutusferry::node::start_right::Any, std::string_view("any") },
+    std::pair{ arbutusferry::node::start_right::Warm,
+               std::string_view("warm") },
+    std::pair{ arbutusferry::node::start_right::Granted,
+               std::string_view("granted") },
+  };
--- a/include/arbutusferry/node/item_run.hpp
+++ b/include/arbutusferry/node/item_run.hpp
@@ -64,7 +64,9 @@
            item_call aCall);
 
   /// Sends the request to the sampler.
-  void Start(http_client& aClient, const target_entry& aTarget);
+  void Start(http_client& aClient,
+             const target_entry& aTarget,
+             start_right aRight = start_right::Any);
   /// Sends the request through a node that keeps the stream if the leader is
   /// lost.
   /// @param aSentAt The node's estimated clock in milliseconds.
@@ -72,7 +74,8 @@
                     run_location aPlace,
                     std::uint64_t aFence,
                     std::optional<std::int64_t> aSentAt,
-                    const target_entry& aTarget);
+                    const target_entry& aTarget,
+                    start_right aRight = start_right::Any);
   /// Reads, from its start, a relayed stream that an earlier leader began.
   /// @param aKnownEvents Events of the item that the observer has already.
   void Attach(http_client& aClient,
@@ -117,7 +120,8 @@
   void Send(http_client& aClient,
             const socket_address& aPeer,
             http_request aRequest,
-            std::string aZone = {});
+            const target_entry* aTarget = nullptr,
+            start_right aRight = start_right::Any);
   [[nodiscard]] run_outcome RelayErrorEnd() const noexcept;
 
   run_observer* mObserver; ///< Null after the end.
--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -21,6 +21,7 @@
   bool usable = true; ///< Registered, not draining, not in backoff.
   /// Items that its limit allows to start now.
   int startsAvailable = std::numeric_limits<int>::max();
+  bool cold = false;
   std::map<std::string, std::int64_t> versions; ///< Weights by model.
   std::string loading; ///< Model whose weights are being loaded, or empty.
   /// The load may have ended: one item may be sent as a probe.
--- a/include/arbutusferry/node/limit_coordinator.hpp
+++ b/include/arbutusferry/node/limit_coordinator.hpp
@@ -32,7 +32,7 @@
   /// @param aMaxWait Longest useful wait for it.
   /// @param aDone May be called at once.
   virtual void Request(const std::string& aTarget,
-                       const request_limit& aLimit,
+                       const start_limits& aLimits,
                        std::chrono::milliseconds aMaxWait,
                        std::function<void(const admission&)> aDone) = 0;
 };
@@ -60,9 +60,20 @@
   }
 
   void Request(const std::string& aTarget,
-               const request_limit& aLimit,
+               const start_limits& aLimits,
                std::chrono::milliseconds aMaxWait,
                std::function<void(const admission&)> aDone) override;
+  /// @return Whether this node may grant starts now.
+  [[nodiscard]] bool MayGrant() const { return mParts.mayGrant(); }
+  /// @return Starts at cold targets that this node has granted and refused.
+  [[nodiscard]] std::uint64_t ColdGranted() const noexcept
+  {
+    return mColdGranted;
+  }
+  [[nodiscard]] std::uint64_t ColdRefused() const noexcept
+  {
+    return mColdRefused;
+  }
   /// @return Whether a path addresses a request for admission.
   [[nodiscard]] static bool IsAdmissionPath(std::string_view aPath);
   /// Answers the request of another node for admission.
@@ -70,12 +81,19 @@
 
 private:
   [[nodiscard]] admission Grant(const std::string& aTarget,
-                                const request_limit& aLimit,
+                                const start_limits& aLimits,
                                 std::chrono::milliseconds aMaxWait);
+  /// @return What counts a start: the target's own limit, or that of nodes
+  /// which take a warm target for cold.
+  [[nodiscard]] target_limit& CounterOf(const std::string& aTarget,
+                                        target_view::known_target& aKnown,
+                                        const start_limits& aLimits);
 
   parts mParts;
   /// The leader gave no answer; it isn't asked before this time.
   time_point mLeaderAvoidUntil;
+  std::uint64_t mColdGranted = 0;
+  std::uint64_t mColdRefused = 0;
   /// Expires with the coordinator, so that late responses are ignored.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/include/arbutusferry/node/request_limit.hpp
+++ b/include/arbutusferry/node/request_limit.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/time.hpp"
 
+#include <chrono>
 #include <optional>
 
 namespace arbutusferry::node {
@@ -18,6 +19,8 @@
   bool present = false;
   /// Requests per second; empty if the response names no readable rate.
   std::optional<double> perSecond;
+  /// Time until the target is warm; empty if the response doesn't tell.
+  std::optional<std::chrono::milliseconds> coldLeft = std::nullopt;
 };
 
 /// A rate that a target has named.
@@ -27,7 +30,22 @@
   time_point namedAt; ///< Arrival of the last response that named it.
 };
 
-/// The limit that a target names, and the starts of requests under it (generic
+/// The rate of a target that is taken for cold.
+struct cold_limit
+{
+  double perSecond = 0;
+  time_point knownSince; ///< When the node learned that the target is cold.
+};
+
+/// All that binds the starts at a target, as one node knows it.
+struct start_limits
+{
+  std::optional<request_limit> named;
+  std::optional<cold_limit> cold;
+};
+
+/// The limit that a target names, the rate that it can take while it is cold,
+/// the lower of which is in force, and the starts of requests under it (generic
 /// cell rate algorithm). Without a limit, requests start at once.
 class target_limit
 {
@@ -55,6 +73,15 @@
   {
     return mNamed;
   }
+  /// Sets the rate of a cold target, or that it is warm. The burst of a target
+  /// that has become limited is spent.
+  void SetColdRate(std::optional<double> aPerSecond, time_point aNow);
+  [[nodiscard]] const std::optional<double>& ColdRate() const noexcept
+  {
+    return mColdRate;
+  }
+  /// @return Whether starts need a grant.
+  [[nodiscard]] bool Limited() const noexcept { return mNamed || mColdRate; }
 
   /// @return The earliest start of another request.
   [[nodiscard]] time_point NextStart(time_point aNow) const;
@@ -66,11 +93,15 @@
 
 private:
   void Set(const request_limit& aLimit, time_point aNow);
+  /// Adapts the next start to a change of the rate.
+  /// @param aAdded Whether there was no limit before.
+  void ChangeRate(bool aAdded, time_point aNow);
   /// @return The time between two starts.
   [[nodiscard]] duration Interval() const;
 
   int mBurst;
   std::optional<request_limit> mNamed;
+  std::optional<double> mColdRate;
   time_point mUnlimitedAt; ///< Last response that ended a limit or had none.
   /// Start of the next request if all requests were evenly spaced.
   time_point mNext;
--- a/include/arbutusferry/node/run_relay.hpp
+++ b/include/arbutusferry/node/run_relay.hpp
@@ -43,7 +43,8 @@
                std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
                const http_request& aRequest,
-               const std::string& aZone = {});
+               const std::string& aZone = {},
+               start_right aRight = start_right::Any);
 [[nodiscard]] http_request
 MakeRelayedAttach(const std::string& aRun, std::uint64_t aFence);
 [[nodiscard]] http_request
--- a/include/arbutusferry/node/target_client.hpp
+++ b/include/arbutusferry/node/target_client.hpp
@@ -26,7 +26,7 @@
     event_loop& loop;
     http_client& client;
     node_directory& nodes;
-    const target_view& targets;
+    target_view& targets;
   };
 
   explicit target_client(parts aParts);
@@ -73,6 +73,10 @@
   /// @return Whether a request may be sent to a target now. Logs if not.
   [[nodiscard]] bool Allows(const socket_address& aTarget,
                             const std::string& aZone);
+  /// Counts and logs a request that is held back.
+  void NoteHeldBack(const socket_address& aTarget,
+                    const std::string& aZone,
+                    const char* aReason);
 
   parts mParts;
   reach_monitor mMonitor;
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/node/request_limit.hpp"
 #include "arbutusferry/node/software_history.hpp"
 #include "arbutusferry/time.hpp"
+#include "zones/cold_state.hpp"
 #include "zones/evacuations.hpp"
 
 #include <cstdint>
@@ -31,6 +32,8 @@
   /// Start time; distinguishes two starts of one id.
   std::int64_t bornUnixMs = 0;
   std::map<std::string, std::int64_t> modelVersions;
+  /// Time until it is warm, as of the writing; empty if the record lacks it.
+  std::optional<std::chrono::milliseconds> coldLeft;
 };
 
 /// Which targets may serve a plain request.
@@ -67,6 +70,10 @@
     int failures = 0; ///< In a row.
     int outstanding = 0;
     target_limit limit;
+    cold_state cold;
+    /// Starts that the leader grants to nodes that take the target for cold
+    /// while it is known to be warm.
+    target_limit doubtedStarts;
     /// Earliest start that the leader offers while the target has a limit.
     time_point nextStart;
   };
@@ -87,6 +94,28 @@
   [[nodiscard]] bool Allows(const socket_address& aAddress,
                             const std::string& aZone) const;
 
+  /// Sets the services whose targets may be cold.
+  void SetColdRates(std::map<std::string, cold_rate> aRates, time_point aNow);
+  /// Takes a target as cold until a later record tells otherwise.
+  void PresumeCold(const std::string& aId,
+                   cold_reason aReason,
+                   time_point aNow);
+  /// As `PresumeCold`, for the target at an address.
+  void NoteBroken(const socket_address& aAddress, time_point aNow);
+  /// Takes the targets of a zone as cold, whose evacuation has ended.
+  void NoteZoneBack(const std::string& aZone, time_point aNow);
+  /// @return Whether the target at an address is taken for cold.
+  [[nodiscard]] bool ColdAt(const socket_address& aAddress) const;
+  /// @return The number of targets that are taken for cold.
+  [[nodiscard]] std::size_t CountCold() const;
+  /// @return Whether targets of a service may be cold.
+  [[nodiscard]] bool HasColdRates() const noexcept
+  {
+    return !mColdRates.empty();
+  }
+  /// @return What binds the starts at a target.
+  [[nodiscard]] static start_limits LimitsOf(const known_target& aTarget);
+
   /// Adds or changes a target.
   void Update(const target_entry& aEntry, time_point aNow);
   /// Notes that the registry removed a target.
@@ -105,9 +134,9 @@
   }
 
   /// Chooses a target for a plain request: in the own zone while that has free
-  /// slots, with the fewest outstanding requests. One that has named a limit
-  /// recently is chosen only if the others failed recently or were tried; one
-  /// that failed recently or was tried only if no other is left.
+  /// slots, with the fewest outstanding requests. One that is cold or has named
+  /// a limit recently is chosen only if the others failed recently or were
+  /// tried; one that failed recently or was tried only if no other is left.
   /// @return The target's id, or empty.
   [[nodiscard]] std::string Choose(const target_query& aQuery,
                                    time_point aNow) const;
@@ -136,8 +165,21 @@
   [[nodiscard]] bool Fits(const known_target& aTarget,
                           const target_query& aQuery) const;
 
+  [[nodiscard]] const cold_rate* ColdRateOf(const known_target& aTarget) const;
+  /// Applies a record to what is known of a target's coldness.
+  void NoteColdRecord(known_target& aTarget, bool aNew, time_point aNow);
+  /// Sets a target's rate by whether it is cold now.
+  void SyncColdRate(known_target& aTarget, time_point aNow);
+  void PresumeCold(known_target& aTarget,
+                   cold_reason aReason,
+                   time_point aFrom,
+                   time_point aNow);
+
   std::map<std::string, known_target> mTargets;
   evacuations mEvacuations;
+  std::map<std::string, cold_rate> mColdRates; ///< By service.
+  /// When the evacuations of zones ended.
+  std::map<std::string, time_point> mZonesBack;
 };
 
 } // namespace arbutusferry::node
--- a/src/node/batch_moves.cpp
+++ b/src/node/batch_moves.cpp
@@ -97,6 +97,7 @@
     mPool.CancelRun(run);
     if (silent && !nodeSilent) {
       mPool.NoteSilence(run->Sampler());
+      mParts.targets.PresumeCold(run->Sampler(), cold_reason::Broken, now);
     }
   }
 }
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -143,9 +143,24 @@
   batch& owner = *mBatches.Find(aItem.batch);
   item_state& item = owner.Items()[aItem.index];
   const time_point now = mParts.loop.Now();
-  if (!target || !target->limit.Reserve(now, now)) {
+  if (!target) {
     return false;
   }
+  const bool cold = target->limit.ColdRate().has_value();
+  if (cold && mParts.mayStartCold && !mParts.mayStartCold()) {
+    return false;
+  }
+  const bool reserved = target->limit.Reserve(now, now).has_value();
+  if (cold) {
+    mParts.metrics.Count("ferry_cold_item_starts_total",
+                         { { "outcome", reserved ? "granted" : "refused" } });
+  }
+  if (!reserved) {
+    return false;
+  }
+  const start_right right = !mParts.targets.HasColdRates() ? start_right::Any
+                            : cold ? start_right::Granted
+                                   : start_right::Warm;
   const auto run = MakeRun(owner,
                            aItem.index,
                            aSampler,
@@ -174,7 +189,7 @@
         { "events", std::to_string(item.progress.events.size()) } });
   if (!relay) {
     item.progress.location.reset();
-    run->Start(mParts.targetClient, target->entry);
+    run->Start(mParts.targetClient, target->entry, right);
     return true;
   }
   item.progress.location = { std::to_string(mFence) + "-" +
@@ -186,7 +201,8 @@
                     *item.progress.location,
                     mFence,
                     mParts.nodes.ClockOf(relay->vm, now),
-                    target->entry);
+                    target->entry,
+                    right);
   return true;
 }
 
@@ -287,6 +303,10 @@
 batch_leader::OnRunEnded(const item_run& aRun, run_outcome aEnd)
 {
   mPool.EndRun(aRun, aEnd);
+  if (aEnd == run_outcome::Broken) {
+    mParts.targets.PresumeCold(
+      aRun.Sampler(), cold_reason::Broken, mParts.loop.Now());
+  }
   SchedulePlacement();
   if (aRun.Superseded() && !std::exchange(mSuperseded, true)) {
     mParts.superseded();
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -17,6 +17,11 @@
 /// Delay before a request is retried after all targets were full.
 constexpr milliseconds kFullRetryDelay{ 25 };
 constexpr milliseconds kConnectTimeout{ 400 };
+/// A granted start at a cold target is used within this time of the earliest
+/// time that the leader may have meant, and then sent within the connect
+/// timeout: 250 ms and 200 ms. In a second, starts of at most 1.45 s then
+/// arrive: rate * 1.45 + 4, below the rate * 1.5 + 5 that the platform allows.
+constexpr milliseconds kGrantUse{ 250 };
 /// Time before the caller's deadline at which the final response is sent, so
 /// that it arrives in time.
 constexpr milliseconds kAnswerMargin{ 20 };
@@ -125,10 +130,10 @@
     return;
   }
   mQuery.tried.push_back(chosen);
-  if (known->limit.Named()) {
+  if (known->limit.Limited()) {
     RequestAdmission(chosen);
   } else {
-    SendTo(chosen);
+    SendTo(chosen, start_right::Warm);
   }
 }
 
@@ -149,16 +154,17 @@
   mAwaitingAdmission = true;
   mParts.admission.Request(
     aTarget,
-    *known->limit.Named(),
+    target_view::LimitsOf(*known),
     maxWait,
-    [self = shared_from_this(), aTarget](const admission& aAdmission) {
-      self->OnAdmission(aTarget, aAdmission);
+    [self = shared_from_this(), aTarget, now](const admission& aAdmission) {
+      self->OnAdmission(aTarget, aAdmission, now);
     });
 }
 
 void
 forwarded_call::OnAdmission(const std::string& aTarget,
-                            const admission& aAdmission)
+                            const admission& aAdmission,
+                            time_point aAskedAt)
 {
   if (!aAdmission.granted) {
     mAwaitingAdmission = false;
@@ -170,11 +176,19 @@
     }
     return;
   }
-  const auto send = [self = shared_from_this(), aTarget] {
+  const time_point useBy = aAskedAt + aAdmission.wait + kGrantUse;
+  const auto send = [self = shared_from_this(), aTarget, useBy] {
     self->mAwaitingAdmission = false;
-    if (!self->mEnded) {
-      self->SendTo(aTarget);
+    if (self->mEnded) {
+      return;
+    }
+    const time_point present = self->mParts.loop.Now();
+    const auto* granted = self->mParts.targets.Find(aTarget);
+    if (granted && granted->limit.ColdRate() && present > useBy) {
+      self->OnNotAdmitted(milliseconds(0));
+      return;
     }
+    self->SendTo(aTarget, start_right::Granted);
   };
   if (aAdmission.wait > milliseconds(0) && !mEnded) {
     mRetryTimer = mParts.loop.After(aAdmission.wait, send);
@@ -201,7 +215,7 @@
 }
 
 void
-forwarded_call::SendTo(const std::string& aTarget)
+forwarded_call::SendTo(const std::string& aTarget, start_right aRight)
 {
   const time_point now = mParts.loop.Now();
   auto* known = mParts.targets.Find(aTarget);
@@ -222,7 +236,12 @@
   http_request request = mCall.request;
   mParts.protocol.Prepare(request, known->entry, left);
   exchange_options options;
-  options.connectTimeout = kConnectTimeout;
+  const bool cold = known->limit.ColdRate().has_value();
+  options.connectTimeout = cold ? kColdConnectTimeout : kConnectTimeout;
+  if (mParts.targets.HasColdRates()) {
+    // A grant for the target's own limit may be older than its coldness.
+    options.start = cold ? aRight : start_right::Warm;
+  }
   options.readTimeout = std::max(left, milliseconds(1'000));
   options.echoHeader = mParts.protocol.EchoHeader();
   options.targetZone = known->entry.zone;
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -168,6 +168,7 @@
       { { "version", std::to_string(aEnvironment.Version()) },
         { "before", std::to_string(mEnvironment.Version()) } });
   mEnvironment = std::move(aEnvironment);
+  ApplyColdRates();
   if (mOnEnvironment) {
     mOnEnvironment(mEnvironment);
   }
--- a/src/node/ferry_node_leadership.cpp
+++ b/src/node/ferry_node_leadership.cpp
@@ -125,6 +125,7 @@
     return mElection.ConfirmedWithin(mSettings.cancelWithin - kRunStartMargin,
                                      mParts.loop.Now());
   };
+  const auto mayStartCold = [this] { return mLimits.MayGrant(); };
   mLeader =
     std::make_unique<batch_leader>(batch_leader::parts{ mParts.loop,
                                                         mParts.client,
@@ -140,7 +141,8 @@
                                                         mSettings.batchReadable,
                                                         superseded,
                                                         mayAct,
-                                                        mayStartRuns },
+                                                        mayStartRuns,
+                                                        mayStartCold },
                                    mElection.Fence());
   for (const auto& [model, version] : mNewestVersions) {
     mLeader->SetNewestVersion(model, version);
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -49,9 +49,11 @@
   void OnStreamOrigin(const std::optional<std::string>& aSoftware);
   void TryNextTarget();
   void RequestAdmission(const std::string& aTarget);
-  void OnAdmission(const std::string& aTarget, const admission& aAdmission);
+  void OnAdmission(const std::string& aTarget,
+                   const admission& aAdmission,
+                   time_point aAskedAt);
   void OnNotAdmitted(std::chrono::milliseconds aWait);
-  void SendTo(const std::string& aTarget);
+  void SendTo(const std::string& aTarget, start_right aRight);
   /// @return Whether a ready target has not been tried.
   [[nodiscard]] bool MoreTargets() const;
   /// Tries another target at once, or all again after a delay.
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -47,12 +47,15 @@
 }
 
 void
-item_run::Start(http_client& aClient, const target_entry& aTarget)
+item_run::Start(http_client& aClient,
+                const target_entry& aTarget,
+                start_right aRight)
 {
   Send(aClient,
        aTarget.address,
        mProtocol.MakeItemRequest(mCall, aTarget),
-       aTarget.zone);
+       &aTarget,
+       aRight);
 }
 
 void
@@ -60,7 +63,8 @@
                        run_location aPlace,
                        std::uint64_t aFence,
                        std::optional<std::int64_t> aSentAt,
-                       const target_entry& aTarget)
+                       const target_entry& aTarget,
+                       start_right aRight)
 {
   mPlace = std::move(aPlace);
   Send(aClient,
@@ -70,7 +74,8 @@
                       aSentAt,
                       aTarget.address,
                       mProtocol.MakeItemRequest(mCall, aTarget),
-                      aTarget.zone));
+                      aTarget.zone,
+                      aRight));
 }
 
 void
@@ -89,11 +94,18 @@
 item_run::Send(http_client& aClient,
                const socket_address& aPeer,
                http_request aRequest,
-               std::string aZone)
+               const target_entry* aTarget,
+               start_right aRight)
 {
   exchange_options options;
-  options.targetZone = std::move(aZone);
   options.connectTimeout = kRunConnectTimeout;
+  if (aTarget) {
+    options.targetZone = aTarget->zone;
+    options.start = aRight;
+    if (aRight == start_right::Granted) {
+      options.connectTimeout = kColdConnectTimeout;
+    }
+  }
   options.readTimeout = kRunIdleTimeout;
   if (!mPlace) {
     options.echoHeader = mProtocol.EchoHeader();
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -20,6 +20,9 @@
 constexpr double kVersionBonus = 0.02;
 /// Score penalty of a sampler that may still be loading the weights.
 constexpr double kProbePenalty = 1.0;
+/// Score penalty of a cold sampler, above all other differences: warm ones come
+/// first.
+constexpr double kColdPenalty = 1'000.0;
 /// Runs leave a sampler that is slower than the median by this factor.
 constexpr double kSlowFactor = 1.8;
 /// Least silence after which a run is moved: several event intervals of a slow
@@ -92,6 +95,7 @@
     double score = std::max(1.0, relativeInterval) *
                    (1.0 + kLoadWeight * sampler.running / sampler.slots);
     score += sampler.loading == aItem.model ? kProbePenalty : 0.0;
+    score += sampler.cold ? kColdPenalty : 0.0;
     score -= sampler.assignedModel == aItem.model ? kAssignedModelBonus : 0.0;
     score -= sampler.groups.contains(aItem.group) ? kPrefixBonus : 0.0;
     score -= kVersionBonus * static_cast<double>(std::min<std::int64_t>(
--- a/src/node/limit_coordinator.cpp
+++ b/src/node/limit_coordinator.cpp
@@ -14,6 +14,11 @@
 /// Rate in requests per second, and the age of the response that named it.
 constexpr const char* kRateHeader = "Ferry-Limit";
 constexpr const char* kAgeHeader = "Ferry-Limit-Age-Ms";
+/// Rate of a target that the sender takes for cold, the age of what tells so,
+/// and whether the target has named no limit.
+constexpr const char* kColdRateHeader = "Ferry-Cold-Rate";
+constexpr const char* kColdAgeHeader = "Ferry-Cold-Age-Ms";
+constexpr const char* kColdOnlyHeader = "Ferry-Cold-Only";
 constexpr const char* kMaxWaitHeader = "Ferry-Max-Wait-Ms";
 constexpr const char* kWaitHeader = "Ferry-Wait-Ms";
 /// Time limit of a question to the leader: many times a round trip within a
@@ -34,7 +39,7 @@
 
 admission
 limit_coordinator::Grant(const std::string& aTarget,
-                         const request_limit& aLimit,
+                         const start_limits& aLimits,
                          milliseconds aMaxWait)
 {
   const time_point now = mParts.loop.Now();
@@ -42,21 +47,47 @@
   if (!known) {
     return { false, kLeaderBackoff };
   }
-  known->limit.Learn(aLimit, now);
-  const auto start = known->limit.Reserve(now + aMaxWait, now);
+  if (aLimits.named) {
+    known->limit.Learn(*aLimits.named, now);
+  }
+  target_limit& counter = CounterOf(aTarget, *known, aLimits);
+  const auto start = counter.Reserve(now + aMaxWait, now);
+  if (counter.ColdRate()) {
+    ++(start ? mColdGranted : mColdRefused);
+  }
   return { start.has_value(),
-           WaitUntil(start.value_or(known->limit.NextStart(now)), now) };
+           WaitUntil(start.value_or(counter.NextStart(now)), now) };
+}
+
+target_limit&
+limit_coordinator::CounterOf(const std::string& aTarget,
+                             target_view::known_target& aKnown,
+                             const start_limits& aLimits)
+{
+  if (!aLimits.cold || aKnown.limit.ColdRate()) {
+    return aKnown.limit;
+  }
+  const time_point now = mParts.loop.Now();
+  if (aLimits.cold->knownSince > aKnown.cold.KnownSince()) {
+    mParts.targets.PresumeCold(aTarget, cold_reason::OtherNode, now);
+  }
+  if (aKnown.limit.ColdRate() || aKnown.limit.Limited()) {
+    return aKnown.limit;
+  }
+  // This node knows better, or not yet that the service's targets may be cold.
+  aKnown.doubtedStarts.SetColdRate(aLimits.cold->perSecond, now);
+  return aKnown.doubtedStarts;
 }
 
 void
 limit_coordinator::Request(const std::string& aTarget,
-                           const request_limit& aLimit,
+                           const start_limits& aLimits,
                            milliseconds aMaxWait,
                            std::function<void(const admission&)> aDone)
 {
   const time_point now = mParts.loop.Now();
   if (mParts.mayGrant()) {
-    aDone(Grant(aTarget, aLimit, aMaxWait));
+    aDone(Grant(aTarget, aLimits, aMaxWait));
     return;
   }
   const auto leader = mParts.leader();
@@ -67,11 +98,25 @@
   http_request request;
   request.method = "POST";
   request.target.append(kAdmissionPath).append(aTarget);
+  // A leader of a build without cold targets takes the cold rate as a limit
+  // that the target has named, which is the safe side.
+  const request_limit named = aLimits.named.value_or(
+    request_limit{ aLimits.cold ? aLimits.cold->perSecond : 0.0, now });
   request.headers = {
-    { kRateHeader, std::to_string(aLimit.perSecond) },
-    { kAgeHeader, std::to_string(ToMilliseconds(now - aLimit.namedAt)) },
+    { kRateHeader, std::to_string(named.perSecond) },
+    { kAgeHeader, std::to_string(ToMilliseconds(now - named.namedAt)) },
     { kMaxWaitHeader, std::to_string(aMaxWait.count()) },
   };
+  if (aLimits.cold) {
+    request.headers.Add(kColdRateHeader,
+                        std::to_string(aLimits.cold->perSecond));
+    request.headers.Add(
+      kColdAgeHeader,
+      std::to_string(ToMilliseconds(now - aLimits.cold->knownSince)));
+    if (!aLimits.named) {
+      request.headers.Add(kColdOnlyHeader, "1");
+    }
+  }
   exchange_options options;
   options.connectTimeout = kLeaderTimeout;
   options.readTimeout = kLeaderTimeout;
@@ -125,9 +170,19 @@
   } else if (!mParts.mayGrant()) {
     response.status = 421;
   } else {
+    const time_point now = mParts.loop.Now();
+    start_limits limits;
+    if (!aRequest.headers.Find(kColdOnlyHeader)) {
+      limits.named = { *rate, now - milliseconds(*ageMs) };
+    }
+    const auto coldRate = ParseDecimal(aRequest.headers.Get(kColdRateHeader));
+    const auto coldAge = ParseInteger(aRequest.headers.Get(kColdAgeHeader));
+    if (coldRate && coldAge) {
+      limits.cold = { *coldRate, now - milliseconds(*coldAge) };
+    }
     const admission granted =
       Grant(aRequest.target.substr(kAdmissionPath.size()),
-            { *rate, mParts.loop.Now() - milliseconds(*ageMs) },
+            limits,
             milliseconds(*maxWaitMs));
     response.status = granted.granted ? 200 : 429;
     response.headers.Add(kWaitHeader, std::to_string(granted.wait.count()));
--- a/src/node/request_limit.cpp
+++ b/src/node/request_limit.cpp
@@ -45,13 +45,34 @@
 void
 target_limit::Set(const request_limit& aLimit, time_point aNow)
 {
-  const bool added = !mNamed;
-  const bool changed = added || mNamed->perSecond != aLimit.perSecond;
+  const bool added = !Limited();
+  const bool changed = !mNamed || mNamed->perSecond != aLimit.perSecond;
   mNamed = aLimit;
-  if (added) {
+  if (added || changed) {
+    ChangeRate(added, aNow);
+  }
+}
+
+void
+target_limit::SetColdRate(std::optional<double> aPerSecond, time_point aNow)
+{
+  if (aPerSecond == mColdRate) {
+    return;
+  }
+  const bool added = !Limited();
+  mColdRate = aPerSecond;
+  if (Limited()) {
+    ChangeRate(added, aNow);
+  }
+}
+
+void
+target_limit::ChangeRate(bool aAdded, time_point aNow)
+{
+  if (aAdded) {
     mNext = mLastStart = aNow;
     SpendBurst(aNow);
-  } else if (changed) {
+  } else {
     mNext = std::min(mNext, std::max(mLastStart, aNow) + mBurst * Interval());
   }
 }
@@ -59,7 +80,7 @@
 void
 target_limit::SpendBurst(time_point aNow)
 {
-  if (mNamed) {
+  if (Limited()) {
     mNext = std::max(mNext, aNow + (mBurst - 1) * Interval());
   }
 }
@@ -67,20 +88,23 @@
 duration
 target_limit::Interval() const
 {
-  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-    1.0 / std::max(mNamed->perSecond, kMinPerSecond)));
+  constexpr double unlimited = std::numeric_limits<double>::max();
+  const double perSecond = std::min(mNamed ? mNamed->perSecond : unlimited,
+                                    mColdRate.value_or(unlimited));
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(1.0 / std::max(perSecond, kMinPerSecond)));
 }
 
 time_point
 target_limit::NextStart(time_point aNow) const
 {
-  return mNamed ? std::max(aNow, mNext - (mBurst - 1) * Interval()) : aNow;
+  return Limited() ? std::max(aNow, mNext - (mBurst - 1) * Interval()) : aNow;
 }
 
 int
 target_limit::StartsAvailable(time_point aNow) const
 {
-  if (!mNamed) {
+  if (!Limited()) {
     return std::numeric_limits<int>::max();
   }
   const duration unused = aNow + mBurst * Interval() - std::max(mNext, aNow);
@@ -91,7 +115,7 @@
 target_limit::Reserve(time_point aLatest, time_point aNow)
 {
   const time_point start = NextStart(aNow);
-  if (!mNamed) {
+  if (!Limited()) {
     return start;
   }
   if (start > aLatest) {
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -17,6 +17,9 @@
 constexpr const char* kTargetHeader = "Ferry-Target";
 /// Zone of the sampler.
 constexpr const char* kZoneHeader = "Ferry-Target-Zone";
+/// By what right the run starts; absent from leaders that know of no cold
+/// targets.
+constexpr const char* kStartHeader = "Ferry-Start";
 constexpr const char* kFenceHeader = "Ferry-Fence";
 constexpr const char* kErrorHeader = "Ferry-Relay-Error";
 constexpr const char* kSentAtHeader = "Ferry-Sent-At";
@@ -34,6 +37,10 @@
 /// clock is wrong. Part of `kRunStartMargin` in ferry_node.cpp.
 constexpr milliseconds kMaxTransitTime{ 1'000 };
 
+/// The same for a start that was granted at a cold sampler, where late arrivals
+/// add to the requests of a later second.
+constexpr milliseconds kMaxColdTransitTime{ 250 };
+
 /// Time for which a run goes on without a leader: a new one claims leadership
 /// within about 3 s and then reads the journal.
 constexpr milliseconds kOrphanRetention{ 5'000 };
@@ -48,6 +55,13 @@
   return ToMilliseconds(aLoop.Now().time_since_epoch());
 }
 
+start_right
+RightOf(const http_request& aRequest)
+{
+  return ParseEnum<start_right>(aRequest.headers.Get(kStartHeader))
+    .value_or(start_right::Warm);
+}
+
 void
 SendError(const event_loop& aLoop,
           responder& aResponder,
@@ -81,12 +95,16 @@
                std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
                const http_request& aRequest,
-               const std::string& aZone)
+               const std::string& aZone,
+               start_right aRight)
 {
   http_request request = MakeRunRequest("POST", aRun);
   if (!aZone.empty()) {
     request.headers.Add(kZoneHeader, aZone);
   }
+  if (aRight != start_right::Any) {
+    request.headers.Add(kStartHeader, std::string(EnumName(aRight)));
+  }
   if (aSentAt) {
     request.headers.Add(kSentAtHeader, std::to_string(*aSentAt));
   }
@@ -157,10 +175,13 @@
   void Start(http_client& aClient,
              const socket_address& aTarget,
              std::string aZone,
+             start_right aRight,
              http_request aRequest)
   {
     exchange_options options;
-    options.connectTimeout = kRunConnectTimeout;
+    options.connectTimeout =
+      aRight == start_right::Granted ? kColdConnectTimeout : kRunConnectTimeout;
+    options.start = aRight;
     options.readTimeout = kRunIdleTimeout;
     options.echoHeader = mProtocol.EchoHeader();
     options.targetZone = std::move(aZone);
@@ -359,8 +380,10 @@
   } else if (aRequest.method == "POST") {
     const auto sentAt = ParseInteger(aRequest.headers.Get(kSentAtHeader));
     const std::int64_t transit = ClockMs(mParts.loop) - sentAt.value_or(0);
-    if (!sentAt || transit < -kMaxTransitTime.count() ||
-        transit > kMaxTransitTime.count()) {
+    const milliseconds longest = RightOf(aRequest) == start_right::Granted
+                                   ? kMaxColdTransitTime
+                                   : kMaxTransitTime;
+    if (!sentAt || transit < -longest.count() || transit > longest.count()) {
       SendError(mParts.loop, *aResponder, relay_error::Late);
       return;
     }
@@ -402,6 +425,7 @@
   started->Start(mParts.client,
                  *target,
                  std::string(aRequest.headers.Get(kZoneHeader)),
+                 RightOf(aRequest),
                  std::move(*request));
   started->Attach(std::move(aResponder));
 }
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -88,6 +88,7 @@
   state.usable = Usable(aSampler, now);
   if (const auto* known = mParts.targets.Find(aId)) {
     state.startsAvailable = known->limit.StartsAvailable(now);
+    state.cold = known->limit.ColdRate().has_value();
   }
   state.versions = aSampler.versions;
   if (ProbeDue(aSampler)) {
--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -149,7 +149,10 @@
   void OnFailure(exchange_failure aFailure) override
   {
     mTimer.reset();
-    if (!NothingSent(aFailure) ||
+    if (!mGateway && !mHeldBack && !mProbe) {
+      Parts().targets.NoteBroken(mTarget, Now());
+    }
+    if (!NothingSent(aFailure) || mHeldBack ||
         (!mProbe && !Parts().targets.Allows(mTarget, mOptions.targetZone))) {
       Fail(aFailure);
     } else if (mGateway) {
@@ -170,11 +173,30 @@
 private:
   [[nodiscard]] const parts& Parts() const { return mOwner.mParts; }
   /// Probes open connections and send no request.
-  [[nodiscard]] bool Allowed() const
+  [[nodiscard]] bool Allowed()
+  {
+    mHeldBack = !mProbe && (!mOwner.Allows(mTarget, mOptions.targetZone) ||
+                            !StartAllowed());
+    return !mHeldBack;
+  }
+  /// A grant is for one time, since which the target may have got others; a
+  /// target that was warm at the decision may be cold now.
+  [[nodiscard]] bool StartAllowed()
   {
-    return mProbe || mOwner.Allows(mTarget, mOptions.targetZone);
+    const char* reason = nullptr;
+    if (mOptions.start == start_right::Warm &&
+        Parts().targets.ColdAt(mTarget)) {
+      reason = "cold";
+    } else if (mOptions.start == start_right::Granted &&
+               TimeLeft() < milliseconds(0)) {
+      reason = "grant_too_old";
+    }
+    if (reason) {
+      mOwner.NoteHeldBack(mTarget, mOptions.targetZone, reason);
+    }
+    return !reason;
   }
-  [[nodiscard]] std::function<bool()> WriteCheck() const
+  [[nodiscard]] std::function<bool()> WriteCheck()
   {
     return [self = weak_from_this(), alive = std::weak_ptr<bool>(mOwnerAlive)] {
       const auto exchange = self.lock();
@@ -253,6 +275,9 @@
       return;
     }
     const auto failure = FailureOf(aError);
+    if (failure && !mProbe) {
+      Parts().targets.NoteBroken(mTarget, Now());
+    }
     if (failure && !NothingSent(*failure)) {
       Fail(*failure);
       return;
@@ -293,7 +318,8 @@
   http_request mRequest;
   exchange_options mOptions;
   std::shared_ptr<response_sink> mSink;
-  bool mProbe; ///< Asks gateways for a probe instead of sending.
+  bool mHeldBack = false; ///< Nothing was sent by this node's decision.
+  bool mProbe;            ///< Asks gateways for a probe instead of sending.
   time_point mStarted;
   std::shared_ptr<http_exchange> mInner;
   std::optional<node_entry> mGateway; ///< Nothing on a direct connection.
@@ -341,18 +367,25 @@
   if (mParts.targets.Allows(aTarget, aZone)) {
     return true;
   }
+  NoteHeldBack(
+    aTarget, aZone, OrdersRead() ? "zone_evacuated" : "orders_not_read");
+  return false;
+}
+
+void
+target_client::NoteHeldBack(const socket_address& aTarget,
+                            const std::string& aZone,
+                            const char* aReason)
+{
   ++mHeldBack;
   if (mHeldBackLines.Allow("request_held_back", mParts.loop.Now())) {
     Log(log_level::Info,
         "request_held_back",
         { { "address", FormatAddress(aTarget) },
           { "zone", aZone },
-          { "reason",
-            mParts.targets.Evacuations().OrdersRead() ? "zone_evacuated"
-                                                      : "orders_not_read" },
+          { "reason", aReason },
           { "held_back", std::to_string(mHeldBack) } });
   }
-  return false;
 }
 
 std::shared_ptr<http_exchange>
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -18,6 +18,8 @@
 constexpr const char* kConnectWithinHeader = "Ferry-Connect-Within-Ms";
 constexpr const char* kReadTimeoutHeader = "Ferry-Read-Timeout-Ms";
 constexpr const char* kZoneHeader = "Ferry-Target-Zone";
+/// By what right the request starts; absent from builds without cold targets.
+constexpr const char* kStartHeader = "Ferry-Start";
 constexpr const char* kEchoHeader = "Ferry-Echo-Header";
 constexpr const char* kErrorHeader = "Ferry-Gateway-Error";
 constexpr const char* kClockHeader = "Ferry-Time";
@@ -74,6 +76,10 @@
   if (!aCall.options.targetZone.empty()) {
     message.headers.Add(kZoneHeader, aCall.options.targetZone);
   }
+  if (aCall.options.start != start_right::Any) {
+    message.headers.Add(kStartHeader,
+                        std::string(EnumName(aCall.options.start)));
+  }
   if (aCall.sentAt) {
     message.headers.Add(kSentAtHeader, std::to_string(*aCall.sentAt));
   }
@@ -94,6 +100,8 @@
   call.options.connectTimeout = milliseconds(*connectWithin);
   call.options.readTimeout = milliseconds(*readTimeout);
   call.options.echoHeader = aHeaders.Get(kEchoHeader);
+  call.options.start = ParseEnum<start_right>(aHeaders.Get(kStartHeader))
+                         .value_or(start_right::Any);
   call.options.targetZone = aHeaders.Get(kZoneHeader);
   call.sentAt = ParseInteger(aHeaders.Get(kSentAtHeader));
   return call;
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -39,7 +39,8 @@
 void
 target_view::Update(const target_entry& aEntry, time_point aNow)
 {
-  known_target& known = mTargets[aEntry.id];
+  const auto [at, added] = mTargets.try_emplace(aEntry.id);
+  known_target& known = at->second;
   const bool restarted = known.entry.bornUnixMs != aEntry.bornUnixMs ||
                          known.entry.address != aEntry.address;
   if (restarted) {
@@ -53,6 +54,7 @@
   }
   known.entry = aEntry;
   known.removedSince.reset();
+  NoteColdRecord(known, added || restarted, aNow);
 }
 
 void
@@ -72,6 +74,11 @@
            aNow - *known.removedSince >= kRemovedTargetRetention &&
            known.outstanding == 0;
   });
+  if (HasColdRates()) {
+    for (auto& [id, known] : mTargets) {
+      SyncColdRate(known, aNow);
+    }
+  }
 }
 
 target_view::known_target*
@@ -125,11 +132,13 @@
       std::find(aQuery.tried.begin(), aQuery.tried.end(), id) !=
       aQuery.tried.end();
     const auto& limit = known.limit.Named();
+    const bool cold = known.limit.ColdRate().has_value();
     const rank candidate{
       known.removedSince.has_value(),
       tried,
-      known.avoidUntil > aNow || (limit && known.nextStart > aNow),
-      limit && aNow - limit->namedAt < kLimitRecheck,
+      known.avoidUntil > aNow ||
+        (known.limit.Limited() && known.nextStart > aNow),
+      cold || (limit && aNow - limit->namedAt < kLimitRecheck),
       entry.zone != aQuery.zone ||
         known.outstanding >=
           entry.slots -
@@ -169,6 +178,7 @@
 {
   for (auto& [id, known] : mTargets) {
     known.limit.SpendBurst(aNow);
+    known.doubtedStarts.SpendBurst(aNow);
   }
 }
 
@@ -208,6 +218,10 @@
                        time_point aNow)
 {
   known_target* known = Find(aId);
+  if (known && aNotice.coldLeft && ColdRateOf(*known)) {
+    known->cold.NoteResponse(*aNotice.coldLeft, aNow);
+    SyncColdRate(*known, aNow);
+  }
   if (!known || !known->limit.Note(aNotice, aGenuine, aSentAt, aNow)) {
     return;
   }
--- a/src/zones/ferry_node_zones.cpp
+++ b/src/zones/ferry_node_zones.cpp
@@ -40,6 +40,7 @@
   Log(log_level::Warning,
       "evacuation_lifted",
       { { "zone", aZone }, { "offset", std::to_string(aOffset) } });
+  mTargets.NoteZoneBack(aZone, mParts.loop.Now());
   if (mLeader) {
     mLeader->OnTargetsChanged();
   }
@@ -60,9 +61,31 @@
   }
 }
 
+void
+ferry_node::ApplyColdRates()
+{
+  std::map<std::string, cold_rate> rates;
+  for (const service_entry& service : mEnvironment.Services()) {
+    if (service.coldRate) {
+      rates[service.name] = *service.coldRate;
+    }
+  }
+  mTargets.SetColdRates(std::move(rates), mParts.loop.Now());
+}
+
 void
 ferry_node::SetZoneMetrics()
 {
+  if (mTargets.HasColdRates()) {
+    mMetrics.SetGauge(
+      "ferry_cold_targets", {}, static_cast<double>(mTargets.CountCold()));
+    mMetrics.SetGauge("ferry_cold_starts_granted",
+                      {},
+                      static_cast<double>(mLimits.ColdGranted()));
+    mMetrics.SetGauge("ferry_cold_starts_refused",
+                      {},
+                      static_cast<double>(mLimits.ColdRefused()));
+  }
   if (mTargets.Evacuations().EverOrdered()) {
     mMetrics.SetGauge("ferry_evacuated_zones",
                       {},
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -43,6 +43,7 @@
     bool up = true;
     int starts = 1;
     std::vector<std::shared_ptr<scripted_client::sent>> running;
+    std::vector<time_point> arrivals; ///< Of requests that it runs.
   };
 
   struct fleet_node
@@ -72,8 +73,15 @@
     limit_coordinator limits{ { fleet.loop,
                                 client,
                                 targets,
-                                [] { return true; },
-                                [] { return std::nullopt; } } };
+                                [this] {
+                                  return fleet.leader.value_or(index) == index;
+                                },
+                                [this]() -> std::optional<socket_address> {
+                                  if (!fleet.leader || *fleet.leader < 0) {
+                                    return std::nullopt;
+                                  }
+                                  return NodeAddress(*fleet.leader);
+                                } } };
     target_client targetClient{ { fleet.loop, client, directory, targets } };
     target_gateway gateway{ fleet.loop, targetClient };
     crash_watch crashes{ { fleet.loop, targetClient, log } };
@@ -215,6 +223,8 @@
   metrics_registry metrics;
   std::vector<std::unique_ptr<fleet_node>> nodes;
   std::vector<target> targets;
+  /// Index of the node that grants starts; -1 if none does. Unset, each does.
+  std::optional<int> leader;
   duration downTime = std::chrono::milliseconds(2'900);
   /// Time by which a process that ends closes its connections first.
   duration endDelay{};
@@ -325,6 +335,7 @@
       longestDeadline,
       ParseInteger(aSent->request.headers.Get("Arbutusferry-Deadline-Ms"))
         .value_or(0));
+    found.arrivals.push_back(loop.Now());
     found.running.push_back(aSent);
     const auto index = static_cast<std::size_t>(&found - targets.data());
     loop.Post(kRunTime, [this, index, aSent, crashes] {
