Keep requests in the home regions of their route and team

allowed-regions of a route or a team in the environment document was ignored, so requests and their bodies could reach any region. Settings may now give each zone's region; both lists bind.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -185,6 +185,9 @@
                               const std::string& aSampler);
   /// Attaches to relayed streams of an earlier leader's runs.
   void AttachRuns();
+  /// @return The regions that an item and its reward calls may reach.
+  [[nodiscard]] home_regions HomesOf(const batch& aBatch,
+                                     std::size_t aIndex) const;
   [[nodiscard]] std::shared_ptr<item_run> MakeRun(batch& aBatch,
                                                   std::size_t aIndex,
                                                   const std::string& aSampler,
--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -37,6 +37,7 @@
   std::string streamOrigin;
   /// Whether to prefer targets with slots left for callers' own requests.
   bool leavesSlots = false;
+  home_regions homes; ///< Regions that it may reach.
   /// Called for each error response of a target, if set.
   std::function<void()> onTargetError;
 };
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -2,6 +2,7 @@
 
 #include "arbutusferry/enum_names.hpp"
 #include "zones/cold_state.hpp"
+#include "zones/home_regions.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -55,6 +56,7 @@
   int maxAttempts = 1;        ///< Targets one request may be sent to.
   bool open = false;          ///< Needs no key.
   bool resumable = false;     ///< Streams may continue at another target.
+  home_regions homes;         ///< Regions that its requests may reach.
   bool singleVersion = false; ///< All of a sample has one weight version.
   std::chrono::milliseconds resultDue{ 0 };
   /// Time after submission from which an item may be given up.
@@ -83,6 +85,7 @@
   std::string name;
   std::vector<std::string> keys;
   std::optional<int> priority;
+  home_regions homes; ///< Regions that its requests may reach.
 };
 
 /// Limits for client connections and requests.
@@ -116,6 +119,10 @@
   [[nodiscard]] const route_entry* RouteByName(std::string_view aName) const;
   /// @return The team that holds a key, or null.
   [[nodiscard]] const team_entry* TeamOfKey(std::string_view aKey) const;
+  /// @param aTeam Team's name; empty if no key was needed.
+  /// @return The regions that a request of a team on a route may reach.
+  [[nodiscard]] home_regions HomesOf(const route_entry& aRoute,
+                                     std::string_view aTeam) const;
   [[nodiscard]] const service_entry* Service(std::string_view aName) const;
   [[nodiscard]] const std::vector<service_entry>& Services() const noexcept
   {
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -33,6 +33,7 @@
   std::chrono::milliseconds batchReadable{ 120'000 };
   /// Time after the end of a batch from which none of its items may begin.
   std::chrono::milliseconds cancelWithin{ 3'000 };
+  std::map<std::string, std::string> regions = {}; ///< By zone.
 };
 
 /// A node: its view of the deployment, the forwarding of plain requests, and
@@ -78,6 +79,10 @@
   {
     return mTargets.Evacuations().OrdersRead();
   }
+  /// @return Whether the body of a request that a caller sent to this node may
+  /// be sent to a node of a zone.
+  [[nodiscard]] bool MayCarry(const home_regions& aHomes,
+                              const std::string& aZone) const;
   /// Notes that the registry of targets has been read to its present end.
   void NoteTargetsRead() { mSoftware.NoteTargetsRead(); }
 
--- a/include/arbutusferry/node/http_client.hpp
+++ b/include/arbutusferry/node/http_client.hpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/enum_names.hpp"
 #include "arbutusferry/node/http_message.hpp"
 #include "arbutusferry/time.hpp"
+#include "zones/home_regions.hpp"
 
 #include <chrono>
 #include <functional>
@@ -92,6 +93,9 @@
   bool directOnly = false;
   /// Zone of the target that gets the request, if the sender knows it.
   std::string targetZone;
+  /// Regions of the targets that may get the request; its body isn't sent to
+  /// nodes in others either.
+  home_regions homes;
   start_right start = start_right::Any;
   /// Asked right before the request is written. If it says no, the exchange
   /// fails with `NotSent`.
--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -2,6 +2,8 @@
 
 #include "arbutusferry/time.hpp"
 
+#include "zones/home_regions.hpp"
+
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -22,6 +24,7 @@
   /// Items that its limit allows to start now.
   int startsAvailable = std::numeric_limits<int>::max();
   bool cold = false;
+  std::string region;                           ///< Empty if not known.
   std::map<std::string, std::int64_t> versions; ///< Weights by model.
   std::string loading; ///< Model whose weights are being loaded, or empty.
   /// The load may have ended: one item may be sent as a probe.
@@ -53,6 +56,7 @@
   std::size_t groupUncommitted = 0;
   /// Largest estimate of output tokens among the items of its group.
   std::int64_t groupTokenEstimate = 0;
+  home_regions homes = {}; ///< Regions of the samplers that may run it.
 };
 
 /// Sorts items in the order of placement: the oldest batch first; within it
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/address.hpp"
 #include "arbutusferry/time.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -64,7 +65,8 @@
   [[nodiscard]] std::optional<node_entry> ChooseGateway(
     const std::string& aTarget,
     const std::set<std::string>& aTried,
-    time_point aNow) const;
+    time_point aNow,
+    const std::function<bool(const std::string&)>& aZoneAllowed = {}) const;
   /// Notes that a node reaches no target itself.
   void NoteCutOff(const socket_address& aAddress, time_point aNow);
 
--- a/include/arbutusferry/node/reward_call.hpp
+++ b/include/arbutusferry/node/reward_call.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "zones/home_regions.hpp"
+
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -14,6 +16,8 @@
   std::string host;
   std::string path;
   std::string body;
+  /// Regions that the call's item may reach; set when the call is made.
+  home_regions homes = {};
 };
 
 /// How a reward call ended.
--- a/include/arbutusferry/node/run_relay.hpp
+++ b/include/arbutusferry/node/run_relay.hpp
@@ -44,7 +44,8 @@
                const socket_address& aTarget,
                const http_request& aRequest,
                const std::string& aZone = {},
-               start_right aRight = start_right::Any);
+               start_right aRight = start_right::Any,
+               const home_regions& aHomes = {});
 [[nodiscard]] http_request
 MakeRelayedAttach(const std::string& aRun, std::uint64_t aFence);
 [[nodiscard]] http_request
--- a/include/arbutusferry/node/target_client.hpp
+++ b/include/arbutusferry/node/target_client.hpp
@@ -27,6 +27,8 @@
     http_client& client;
     node_directory& nodes;
     target_view& targets;
+    /// Zone of this node, whose region may see the bodies of its requests.
+    std::string zone = {};
   };
 
   explicit target_client(parts aParts);
--- a/include/arbutusferry/node/target_protocol.hpp
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -36,6 +36,7 @@
   std::int64_t expectedVersion = 0; ///< Weights the target must have.
   std::size_t resumeAfter = 0;      ///< Number of events received before.
   std::chrono::milliseconds timeLeft{ 0 };
+  home_regions homes = {}; ///< Regions that it may reach.
 };
 
 /// An order to load a weight version.
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -6,6 +6,7 @@
 #include "arbutusferry/time.hpp"
 #include "zones/cold_state.hpp"
 #include "zones/evacuations.hpp"
+#include "zones/home_regions.hpp"
 
 #include <cstdint>
 #include <map>
@@ -48,6 +49,7 @@
   std::uint64_t salt = 0;         ///< Breaks ties differently by request.
   /// Whether targets count as full before callers' requests find no slot.
   bool leavesSlots = false;
+  home_regions homes; ///< Regions of the targets that may serve it.
 };
 
 /// Slots of each target that reward calls leave to callers' own requests.
@@ -94,6 +96,8 @@
   [[nodiscard]] bool Allows(const socket_address& aAddress,
                             const std::string& aZone) const;
 
+  void SetRegions(region_map aRegions) { mRegions = std::move(aRegions); }
+  [[nodiscard]] const region_map& Regions() const noexcept { return mRegions; }
   /// Sets the services whose targets may be cold.
   void SetColdRates(std::map<std::string, cold_rate> aRates, time_point aNow);
   /// Takes a target as cold until a later record tells otherwise.
@@ -176,6 +180,7 @@
                    time_point aNow);
 
   std::map<std::string, known_target> mTargets;
+  region_map mRegions;
   evacuations mEvacuations;
   std::map<std::string, cold_rate> mColdRates; ///< By service.
   /// When the evacuations of zones ended.
--- a/src/node/batch_moves.cpp
+++ b/src/node/batch_moves.cpp
@@ -40,6 +40,7 @@
   item.model = request.model;
   item.minimumVersion = request.minimumVersion;
   item.onlySoftware = progress.software;
+  item.homes = HomesOf(*owner, aRun.Index());
   if (route->singleVersion && !progress.versions.empty()) {
     item.onlyVersion = progress.versions.back();
   }
--- a/src/node/batch_rewards.cpp
+++ b/src/node/batch_rewards.cpp
@@ -139,8 +139,10 @@
   scoring_state& scoring = owner.Items()[aReward.index].scoring;
   ++scoring.calls;
   scoring.calling = true;
+  reward_request request = *owner.Request().items[aReward.index].reward;
+  request.homes = HomesOf(owner, aReward.index);
   auto call = mParts.rewards.Call(
-    *owner.Request().items[aReward.index].reward,
+    request,
     kRewardTimeLimit,
     [this, id = aReward.batch, index = aReward.index](
       const reward_result& aResult) { OnRewardCallEnded(id, index, aResult); });
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -97,6 +97,7 @@
       }
       continue;
     }
+    item.homes = environment.HomesOf(*route, owner.Request().team);
     item_state& state = owner.Items()[item.index];
     if (!state.progress.events.empty() && !state.progress.software) {
       // Saved by a process that did not record the software.
@@ -206,6 +207,16 @@
   return true;
 }
 
+home_regions
+batch_leader::HomesOf(const batch& aBatch, std::size_t aIndex) const
+{
+  const environment_view& environment = mParts.environment.Environment();
+  const batch_request& request = aBatch.Request();
+  const route_entry* route =
+    environment.FindRoute(request.host, request.items[aIndex].path);
+  return route ? environment.HomesOf(*route, request.team) : home_regions();
+}
+
 std::shared_ptr<item_run>
 batch_leader::MakeRun(batch& aBatch,
                       std::size_t aIndex,
@@ -225,6 +236,7 @@
   call.group = request.group;
   call.expectedVersion = aVersion;
   call.resumeAfter = aResumeAfter;
+  call.homes = HomesOf(aBatch, aIndex);
   run_observer& self = *this;
   return std::make_shared<item_run>(self,
                                     mParts.loop,
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -245,6 +245,7 @@
   options.readTimeout = std::max(left, milliseconds(1'000));
   options.echoHeader = mParts.protocol.EchoHeader();
   options.targetZone = known->entry.zone;
+  options.homes = mCall.homes;
   auto sink =
     std::make_shared<attempt>(shared_from_this(), known->entry, mParts.loop);
   mAttempts.push_back(sink);
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -105,6 +105,17 @@
   return found == mByKey.end() ? nullptr : &mTeams[found->second];
 }
 
+home_regions
+environment_view::HomesOf(const route_entry& aRoute,
+                          std::string_view aTeam) const
+{
+  home_regions homes = aRoute.homes;
+  if (const team_entry* team = FindByName(mTeams, aTeam)) {
+    homes.Restrict(team->homes);
+  }
+  return homes;
+}
+
 const service_entry*
 environment_view::Service(std::string_view aName) const
 {
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -64,7 +64,8 @@
   , mSettings(std::move(aSettings))
   , mInstance(mSettings.vm + "/" + RandomHex(6))
   , mNodes(mInstance)
-  , mTargetClient({ mParts.loop, mParts.client, mNodes, mTargets })
+  , mTargetClient(
+      { mParts.loop, mParts.client, mNodes, mTargets, mSettings.zone })
   , mGateway(mParts.loop, mTargetClient)
   , mLimits({ mParts.loop,
               mParts.client,
@@ -117,6 +118,7 @@
               mParts.loop.Now())
 {
   mTargets.Evacuations().AwaitOrders();
+  mTargets.SetRegions(region_map(mSettings.regions));
 }
 
 ferry_node::~ferry_node() = default;
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -23,8 +23,10 @@
     , mResponder(std::move(aResponder))
     , mState(std::move(aState))
     , mStarted(aParts.loop.Now())
-    , mQuery{ mCall.service,    {}, aParts.zone, {}, {}, Hash64(mCall.id),
-              mCall.leavesSlots }
+    , mQuery{
+      mCall.service,     {},         aParts.zone, {}, {}, Hash64(mCall.id),
+      mCall.leavesSlots, mCall.homes
+    }
   {
     mState->active.insert(this);
   }
--- a/src/node/forwarded_rewards.cpp
+++ b/src/node/forwarded_rewards.cpp
@@ -97,6 +97,8 @@
   call.id = aRequest.id;
   call.service = ChooseService(*route, aRequest.id);
   call.route = *route;
+  call.homes = route->homes;
+  call.homes.Restrict(aRequest.homes);
   call.route.kind = route_kind::Idempotent;
   call.request = mParts.protocol.MakeRewardRequest(aRequest);
   call.deadline = mParts.loop.Now() + aTimeLimit;
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -75,7 +75,8 @@
                       aTarget.address,
                       mProtocol.MakeItemRequest(mCall, aTarget),
                       aTarget.zone,
-                      aRight));
+                      aRight,
+                      mCall.homes));
 }
 
 void
@@ -101,6 +102,7 @@
   options.connectTimeout = kRunConnectTimeout;
   if (aTarget) {
     options.targetZone = aTarget->zone;
+    options.homes = mCall.homes;
     options.start = aRight;
     if (aRight == start_right::Granted) {
       options.connectTimeout = kColdConnectTimeout;
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -82,7 +82,7 @@
     const sampler_state& sampler = aSamplers[index];
     const auto version = sampler.versions.find(aItem.model);
     if (!sampler.usable || sampler.running >= sampler.slots ||
-        sampler.startsAvailable <= 0 ||
+        sampler.startsAvailable <= 0 || !aItem.homes.Allows(sampler.region) ||
         (aItem.onlySoftware && sampler.software != *aItem.onlySoftware) ||
         (sampler.loading == aItem.model && !sampler.mayHaveLoaded) ||
         version == sampler.versions.end() ||
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -92,15 +92,18 @@
 }
 
 std::optional<node_entry>
-node_directory::ChooseGateway(const std::string& aTarget,
-                              const std::set<std::string>& aTried,
-                              time_point aNow) const
+node_directory::ChooseGateway(
+  const std::string& aTarget,
+  const std::set<std::string>& aTried,
+  time_point aNow,
+  const std::function<bool(const std::string&)>& aZoneAllowed) const
 {
   const known_node* best = nullptr;
   std::uint64_t bestWeight = 0;
   for (const auto& [vm, known] : mNodes) {
     if (known.avoidUntil > aNow || known.cutOffUntil > aNow ||
-        aTried.contains(vm)) {
+        aTried.contains(vm) ||
+        (aZoneAllowed && !aZoneAllowed(known.entry.zone))) {
       continue;
     }
     const std::uint64_t weight = RendezvousWeight(aTarget, vm);
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -20,6 +20,8 @@
 /// By what right the run starts; absent from leaders that know of no cold
 /// targets.
 constexpr const char* kStartHeader = "Ferry-Start";
+/// Regions that the run may reach; absent if all.
+constexpr const char* kHomesHeader = "Ferry-Home-Regions";
 constexpr const char* kFenceHeader = "Ferry-Fence";
 constexpr const char* kErrorHeader = "Ferry-Relay-Error";
 constexpr const char* kSentAtHeader = "Ferry-Sent-At";
@@ -96,7 +98,8 @@
                const socket_address& aTarget,
                const http_request& aRequest,
                const std::string& aZone,
-               start_right aRight)
+               start_right aRight,
+               const home_regions& aHomes)
 {
   http_request request = MakeRunRequest("POST", aRun);
   if (!aZone.empty()) {
@@ -105,6 +108,9 @@
   if (aRight != start_right::Any) {
     request.headers.Add(kStartHeader, std::string(EnumName(aRight)));
   }
+  if (aHomes.Restricted()) {
+    request.headers.Add(kHomesHeader, aHomes.Text());
+  }
   if (aSentAt) {
     request.headers.Add(kSentAtHeader, std::to_string(*aSentAt));
   }
@@ -176,6 +182,7 @@
              const socket_address& aTarget,
              std::string aZone,
              start_right aRight,
+             home_regions aHomes,
              http_request aRequest)
   {
     exchange_options options;
@@ -185,6 +192,7 @@
     options.readTimeout = kRunIdleTimeout;
     options.echoHeader = mProtocol.EchoHeader();
     options.targetZone = std::move(aZone);
+    options.homes = std::move(aHomes);
     mExchange =
       aClient.Send(aTarget, std::move(aRequest), options, shared_from_this());
   }
@@ -426,6 +434,7 @@
                  *target,
                  std::string(aRequest.headers.Get(kZoneHeader)),
                  RightOf(aRequest),
+                 home_regions::FromText(aRequest.headers.Find(kHomesHeader)),
                  std::move(*request));
   started->Attach(std::move(aResponder));
 }
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -86,6 +86,7 @@
   state.slots = aSampler.target.slots;
   state.running = aSampler.running;
   state.usable = Usable(aSampler, now);
+  state.region = mParts.targets.Regions().RegionOf(aSampler.target.zone);
   if (const auto* known = mParts.targets.Find(aId)) {
     state.startsAvailable = known->limit.StartsAvailable(now);
     state.cold = known->limit.ColdRate().has_value();
--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -184,8 +184,11 @@
   [[nodiscard]] bool StartAllowed()
   {
     const char* reason = nullptr;
-    if (mOptions.start == start_right::Warm &&
-        Parts().targets.ColdAt(mTarget)) {
+    if (!mOptions.homes.Allows(
+          Parts().targets.Regions().RegionOf(mOptions.targetZone))) {
+      reason = "not_a_home_region";
+    } else if (mOptions.start == start_right::Warm &&
+               Parts().targets.ColdAt(mTarget)) {
       reason = "cold";
     } else if (mOptions.start == start_right::Granted &&
                TimeLeft() < milliseconds(0)) {
@@ -196,6 +199,19 @@
     }
     return !reason;
   }
+  /// @return Which zones' nodes may get the request; unset if all may.
+  [[nodiscard]] std::function<bool(const std::string&)> GatewayFilter() const
+  {
+    if (mProbe || !mOptions.homes.Restricted()) {
+      return {};
+    }
+    return [this](const std::string& aZone) {
+      const region_map& regions = Parts().targets.Regions();
+      const std::string& region = regions.RegionOf(aZone);
+      return mOptions.homes.Allows(region) ||
+             (!region.empty() && region == regions.RegionOf(Parts().zone));
+    };
+  }
   [[nodiscard]] std::function<bool()> WriteCheck()
   {
     return [self = weak_from_this(), alive = std::weak_ptr<bool>(mOwnerAlive)] {
@@ -233,7 +249,8 @@
     const milliseconds left = TimeLeft();
     const auto gateway =
       left > milliseconds(0) && mTried.size() < kMaxGateways
-        ? Parts().nodes.ChooseGateway(FormatAddress(mTarget), mTried, now)
+        ? Parts().nodes.ChooseGateway(
+            FormatAddress(mTarget), mTried, now, GatewayFilter())
         : std::nullopt;
     if (!gateway) {
       FailLater(mLastFailure);
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -94,7 +94,9 @@
   const target_entry& entry = aTarget.entry;
   return entry.service == aQuery.service && !entry.draining &&
          (!aQuery.software || entry.software == *aQuery.software) &&
-         !aQuery.excluded.contains(entry.id) && Allows(aTarget);
+         !aQuery.excluded.contains(entry.id) && Allows(aTarget) &&
+         (!aQuery.homes.Restricted() ||
+          aQuery.homes.Allows(mRegions.RegionOf(entry.zone)));
 }
 
 bool
--- a/src/zones/ferry_node_zones.cpp
+++ b/src/zones/ferry_node_zones.cpp
@@ -61,6 +61,15 @@
   }
 }
 
+bool
+ferry_node::MayCarry(const home_regions& aHomes, const std::string& aZone) const
+{
+  const std::string& region = mTargets.Regions().RegionOf(aZone);
+  return aHomes.Allows(region) ||
+         (!region.empty() &&
+          region == mTargets.Regions().RegionOf(mSettings.zone));
+}
+
 void
 ferry_node::ApplyColdRates()
 {
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -82,7 +82,9 @@
                                   }
                                   return NodeAddress(*fleet.leader);
                                 } } };
-    target_client targetClient{ { fleet.loop, client, directory, targets } };
+    target_client targetClient{
+      { fleet.loop, client, directory, targets, "z" }
+    };
     target_gateway gateway{ fleet.loop, targetClient };
     crash_watch crashes{ { fleet.loop, targetClient, log } };
     ignoring_handler other;
@@ -157,6 +159,7 @@
     call.route.kind = aKind;
     call.route.maxAttempts = 2;
     call.route.latencyTarget = std::chrono::milliseconds(150);
+    call.homes = homes;
     call.request = Request(aBody);
     call.request.headers.Add("Arbutusferry-Request-Id", call.id);
     call.deadline = loop.Now() + std::chrono::milliseconds(800);
@@ -225,6 +228,7 @@
   std::vector<target> targets;
   /// Index of the node that grants starts; -1 if none does. Unset, each does.
   std::optional<int> leader;
+  home_regions homes; ///< Of the calls that are made.
   duration downTime = std::chrono::milliseconds(2'900);
   /// Time by which a process that ends closes its connections first.
   duration endDelay{};
