Check evacuations and cold targets in the soak

The soak had one zone and no cold targets, so nothing checked real processes for the new rules. Faults go on meanwhile.

--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -69,8 +69,14 @@
     };
     const std::string address =
       "127.0.0.1:" + std::to_string(StartListener(*sampler));
+    // The last sampler of items and one of streams.
+    const std::string zone =
+      mOptions.zones && (index == 3 || index == 5) ? "z1" : "z0";
+    sampler->onRequest = [this, zone](const node::responder& aResponder) {
+      OnZoneRequest(zone, aResponder);
+    };
     mStore.PutRecord(
-      "keyed.servers", id, sampler->Record(address, "z0", false));
+      "keyed.servers", id, sampler->Record(address, zone, false));
     mSamplerAddresses.push_back(address);
     mSamplers.push_back(std::move(sampler));
   }
@@ -157,10 +163,13 @@
      "service":"desk","max-attempts":2,"timeout-ms":2000},
     {"name":"c","host":"lab.example","path-prefix":"/c/","kind":"idempotent",
      "service":"fragile","max-attempts":2,"timeout-ms":800},
+    {"name":"k","host":"lab.example","path-prefix":"/k/","kind":"idempotent",
+     "service":"kiln","max-attempts":2,"timeout-ms":800},
     {"name":"n","host":"lab.example","path-prefix":"/n/","kind":"non_idempotent",
      "service":"desk","max-attempts":2,"timeout-ms":2000}],
     "services":[{"name":"models","engine":{"models":[{"name":"m0"},{"name":"m1"}]}},
-     {"name":"streams"},{"name":"desk"},{"name":"fragile"}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
+     {"name":"streams"},{"name":"desk"},{"name":"fragile"},
+     {"name":"kiln","cold-start-s":4,"coldstart-per-s":7.8}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
 }
 
 void
@@ -183,7 +192,8 @@
       return "\"127.0.0.1:" + std::to_string(aPort) + "\"";
     };
     std::ofstream(process->settingsPath)
-      << R"({"vm":"vm)" << index << R"(","zone":"z0","zones":["z0"],)"
+      << R"({"vm":"vm)" << index << R"(","zone":"z)"
+      << (mOptions.zones ? index % 2 : 0) << R"(","zones":["z0"],)"
       << R"("cpu_share":1.0,"listen_callers":)" << address(process->callerPort)
       << R"(,"listen_ready":)" << address(process->readyPort)
       << R"(,"listen_peers":)" << address(process->peerPort)
@@ -316,8 +326,9 @@
       }
       break;
   }
-  // With limits, pauses leave time in which they bind the nodes.
-  const milliseconds pause(100 + RandomBelow(mOptions.limits ? 4'000 : 700));
+  // With limits and zones, pauses leave time in which they bind the nodes.
+  const milliseconds pause(
+    100 + RandomBelow(mOptions.limits || mOptions.zones ? 4'000 : 700));
   RunAfter(pause, [this] { InjectFault(); });
 }
 
@@ -344,6 +355,9 @@
 soak_test::Run()
 {
   StartTargets();
+  if (mOptions.zones) {
+    StartZones();
+  }
   PutConfig();
   StartNodes();
   const auto reaper = std::make_unique<node::periodic_timer>(
@@ -351,6 +365,11 @@
   RunAfter(milliseconds(1'500), [this] {
     CallService();
     CallFragileTargets();
+    if (mOptions.zones) {
+      OrderEvacuation();
+      RestartZoneTargets();
+      CallZoneTargets();
+    }
     StartStream();
     BreakStreams();
     StartBatch();
@@ -388,6 +407,9 @@
   }
   CheckResumedStreams();
   CheckCrashes();
+  if (mOptions.zones) {
+    PrintZones();
+  }
   std::size_t accepted = 0;
   std::size_t results = 0;
   for (const auto& batch : mBatches) {
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -4,6 +4,7 @@
 #include "common/tcp_proxy.hpp"
 #include "soak_servers.hpp"
 #include "socket_owner.hpp"
+#include "zone_target.hpp"
 
 #include <csignal>
 #include <map>
@@ -26,6 +27,8 @@
   bool fencesChecked = true; ///< Whether targets and duties check fences.
   /// Whether planned stops of nodes, one after the other, are the only faults.
   bool stopsOnly = false;
+  /// Whether a zone is evacuated at times, and targets return cold.
+  bool zones = false;
   std::string nodeProgram;
   std::string logDirectory; ///< Existing directory; empty discards the logs.
 };
@@ -196,6 +199,15 @@
   /// Counts a run of the crashing request, unless the sender is excused.
   void OnFragileEnd(std::uint16_t aSenderPort);
   void CheckCrashes();
+  void StartZones();
+  /// Checks a request that a target of a zone has taken.
+  void OnZoneRequest(const std::string& aZone,
+                     const node::responder& aResponder);
+  /// Orders an evacuation, revokes it, and so on.
+  void OrderEvacuation();
+  void RestartZoneTargets();
+  void CallZoneTargets();
+  void PrintZones();
   void StartStream();
   /// Resets the connections of a sampler of streams from time to time.
   void BreakStreams();
@@ -241,6 +253,12 @@
   std::size_t mLateEnds = 0; ///< That undisturbed nodes had to prevent.
   std::uint64_t mFragileCalls = 0;
   std::uint64_t mFragileServed = 0;
+  std::vector<std::unique_ptr<zone_target>> mZoneTargets;
+  std::optional<time_point> mEvacuatedAt; ///< When the order was stored.
+  std::uint64_t mEvacuations = 0;
+  std::uint64_t mExcusedZoneRequests = 0;
+  std::uint64_t mZoneCalls = 0;
+  std::uint64_t mZoneServed = 0;
   /// Nodes may not learn what others wrote to the store until then.
   time_point mStoreExcusedUntil;
   std::vector<limited_requests*> mLimits; ///< Of targets that name one.
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -421,6 +421,10 @@
     aResponder->Abort();
     return;
   }
+  if (onRequest &&
+      (aRequest.target == "/order" || aRequest.target == "/report")) {
+    onRequest(*aResponder);
+  }
   if (aRequest.target == "/order") {
     HandleOrder(aRequest, *aResponder);
     return;
@@ -444,6 +448,9 @@
     aResponder->Send(MakeResponse(421));
     return;
   }
+  if (onRequest) {
+    onRequest(*aResponder);
+  }
   if (mOpenResponses.size() >= 8) {
     node::http_response full = MakeResponse(503);
     full.headers.Add("Arbutusferry-Not-Run", "1");
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -173,6 +173,9 @@
   bool checksFences = true;
   /// Whether the sender of an order is excused from the rule on holders.
   std::function<bool(const node::responder&)> excused;
+  /// Called with each request that it takes, weight orders and requests for
+  /// reports among them.
+  std::function<void(const node::responder&)> onRequest;
   /// Called when an item starts, with its id and model version.
   std::function<void(const std::string&, std::int64_t)> onItemStarted;
   /// Called when the last event of an item was made.
