--- a/src/zones/home_regions.cpp
+++ b/src/zones/home_regions.cpp
@@ -19,9 +19,9 @@
 const std::string&
 region_map::RegionOf(const std::string& aZone) const
 {
-  static const std::string sUnknown;
+  static const std::string kUnknown;
   const auto found = mByZone.find(aZone);
-  return found == mByZone.end() ? sUnknown : found->second;
+  return found == mByZone.end() ? kUnknown : found->second;
 }
 
 home_regions::home_regions(std::set<std::string> aRegions)
--- a/tests/unit/home_regions_test.cpp
+++ b/tests/unit/home_regions_test.cpp
@@ -1,3 +1,4 @@
+#include "arbutusferry/node/forwarded_rewards.hpp"
 #include "zones/home_regions.hpp"
 
 #include "batch_handler.hpp"
@@ -17,9 +18,9 @@
 const region_map&
 Regions()
 {
-  static const region_map sRegions(
+  static const region_map kRegions(
     { { "z", "north" }, { "z2", "north" }, { "y", "south" }, { "x", "west" } });
-  return sRegions;
+  return kRegions;
 }
 
 /// A fleet with a target in each of the zones z, y and x.
@@ -266,6 +267,56 @@
   CHECK(runs == 4);
 }
 
+// Guards against texts that are sent out of the home regions of their item to
+// be scored, or of the route by which they are scored.
+TEST_CASE("reward calls obey the home regions of their item and route")
+{
+  leader_test test;
+  test.targets.SetRegions(Regions());
+  test.route.homes = home_regions({ "north", "south" });
+  test.environment =
+    environment_view(2, { test.route }, { test.service }, {}, {}, false);
+  const auto leader = test.StartLeader(1);
+  batch_request request = test.Request("b", 1);
+  request.items[0].reward = { "w", "h.example", "/score/1", "body" };
+  leader->Submit(std::move(request), [] {});
+  test.loop.Advance(milliseconds(1'000));
+  REQUIRE(test.scorer.calls.size() == 1);
+  const reward_request& made = test.scorer.calls[0]->request;
+  CHECK(made.homes.Allows("south"));
+  CHECK_FALSE(made.homes.Allows("west"));
+
+  struct scoring_environment final : environment_source
+  {
+    [[nodiscard]] const environment_view& Environment() const override
+    {
+      return view;
+    }
+    environment_view view;
+  } environment;
+  route_entry route;
+  route.host = "h.example";
+  route.pathPrefix = "/";
+  route.kind = route_kind::Idempotent;
+  route.services = { { call_fleet::kService, 1 } };
+  route.homes = home_regions({ "south", "west" });
+  environment.view = environment_view(1, { route }, {}, {}, {}, false);
+  regional_fleet fleet(1);
+  forwarded_rewards rewards{
+    { fleet.loop, fleet.nodes[0]->forwarder, fleet.protocol, environment }
+  };
+  std::optional<reward_outcome> outcome;
+  (void)rewards.Call(
+    made, milliseconds(1'000), [&](const reward_result& aResult) {
+      outcome = aResult.outcome;
+    });
+  fleet.loop.Advance(milliseconds(100));
+  CHECK(outcome == reward_outcome::Scored);
+  REQUIRE(fleet.nodes[0]->client.requests.size() == 1);
+  CHECK(fleet.nodes[0]->client.requests[0]->peer ==
+        fleet.targets[1].entry.address);
+}
+
 // Guards against batches that are sent to a leader in another region.
 TEST_CASE("a batch is refused when its leader is in a forbidden region")
 {
