--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -56,6 +56,9 @@
     /// Whether runs may start now. False while the term is unconfirmed, since a
     /// later leader may have ended batches.
     std::function<bool()> mayStartRuns;
+    /// Whether runs may start at cold samplers, where the starts of two leaders
+    /// would add up. Unset, the same as `mayStartRuns`.
+    std::function<bool()> mayStartCold = {};
   };
 
   /// @param aFence Fencing token of the term; also the epoch of the journal.
@@ -182,6 +185,9 @@
                               const std::string& aSampler);
   /// Attaches to relayed streams of an earlier leader's runs.
   void AttachRuns();
+  /// @return The regions that an item and its reward calls may reach.
+  [[nodiscard]] home_regions HomesOf(const batch& aBatch,
+                                     std::size_t aIndex) const;
   [[nodiscard]] std::shared_ptr<item_run> MakeRun(batch& aBatch,
                                                   std::size_t aIndex,
                                                   const std::string& aSampler,
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -34,6 +34,7 @@
   std::chrono::milliseconds batchReadable{ 120'000 };
   /// Time after the end of a batch from which none of its items may begin.
   std::chrono::milliseconds cancelWithin{ 3'000 };
+  std::map<std::string, std::string> regions = {}; ///< By zone.
 };
 
 /// A node: its view of the deployment, the forwarding of plain requests, and
@@ -70,6 +71,19 @@
   void SetNewestVersion(const std::string& aModel, std::int64_t aVersion);
   void UpdateTarget(const target_entry& aTarget);
   void RemoveTarget(const std::string& aId);
+  /// Sends nothing more to the targets of a zone.
+  void EvacuateZone(const std::string& aZone, std::uint64_t aOffset);
+  void LiftEvacuation(const std::string& aZone, std::uint64_t aOffset);
+  /// Notes that the operator's records have been read to their present end.
+  void NoteOrdersRead();
+  [[nodiscard]] bool OrdersRead() const noexcept
+  {
+    return mTargets.Evacuations().OrdersRead();
+  }
+  /// @return Whether the body of a request that a caller sent to this node may
+  /// be sent to a node of a zone.
+  [[nodiscard]] bool MayCarry(const home_regions& aHomes,
+                              const std::string& aZone) const;
   /// Notes that the registry of targets has been read to its present end.
   void NoteTargetsRead() { mSoftware.NoteTargetsRead(); }
 
@@ -110,7 +124,7 @@
   [[nodiscard]] bool Serving() const noexcept
   {
     return mEnvironment.Version() > 0 && !mTargets.All().empty() &&
-           !mIsolation.Isolated();
+           OrdersRead() && !mIsolation.Isolated();
   }
 
 private:
@@ -134,6 +148,9 @@
   /// from the leader itself.
   void HandOverIfCutOff();
   void RunLeaderDuties();
+  void SetZoneMetrics();
+  /// Applies the cold rates of the environment's services.
+  void ApplyColdRates();
 
   parts mParts;
   node_settings mSettings;
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/address.hpp"
 #include "arbutusferry/time.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -64,7 +65,8 @@
   [[nodiscard]] std::optional<node_entry> ChooseGateway(
     const std::string& aTarget,
     const std::set<std::string>& aTried,
-    time_point aNow) const;
+    time_point aNow,
+    const std::function<bool(const std::string&)>& aZoneAllowed = {}) const;
   /// Chooses nodes of other zones; others of the own zone if there are none.
   /// @param aSalt Varies the choice.
   [[nodiscard]] std::vector<node_entry> ChooseOutside(const std::string& aZone,
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -97,6 +97,7 @@
       }
       continue;
     }
+    item.homes = environment.HomesOf(*route, owner.Request().team);
     item_state& state = owner.Items()[item.index];
     if (!state.progress.events.empty() && !state.progress.software) {
       // Saved by a process that did not record the software.
@@ -143,9 +144,24 @@
   batch& owner = *mBatches.Find(aItem.batch);
   item_state& item = owner.Items()[aItem.index];
   const time_point now = mParts.loop.Now();
-  if (!target || !target->limit.Reserve(now, now)) {
+  if (!target) {
     return false;
   }
+  const bool cold = target->limit.ColdRate().has_value();
+  if (cold && mParts.mayStartCold && !mParts.mayStartCold()) {
+    return false;
+  }
+  const bool reserved = target->limit.Reserve(now, now).has_value();
+  if (cold) {
+    mParts.metrics.Count("ferry_cold_item_starts_total",
+                         { { "outcome", reserved ? "granted" : "refused" } });
+  }
+  if (!reserved) {
+    return false;
+  }
+  const start_right right = !mParts.targets.HasColdRates() ? start_right::Any
+                            : cold ? start_right::Granted
+                                   : start_right::Warm;
   const auto run = MakeRun(owner,
                            aItem.index,
                            aSampler,
@@ -174,7 +190,7 @@
         { "events", std::to_string(item.progress.events.size()) } });
   if (!relay) {
     item.progress.location.reset();
-    run->Start(mParts.targetClient, target->entry);
+    run->Start(mParts.targetClient, target->entry, right);
     return true;
   }
   item.progress.location = { std::to_string(mFence) + "-" +
@@ -186,10 +202,21 @@
                     *item.progress.location,
                     mFence,
                     mParts.nodes.ClockOf(relay->vm, now),
-                    target->entry);
+                    target->entry,
+                    right);
   return true;
 }
 
+home_regions
+batch_leader::HomesOf(const batch& aBatch, std::size_t aIndex) const
+{
+  const environment_view& environment = mParts.environment.Environment();
+  const batch_request& request = aBatch.Request();
+  const route_entry* route =
+    environment.FindRoute(request.host, request.items[aIndex].path);
+  return route ? environment.HomesOf(*route, request.team) : home_regions();
+}
+
 std::shared_ptr<item_run>
 batch_leader::MakeRun(batch& aBatch,
                       std::size_t aIndex,
@@ -209,6 +236,7 @@
   call.group = request.group;
   call.expectedVersion = aVersion;
   call.resumeAfter = aResumeAfter;
+  call.homes = HomesOf(aBatch, aIndex);
   run_observer& self = *this;
   return std::make_shared<item_run>(self,
                                     mParts.loop,
@@ -287,6 +315,10 @@
 batch_leader::OnRunEnded(const item_run& aRun, run_outcome aEnd)
 {
   mPool.EndRun(aRun, aEnd);
+  if (aEnd == run_outcome::Broken) {
+    mParts.targets.PresumeCold(
+      aRun.Sampler(), cold_reason::Broken, mParts.loop.Now());
+  }
   SchedulePlacement();
   if (aRun.Superseded() && !std::exchange(mSuperseded, true)) {
     mParts.superseded();
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -66,7 +66,8 @@
   , mNodes(mInstance)
   , mIsolation(
       { mParts.loop, mParts.client, mNodes, mSettings.vm, mSettings.zone })
-  , mTargetClient({ mParts.loop, mParts.client, mNodes, mTargets })
+  , mTargetClient(
+      { mParts.loop, mParts.client, mNodes, mTargets, mSettings.zone })
   , mGateway(mParts.loop, mTargetClient)
   , mLimits({ mParts.loop,
               mParts.client,
@@ -118,6 +119,8 @@
               ElectionTiming(mSettings),
               mParts.loop.Now())
 {
+  mTargets.Evacuations().AwaitOrders();
+  mTargets.SetRegions(region_map(mSettings.regions));
 }
 
 ferry_node::~ferry_node() = default;
@@ -157,6 +160,7 @@
       mMetrics.SetGauge("ferry_environment_version",
                         {},
                         static_cast<double>(mEnvironment.Version()));
+      SetZoneMetrics();
       RunLeaderDuties();
       HandOverIfCutOff();
     });
@@ -173,6 +177,7 @@
       { { "version", std::to_string(aEnvironment.Version()) },
         { "before", std::to_string(mEnvironment.Version()) } });
   mEnvironment = std::move(aEnvironment);
+  ApplyColdRates();
   if (mOnEnvironment) {
     mOnEnvironment(mEnvironment);
   }
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -23,8 +23,10 @@
     , mResponder(std::move(aResponder))
     , mState(std::move(aState))
     , mStarted(aParts.loop.Now())
-    , mQuery{ mCall.service,    {}, aParts.zone, {}, {}, Hash64(mCall.id),
-              mCall.leavesSlots }
+    , mQuery{
+      mCall.service,     {},         aParts.zone, {}, {}, Hash64(mCall.id),
+      mCall.leavesSlots, mCall.homes
+    }
   {
     mState->active.insert(this);
   }
@@ -49,9 +51,11 @@
   void OnStreamOrigin(const std::optional<std::string>& aSoftware);
   void TryNextTarget();
   void RequestAdmission(const std::string& aTarget);
-  void OnAdmission(const std::string& aTarget, const admission& aAdmission);
+  void OnAdmission(const std::string& aTarget,
+                   const admission& aAdmission,
+                   time_point aAskedAt);
   void OnNotAdmitted(std::chrono::milliseconds aWait);
-  void SendTo(const std::string& aTarget);
+  void SendTo(const std::string& aTarget, start_right aRight);
   /// @return Whether a ready target has not been tried.
   [[nodiscard]] bool MoreTargets() const;
   /// Tries another target at once, or all again after a delay.
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -47,9 +47,15 @@
 }
 
 void
-item_run::Start(http_client& aClient, const target_entry& aTarget)
+item_run::Start(http_client& aClient,
+                const target_entry& aTarget,
+                start_right aRight)
 {
-  Send(aClient, aTarget.address, mProtocol.MakeItemRequest(mCall, aTarget));
+  Send(aClient,
+       aTarget.address,
+       mProtocol.MakeItemRequest(mCall, aTarget),
+       &aTarget,
+       aRight);
 }
 
 void
@@ -57,7 +63,8 @@
                        run_location aPlace,
                        std::uint64_t aFence,
                        std::optional<std::int64_t> aSentAt,
-                       const target_entry& aTarget)
+                       const target_entry& aTarget,
+                       start_right aRight)
 {
   mPlace = std::move(aPlace);
   Send(aClient,
@@ -66,7 +73,10 @@
                       aFence,
                       aSentAt,
                       aTarget.address,
-                      mProtocol.MakeItemRequest(mCall, aTarget)));
+                      mProtocol.MakeItemRequest(mCall, aTarget),
+                      aTarget.zone,
+                      aRight,
+                      mCall.homes));
 }
 
 void
@@ -84,10 +94,20 @@
 void
 item_run::Send(http_client& aClient,
                const socket_address& aPeer,
-               http_request aRequest)
+               http_request aRequest,
+               const target_entry* aTarget,
+               start_right aRight)
 {
   exchange_options options;
   options.connectTimeout = kRunConnectTimeout;
+  if (aTarget) {
+    options.targetZone = aTarget->zone;
+    options.homes = mCall.homes;
+    options.start = aRight;
+    if (aRight == start_right::Granted) {
+      options.connectTimeout = kColdConnectTimeout;
+    }
+  }
   options.readTimeout = kRunIdleTimeout;
   if (!mPlace) {
     options.echoHeader = mProtocol.EchoHeader();
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -15,6 +15,13 @@
 
 constexpr std::string_view kRunPath = "/runs/";
 constexpr const char* kTargetHeader = "Ferry-Target";
+/// Zone of the sampler.
+constexpr const char* kZoneHeader = "Ferry-Target-Zone";
+/// By what right the run starts; absent from leaders that know of no cold
+/// targets.
+constexpr const char* kStartHeader = "Ferry-Start";
+/// Regions that the run may reach; absent if all.
+constexpr const char* kHomesHeader = "Ferry-Home-Regions";
 constexpr const char* kFenceHeader = "Ferry-Fence";
 constexpr const char* kErrorHeader = "Ferry-Relay-Error";
 constexpr const char* kSentAtHeader = "Ferry-Sent-At";
@@ -32,6 +39,10 @@
 /// clock is wrong. Part of `kRunStartMargin` in ferry_node.cpp.
 constexpr milliseconds kMaxTransitTime{ 1'000 };
 
+/// The same for a start that was granted at a cold sampler, where late arrivals
+/// add to the requests of a later second.
+constexpr milliseconds kMaxColdTransitTime{ 250 };
+
 /// Time for which a run goes on without a leader: a new one claims leadership
 /// within about 3 s and then reads the journal.
 constexpr milliseconds kOrphanRetention{ 5'000 };
@@ -46,6 +57,13 @@
   return ToMilliseconds(aLoop.Now().time_since_epoch());
 }
 
+start_right
+RightOf(const http_request& aRequest)
+{
+  return ParseEnum<start_right>(aRequest.headers.Get(kStartHeader))
+    .value_or(start_right::Warm);
+}
+
 void
 SendError(const event_loop& aLoop,
           responder& aResponder,
@@ -78,9 +96,21 @@
                std::uint64_t aFence,
                std::optional<std::int64_t> aSentAt,
                const socket_address& aTarget,
-               const http_request& aRequest)
+               const http_request& aRequest,
+               const std::string& aZone,
+               start_right aRight,
+               const home_regions& aHomes)
 {
   http_request request = MakeRunRequest("POST", aRun);
+  if (!aZone.empty()) {
+    request.headers.Add(kZoneHeader, aZone);
+  }
+  if (aRight != start_right::Any) {
+    request.headers.Add(kStartHeader, std::string(EnumName(aRight)));
+  }
+  if (aHomes.Restricted()) {
+    request.headers.Add(kHomesHeader, aHomes.Text());
+  }
   if (aSentAt) {
     request.headers.Add(kSentAtHeader, std::to_string(*aSentAt));
   }
@@ -150,12 +180,19 @@
 
   void Start(http_client& aClient,
              const socket_address& aTarget,
+             std::string aZone,
+             start_right aRight,
+             home_regions aHomes,
              http_request aRequest)
   {
     exchange_options options;
-    options.connectTimeout = kRunConnectTimeout;
+    options.connectTimeout =
+      aRight == start_right::Granted ? kColdConnectTimeout : kRunConnectTimeout;
+    options.start = aRight;
     options.readTimeout = kRunIdleTimeout;
     options.echoHeader = mProtocol.EchoHeader();
+    options.targetZone = std::move(aZone);
+    options.homes = std::move(aHomes);
     mExchange =
       aClient.Send(aTarget, std::move(aRequest), options, shared_from_this());
   }
@@ -351,8 +388,10 @@
   } else if (aRequest.method == "POST") {
     const auto sentAt = ParseInteger(aRequest.headers.Get(kSentAtHeader));
     const std::int64_t transit = ClockMs(mParts.loop) - sentAt.value_or(0);
-    if (!sentAt || transit < -kMaxTransitTime.count() ||
-        transit > kMaxTransitTime.count()) {
+    const milliseconds longest = RightOf(aRequest) == start_right::Granted
+                                   ? kMaxColdTransitTime
+                                   : kMaxTransitTime;
+    if (!sentAt || transit < -longest.count() || transit > longest.count()) {
       SendError(mParts.loop, *aResponder, relay_error::Late);
       return;
     }
@@ -374,6 +413,12 @@
     SendError(mParts.loop, *aResponder, relay_error::Unknown);
     return;
   }
+  if (!mParts.mayStart()) {
+    // Without a response the leader avoids this node, not the sampler.
+    Log(log_level::Info, "run_before_orders", { { "run", aRun } });
+    aResponder->Abort();
+    return;
+  }
   const time_point now = mParts.loop.Now();
   const std::string address = FormatAddress(*target);
   const auto limit = mLimits->find(address);
@@ -385,7 +430,12 @@
   auto started = std::make_shared<run>(
     mParts.loop, mParts.protocol, address, mLimits, mParts.leaderDisconnected);
   mRuns[aRun] = started;
-  started->Start(mParts.client, *target, std::move(*request));
+  started->Start(mParts.client,
+                 *target,
+                 std::string(aRequest.headers.Get(kZoneHeader)),
+                 RightOf(aRequest),
+                 home_regions::FromText(aRequest.headers.Find(kHomesHeader)),
+                 std::move(*request));
   started->Attach(std::move(aResponder));
 }
 
--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -33,6 +33,9 @@
 /// that the target can't be reached.
 constexpr std::size_t kMaxGateways = 8;
 constexpr int kMaxUnreachable = 2;
+/// Log lines a second about requests that are held back; each holds the count
+/// of all.
+constexpr int kHeldBackLinesPerSecond = 5;
 
 std::optional<exchange_failure>
 FailureOf(gateway_error aError)
@@ -84,7 +87,9 @@
 
   void Start()
   {
-    if (mProbe || (mOwner.CutOff() && !mOptions.directOnly)) {
+    if (!Allowed()) {
+      FailLater(exchange_failure::NotSent);
+    } else if (mProbe || (mOwner.CutOff() && !mOptions.directOnly)) {
       TryGateway();
     } else {
       SendDirectly();
@@ -144,7 +149,11 @@
   void OnFailure(exchange_failure aFailure) override
   {
     mTimer.reset();
-    if (!NothingSent(aFailure)) {
+    if (!mGateway && !mHeldBack && !mProbe) {
+      Parts().targets.NoteBroken(mTarget, Now());
+    }
+    if (!NothingSent(aFailure) || mHeldBack ||
+        (!mProbe && !Parts().targets.Allows(mTarget, mOptions.targetZone))) {
       Fail(aFailure);
     } else if (mGateway) {
       Parts().nodes.NoteFailure(mGateway->address, Now());
@@ -163,6 +172,53 @@
 
 private:
   [[nodiscard]] const parts& Parts() const { return mOwner.mParts; }
+  /// Probes open connections and send no request.
+  [[nodiscard]] bool Allowed()
+  {
+    mHeldBack = !mProbe && (!mOwner.Allows(mTarget, mOptions.targetZone) ||
+                            !StartAllowed());
+    return !mHeldBack;
+  }
+  /// A grant is for one time, since which the target may have got others; a
+  /// target that was warm at the decision may be cold now.
+  [[nodiscard]] bool StartAllowed()
+  {
+    const char* reason = nullptr;
+    if (!mOptions.homes.Allows(
+          Parts().targets.Regions().RegionOf(mOptions.targetZone))) {
+      reason = "not_a_home_region";
+    } else if (mOptions.start == start_right::Warm &&
+               Parts().targets.ColdAt(mTarget)) {
+      reason = "cold";
+    } else if (mOptions.start == start_right::Granted &&
+               TimeLeft() < milliseconds(0)) {
+      reason = "grant_too_old";
+    }
+    if (reason) {
+      mOwner.NoteHeldBack(mTarget, mOptions.targetZone, reason);
+    }
+    return !reason;
+  }
+  /// @return Which zones' nodes may get the request; unset if all may.
+  [[nodiscard]] std::function<bool(const std::string&)> GatewayFilter() const
+  {
+    if (mProbe || !mOptions.homes.Restricted()) {
+      return {};
+    }
+    return [this](const std::string& aZone) {
+      const region_map& regions = Parts().targets.Regions();
+      const std::string& region = regions.RegionOf(aZone);
+      return mOptions.homes.Allows(region) ||
+             (!region.empty() && region == regions.RegionOf(Parts().zone));
+    };
+  }
+  [[nodiscard]] std::function<bool()> WriteCheck()
+  {
+    return [self = weak_from_this(), alive = std::weak_ptr<bool>(mOwnerAlive)] {
+      const auto exchange = self.lock();
+      return exchange && !alive.expired() && exchange->Allowed();
+    };
+  }
   [[nodiscard]] time_point Now() const { return mOwner.mParts.loop.Now(); }
   [[nodiscard]] milliseconds TimeLeft() const
   {
@@ -176,6 +232,7 @@
     if (!mOptions.directOnly) {
       options.connectTimeout /= kDirectConnectDivisor;
     }
+    options.mayWrite = WriteCheck();
     mInner =
       Parts().client.Send(mTarget, mRequest, options, shared_from_this());
     mTimer = Parts().loop.After(
@@ -192,12 +249,17 @@
     const milliseconds left = TimeLeft();
     const auto gateway =
       left > milliseconds(0) && mTried.size() < kMaxGateways
-        ? Parts().nodes.ChooseGateway(FormatAddress(mTarget), mTried, now)
+        ? Parts().nodes.ChooseGateway(
+            FormatAddress(mTarget), mTried, now, GatewayFilter())
         : std::nullopt;
     if (!gateway) {
       FailLater(mLastFailure);
       return;
     }
+    if (!Allowed()) {
+      FailLater(exchange_failure::NotSent);
+      return;
+    }
     mTried.insert(gateway->vm);
     mGateway = *gateway;
     SendToGateway();
@@ -213,6 +275,7 @@
     options.connectTimeout =
       std::min(call.options.connectTimeout, kGatewayConnectTimeout);
     options.readTimeout = mOptions.readTimeout + mOptions.connectTimeout;
+    options.mayWrite = WriteCheck();
     mGatewayError.reset();
     mInner = Parts().client.Send(mGateway->address,
                                  mProbe ? MakeGatewayProbe(call)
@@ -229,6 +292,9 @@
       return;
     }
     const auto failure = FailureOf(aError);
+    if (failure && !mProbe) {
+      Parts().targets.NoteBroken(mTarget, Now());
+    }
     if (failure && !NothingSent(*failure)) {
       Fail(*failure);
       return;
@@ -269,7 +335,8 @@
   http_request mRequest;
   exchange_options mOptions;
   std::shared_ptr<response_sink> mSink;
-  bool mProbe; ///< Asks gateways for a probe instead of sending.
+  bool mHeldBack = false; ///< Nothing was sent by this node's decision.
+  bool mProbe;            ///< Asks gateways for a probe instead of sending.
   time_point mStarted;
   std::shared_ptr<http_exchange> mInner;
   std::optional<node_entry> mGateway; ///< Nothing on a direct connection.
@@ -305,6 +372,39 @@
 
 } // namespace
 
+target_client::target_client(parts aParts)
+  : mParts(aParts)
+  , mHeldBackLines(kHeldBackLinesPerSecond)
+{
+}
+
+bool
+target_client::Allows(const socket_address& aTarget, const std::string& aZone)
+{
+  if (mParts.targets.Allows(aTarget, aZone)) {
+    return true;
+  }
+  NoteHeldBack(
+    aTarget, aZone, OrdersRead() ? "zone_evacuated" : "orders_not_read");
+  return false;
+}
+
+void
+target_client::NoteHeldBack(const socket_address& aTarget,
+                            const std::string& aZone,
+                            const char* aReason)
+{
+  ++mHeldBack;
+  if (mHeldBackLines.Allow("request_held_back", mParts.loop.Now())) {
+    Log(log_level::Info,
+        "request_held_back",
+        { { "address", FormatAddress(aTarget) },
+          { "zone", aZone },
+          { "reason", aReason },
+          { "held_back", std::to_string(mHeldBack) } });
+  }
+}
+
 std::shared_ptr<http_exchange>
 target_client::Send(const socket_address& aPeer,
                     http_request aRequest,
@@ -365,7 +465,8 @@
 {
   std::vector<std::pair<std::uint64_t, socket_address>> ranked;
   for (const auto& [id, known] : mParts.targets.All()) {
-    if (!known.removedSince) {
+    // A zone that is evacuated may be switched off.
+    if (!known.removedSince && mParts.targets.Allows(known)) {
       ranked.emplace_back(Hash64(id, mChecks), known.entry.address);
     }
   }
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -43,6 +43,7 @@
     bool up = true;
     int starts = 1;
     std::vector<std::shared_ptr<scripted_client::sent>> running;
+    std::vector<time_point> arrivals; ///< Of requests that it runs.
   };
 
   struct fleet_node
@@ -72,9 +73,18 @@
     limit_coordinator limits{ { fleet.loop,
                                 client,
                                 targets,
-                                [] { return true; },
-                                [] { return std::nullopt; } } };
-    target_client targetClient{ { fleet.loop, client, directory, targets } };
+                                [this] {
+                                  return fleet.leader.value_or(index) == index;
+                                },
+                                [this]() -> std::optional<socket_address> {
+                                  if (!fleet.leader || *fleet.leader < 0) {
+                                    return std::nullopt;
+                                  }
+                                  return NodeAddress(*fleet.leader);
+                                } } };
+    target_client targetClient{
+      { fleet.loop, client, directory, targets, "z" }
+    };
     target_gateway gateway{ fleet.loop, targetClient };
     crash_watch crashes{ { fleet.loop, targetClient, log } };
     ignoring_handler other;
@@ -149,6 +159,7 @@
     call.route.kind = aKind;
     call.route.maxAttempts = 2;
     call.route.latencyTarget = std::chrono::milliseconds(150);
+    call.homes = homes;
     call.request = Request(aBody);
     call.request.headers.Add("Arbutusferry-Request-Id", call.id);
     call.deadline = loop.Now() + std::chrono::milliseconds(800);
@@ -215,6 +226,9 @@
   metrics_registry metrics;
   std::vector<std::unique_ptr<fleet_node>> nodes;
   std::vector<target> targets;
+  /// Index of the node that grants starts; -1 if none does. Unset, each does.
+  std::optional<int> leader;
+  home_regions homes; ///< Of the calls that are made.
   duration downTime = std::chrono::milliseconds(2'900);
   /// Time by which a process that ends closes its connections first.
   duration endDelay{};
@@ -260,7 +274,12 @@
     loop.Post(std::chrono::milliseconds(1), [this, &aNode, aSent] {
       switch (aNode.link) {
         case link_state::Up:
-          Arrive(aSent);
+          // As the client does when the connection is made.
+          if (aSent->options.mayWrite && !aSent->options.mayWrite()) {
+            aSent->Fail(exchange_failure::NotSent);
+          } else {
+            Arrive(aSent);
+          }
           break;
         case link_state::Silent:
           loop.Post(aSent->options.connectTimeout,
@@ -320,6 +339,7 @@
       longestDeadline,
       ParseInteger(aSent->request.headers.Get("Arbutusferry-Deadline-Ms"))
         .value_or(0));
+    found.arrivals.push_back(loop.Now());
     found.running.push_back(aSent);
     const auto index = static_cast<std::size_t>(&found - targets.data());
     loop.Post(kRunTime, [this, index, aSent, crashes] {
