Order waiting items by slack and choose samplers by length

Cause: items were placed by age of their batch alone, without priorities, shares of teams, due times or speeds of samplers. Change: src/placement has the decisions, batch_runs and batch_moves use them where slots don't suffice.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -11,6 +11,8 @@
 #include "arbutusferry/node/result_wait.hpp"
 #include "arbutusferry/node/sampler_pool.hpp"
 #include "arbutusferry/node/target_protocol.hpp"
+#include "placement/placement_pass.hpp"
+#include "placement/run_history.hpp"
 
 #include <functional>
 #include <memory>
@@ -131,6 +133,15 @@
   void Tick();
   void PlaceItems();
   void MoveSlowRuns();
+  /// Moves runs that can't end in time where they are to samplers at which
+  /// they can.
+  void MoveEarly();
+  /// Moves a run early if that is worth its cost.
+  /// @param aRoom Samplers by service, less the slots that were taken.
+  /// @return Whether it was moved.
+  [[nodiscard]] bool TryMoveEarly(
+    const std::shared_ptr<item_run>& aRun,
+    std::map<std::string, service_samplers>& aRoom);
   /// Takes a slot for a run of a slow sampler at a faster one that may go on
   /// with it.
   /// @param aRoom Samplers by service, less the slots that were taken.
@@ -177,7 +188,14 @@
   /// Ends the reward calls in progress of a batch, or of all.
   static void CancelRewardCalls(batch& aBatch);
   void CancelRewardCalls();
-  [[nodiscard]] std::vector<waiting_item> WaitingItems();
+  /// Chooses a sampler for a waiting item. Drops its events if it can only be
+  /// restarted.
+  [[nodiscard]] std::optional<std::size_t> ChooseFor(
+    waiting_item& aItem,
+    const service_samplers& aService,
+    double aTypicalEvents);
+  /// Logs and counts an item whose run has started.
+  void NotePlaced(const waiting_item& aItem, int aTeamSlots);
   [[nodiscard]] bool StartRun(const waiting_item& aItem,
                               const std::string& aSampler);
   /// Attaches to relayed streams of an earlier leader's runs.
@@ -203,6 +221,7 @@
   batch_table mBatches;
   batch_journal mJournal;
   sampler_pool mPool;
+  run_history mHistory;
   limit_records mLimitRecords;
   std::function<void(const std::map<std::int64_t, std::string>&)> mOnReady;
   bool mReady = false;
--- a/include/arbutusferry/node/batch_table.hpp
+++ b/include/arbutusferry/node/batch_table.hpp
@@ -153,6 +153,15 @@
   [[nodiscard]] bool Closed() const noexcept { return mEnded || Complete(); }
   /// @return Items of a group without a durable result.
   [[nodiscard]] std::size_t UncommittedItems(const std::string& aGroup) const;
+  /// @return Number of an item's group in the batch.
+  [[nodiscard]] std::size_t GroupOf(std::size_t aIndex) const
+  {
+    return mGroupOf[aIndex];
+  }
+  [[nodiscard]] std::size_t GroupCount() const noexcept
+  {
+    return mUncommittedByGroup.size();
+  }
   /// @return Groups in which every item has a durable result.
   [[nodiscard]] std::size_t CompleteGroups() const noexcept
   {
@@ -183,6 +192,7 @@
   std::vector<batch_result> mResults;
   std::map<std::string, std::size_t> mItemIndexes;
   std::map<std::string, std::size_t> mUncommittedByGroup;
+  std::vector<std::size_t> mGroupOf; ///< Number of each item's group.
   std::size_t mCompleteGroups = 0;
   bool mEnded = false;
   bool mHoldsTexts = false;
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -113,6 +113,7 @@
   [[nodiscard]] const route_entry* RouteByName(std::string_view aName) const;
   /// @return The team that holds a key, or null.
   [[nodiscard]] const team_entry* TeamOfKey(std::string_view aKey) const;
+  [[nodiscard]] const team_entry* Team(std::string_view aName) const;
   [[nodiscard]] const service_entry* Service(std::string_view aName) const;
   [[nodiscard]] const std::vector<service_entry>& Services() const noexcept
   {
--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/time.hpp"
+#include "placement/step_slack.hpp"
 
 #include <cstdint>
 #include <limits>
@@ -52,8 +53,27 @@
   std::size_t groupUncommitted = 0;
   /// Largest estimate of output tokens among the items of its group.
   std::int64_t groupTokenEstimate = 0;
+  /// Priority of its team, or else of its route; 0 is placed first.
+  int priority = 0;
+  std::size_t demand = 0; ///< Index of its model and version in a placement.
+  bool contended = false; ///< Whether the members below are set.
+  std::size_t share = 0;  ///< Index of its team and model in a placement.
+  slack_class need = slack_class::Timely;
+  double slackMs = 0.0;         ///< Slack of its group.
+  double remainingEvents = 0.0; ///< Events that it probably still needs.
 };
 
+/// @return Whether a sampler has weights of a model that are new enough, or may
+/// have loaded them.
+[[nodiscard]] bool
+HoldsWeights(const sampler_state& aSampler,
+             const std::string& aModel,
+             std::int64_t aMinimumVersion);
+
+/// @return Whether a sampler may take an item now.
+[[nodiscard]] bool
+MayTake(const sampler_state& aSampler, const waiting_item& aItem);
+
 /// Sorts items in the order of placement: the oldest batch first; within it
 /// groups carried over from an earlier batch, then the longest by estimate,
 /// then those with the fewest items left.
@@ -65,6 +85,11 @@
 [[nodiscard]] std::optional<std::size_t>
 ChooseSampler(const waiting_item& aItem,
               const std::vector<sampler_state>& aSamplers);
+/// The same with a median from `MedianEventIntervalMs`, for many items.
+[[nodiscard]] std::optional<std::size_t>
+ChooseSampler(const waiting_item& aItem,
+              const std::vector<sampler_state>& aSamplers,
+              double aMedianIntervalMs);
 
 /// Times of a run's start and events.
 struct run_timing
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -54,6 +54,9 @@
   [[nodiscard]] std::vector<sampler_state> States(
     const std::string& aService) const;
   [[nodiscard]] sampler_state State(const std::string& aId) const;
+  /// @return Mean time between the events of a sampler's runs, if known.
+  [[nodiscard]] std::optional<double> EventIntervalMs(
+    const std::string& aId) const;
 
   void AddRun(std::shared_ptr<item_run> aRun);
   /// Removes a run and updates its sampler's backoff by the outcome.
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -439,6 +439,7 @@
   }
   SaveLimits();
   MoveSlowRuns();
+  MoveEarly();
   PlaceItems();
   SendRewardCalls();
   const time_point now = mParts.loop.Now();
--- a/src/node/batch_moves.cpp
+++ b/src/node/batch_moves.cpp
@@ -1,6 +1,10 @@
 #include "arbutusferry/node/batch_leader.hpp"
 
 #include "arbutusferry/logging.hpp"
+#include "placement/speed_choice.hpp"
+
+#include <algorithm>
+#include <cmath>
 
 namespace arbutusferry::node {
 
@@ -101,4 +105,117 @@
   }
 }
 
+void
+batch_leader::MoveEarly()
+{
+  if (mHandedOver || mSuperseded || !mParts.mayStartRuns()) {
+    return;
+  }
+  std::map<std::string, service_samplers> room; // By service.
+  std::size_t moved = 0;
+  const auto runs = mPool.Runs();
+  for (const auto& run : runs) {
+    if (moved == kMovesPerTick) {
+      break;
+    }
+    moved += TryMoveEarly(run, room) ? 1 : 0;
+  }
+}
+
+bool
+batch_leader::TryMoveEarly(const std::shared_ptr<item_run>& aRun,
+                           std::map<std::string, service_samplers>& aRoom)
+{
+  const batch* owner = mBatches.Find(aRun->Batch());
+  if (!owner || !aRun->Timing().begun) {
+    return false;
+  }
+  const batch_request& request = owner->Request();
+  const length_estimate& lengths = mHistory.Lengths(request.route);
+  const auto hereMs = mPool.EventIntervalMs(aRun->Sampler());
+  if (!lengths.Known() || !hereMs) {
+    return false;
+  }
+  const item_progress& progress = owner->Items()[aRun->Index()].progress;
+  const batch_item& item = request.items[aRun->Index()];
+  move_outlook outlook;
+  outlook.hereMs = *hereMs;
+  outlook.firstEventMs = mHistory.FirstEventMs();
+  // The typical hint only matters while no lengths are known.
+  outlook.remainingEvents = RemainingEvents(
+    lengths.Events(item.lengthHint, 0.0), progress.events.size());
+  const route_entry* route =
+    mParts.environment.Environment().FindRoute(request.host, item.path);
+  if (!route || route->services.empty() || route->resultDue.count() <= 0) {
+    return false;
+  }
+  outlook.untilDueMs =
+    static_cast<double>((route->resultDue - Age(*owner)).count());
+  if (!ShouldMoveEarly(outlook)) {
+    return false; // Not even to a sampler that takes no time at all.
+  }
+  const auto [at, added] = aRoom.try_emplace(route->services.front().service);
+  if (added) {
+    at->second = SummarizeSamplers(mPool.States(at->first));
+  }
+  service_samplers& service = at->second;
+  outlook.thereMs = service.intervals.fastestMs;
+  if (!ShouldMoveEarly(outlook)) {
+    return false;
+  }
+  waiting_item moving;
+  moving.batch = request.id;
+  moving.index = aRun->Index();
+  moving.model = request.model;
+  moving.minimumVersion = request.minimumVersion;
+  moving.group = item.group;
+  moving.onlySoftware = progress.software;
+  if (route->singleVersion && !progress.versions.empty()) {
+    moving.onlyVersion = progress.versions.back();
+  }
+  moving.remainingEvents = outlook.remainingEvents;
+  const auto chosen =
+    ChooseByLength(moving, service.states, service.intervals.medianMs, 0.0);
+  if (!chosen || service.states[*chosen].id == aRun->Sampler()) {
+    return false;
+  }
+  sampler_state& target = service.states[*chosen];
+  outlook.thereMs = target.eventIntervalMs.value_or(service.intervals.medianMs);
+  if (!target.loading.empty() || !ShouldMoveEarly(outlook) ||
+      RateBatch(*owner,
+                route,
+                lengths,
+                service.intervals,
+                mParts.loop.UnixMilliseconds())
+          .groups[owner->GroupOf(aRun->Index())]
+          .need != slack_class::Timely) {
+    return false;
+  }
+  Log(
+    log_level::Info,
+    "item_moved_early",
+    { { "item", aRun->Call().id },
+      { "batch", request.id },
+      { "target", aRun->Sampler() },
+      { "to", target.id },
+      { "interval_ms", std::to_string(std::llround(outlook.hereMs)) },
+      { "to_interval_ms", std::to_string(std::llround(outlook.thereMs)) },
+      { "rest_events", std::to_string(std::llround(outlook.remainingEvents)) },
+      { "first_event_ms", std::to_string(std::llround(outlook.firstEventMs)) },
+      { "until_due_ms", std::to_string(std::llround(outlook.untilDueMs)) } });
+  mParts.metrics.Count("ferry_items_moved_early_total", {});
+  item_state& state = mBatches.Find(request.id)->Items()[aRun->Index()];
+  state.phase = item_phase::Waiting;
+  state.progress.location.reset();
+  mPool.CancelRun(aRun);
+  // Placed at once, so that no other item takes the slot. If the sampler's
+  // limit forbids it after all, the item waits like any other.
+  if (StartRun(moving, target.id)) {
+    ++target.running;
+    --target.startsAvailable;
+    ++target.groups[moving.group];
+  }
+  return true;
+}
+
 } // namespace arbutusferry::node
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -1,8 +1,10 @@
 #include "arbutusferry/node/batch_leader.hpp"
 
 #include "arbutusferry/logging.hpp"
+#include "placement/speed_choice.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutusferry::node {
 
@@ -29,43 +31,6 @@
 
 } // namespace
 
-std::vector<waiting_item>
-batch_leader::WaitingItems()
-{
-  const time_point now = mParts.loop.Now();
-  std::vector<waiting_item> waiting;
-  for (const auto& [id, entry] : mBatches.All()) {
-    if (entry->Closed()) {
-      continue;
-    }
-    const batch_request& request = entry->Request();
-    std::map<std::string, std::int64_t> hints;
-    for (const batch_item& item : request.items) {
-      std::int64_t& hint = hints[item.group];
-      hint = std::max(hint, item.lengthHint);
-    }
-    for (std::size_t index = 0; index < entry->Items().size(); ++index) {
-      const item_state& item = entry->Items()[index];
-      if (item.phase != item_phase::Waiting || item.notBefore > now) {
-        continue;
-      }
-      waiting_item candidate;
-      candidate.batch = id;
-      candidate.index = index;
-      candidate.model = request.model;
-      candidate.minimumVersion = request.minimumVersion;
-      candidate.group = request.items[index].group;
-      candidate.submittedUnixMs = request.submittedUnixMs;
-      candidate.carried = item.carried;
-      candidate.groupUncommitted = entry->UncommittedItems(candidate.group);
-      candidate.groupTokenEstimate = hints[candidate.group];
-      waiting.push_back(std::move(candidate));
-    }
-  }
-  SortWaiting(waiting);
-  return waiting;
-}
-
 void
 batch_leader::PlaceItems()
 {
@@ -83,57 +48,138 @@
   if (!std::exchange(mAttached, true)) {
     AttachRuns();
   }
-  std::map<std::string, std::vector<sampler_state>> states;
-  mUnplaced.clear();
-  for (waiting_item& item : WaitingItems()) {
-    batch& owner = *mBatches.Find(item.batch);
-    const batch_item& request = owner.Request().items[item.index];
-    const route_entry* route =
-      environment.FindRoute(owner.Request().host, request.path);
-    if (!route || route->services.empty()) {
+  placement_pass pass(mBatches.All(),
+                      environment,
+                      mHistory,
+                      mParts.loop.Now(),
+                      mParts.loop.UnixMilliseconds());
+  if (environment.Version() > 0) {
+    for (const auto& [id, index] : pass.WithoutRoute()) {
       // The operator has removed the route of the batch.
-      if (environment.Version() > 0) {
-        FinishItem(owner, item.index, result_state::Errored);
-      }
-      continue;
-    }
-    item_state& state = owner.Items()[item.index];
-    if (!state.progress.events.empty() && !state.progress.software) {
-      // Saved by a process that did not record the software.
-      LogRestart(owner, item.index);
-      state.progress = {};
-    }
-    const bool begun = !state.progress.events.empty();
-    if (begun) {
-      item.onlySoftware = state.progress.software;
-      item.onlyVersion = route->singleVersion ? state.progress.versions.back()
-                                              : item.onlyVersion;
+      FinishItem(*mBatches.Find(id), index, result_state::Errored);
     }
-    const std::string& service = route->services.front().service;
-    auto [at, added] = states.try_emplace(service);
+  }
+  std::map<std::string, service_samplers> samplers;
+  for (const placement_demand& demand : pass.Demands()) {
+    const auto [at, added] = samplers.try_emplace(demand.service);
     if (added) {
-      at->second = mPool.States(service);
+      at->second = SummarizeSamplers(mPool.States(demand.service));
     }
-    auto chosen = ChooseSampler(item, at->second);
-    if (!chosen && begun) {
-      // No sampler can take the item now under the versions of its events: if
-      // one with other versions can, drop the events and restart there.
-      item.onlyVersion = 0;
-      item.onlySoftware.reset();
-      chosen = ChooseSampler(item, at->second);
-      if (chosen) {
-        LogRestart(owner, item.index);
-        state.progress = {};
+  }
+  pass.Arrange(samplers);
+  if (pass.ContendedItems() > 0) {
+    for (const auto& run : mPool.Runs()) {
+      if (const auto share =
+            pass.FindShare(run->Call().team, run->Call().model)) {
+        pass.AddRunning(*share);
       }
     }
+  }
+  mUnplaced.clear();
+  // Demands for which no sampler has room any more.
+  std::vector<bool> full(pass.Demands().size());
+  for (std::size_t index = 0; index < full.size(); ++index) {
+    const placement_demand& demand = pass.Demands()[index];
+    full[index] = pass.StateOf(index) == demand_state::Full;
+    if (full[index]) {
+      mUnplaced[demand.model] += demand.waiting;
+    }
+  }
+  while (waiting_item* item = pass.Next()) {
+    const placement_demand& demand = pass.Demands()[item->demand];
+    if (full[item->demand]) {
+      ++mUnplaced[item->model];
+      continue;
+    }
+    service_samplers& service = samplers[demand.service];
+    const auto chosen = ChooseFor(*item, service, pass.TypicalEvents());
     if (!chosen) {
-      ++mUnplaced[item.model];
-    } else if (StartRun(item, at->second[*chosen].id)) {
-      ++at->second[*chosen].running;
-      --at->second[*chosen].startsAvailable;
-      ++at->second[*chosen].groups[item.group];
+      full[item->demand] = true;
+      ++mUnplaced[item->model];
+      continue;
+    }
+    sampler_state& sampler = service.states[*chosen];
+    if (StartRun(*item, sampler.id)) {
+      NotePlaced(*item, pass.SlotsOf(*item));
+      pass.NotePlaced(*item);
+      ++sampler.running;
+      --sampler.startsAvailable;
+      ++sampler.groups[item->group];
+    }
+  }
+}
+
+std::optional<std::size_t>
+batch_leader::ChooseFor(waiting_item& aItem,
+                        const service_samplers& aService,
+                        double aTypicalEvents)
+{
+  batch& owner = *mBatches.Find(aItem.batch);
+  item_state& state = owner.Items()[aItem.index];
+  if (!state.progress.events.empty() && !state.progress.software) {
+    // Saved by a process that did not record the software.
+    LogRestart(owner, aItem.index);
+    state.progress = {};
+  }
+  const auto choose = [&] {
+    return aItem.contended ? ChooseByLength(aItem,
+                                            aService.states,
+                                            aService.intervals.medianMs,
+                                            aTypicalEvents)
+                           : ChooseSampler(aItem,
+                                           aService.states,
+                                           aService.intervals.medianMs);
+  };
+  if (state.progress.events.empty()) {
+    return choose();
+  }
+  const route_entry* route = mParts.environment.Environment().FindRoute(
+    owner.Request().host, owner.Request().items[aItem.index].path);
+  aItem.onlySoftware = state.progress.software;
+  if (route && route->singleVersion) {
+    aItem.onlyVersion = state.progress.versions.back();
+  }
+  auto chosen = choose();
+  if (!chosen) {
+    // No sampler can take the item now under the versions of its events: if
+    // one with other versions can, drop the events and restart there.
+    aItem.onlyVersion = 0;
+    aItem.onlySoftware.reset();
+    chosen = choose();
+    if (chosen) {
+      LogRestart(owner, aItem.index);
+      state.progress = {};
     }
   }
+  return chosen;
+}
+
+void
+batch_leader::NotePlaced(const waiting_item& aItem, int aTeamSlots)
+{
+  const batch& owner = *mBatches.Find(aItem.batch);
+  const item_state& item = owner.Items()[aItem.index];
+  const std::string need(aItem.contended ? EnumName(aItem.need) : "ample");
+  mParts.metrics.Count("ferry_items_placed_total", { { "slack", need } });
+  if (item.runCount == 1) {
+    mParts.metrics.Observe(
+      "ferry_item_wait_seconds",
+      { { "priority", std::to_string(aItem.priority) },
+        { "tenant", owner.Request().team } },
+      std::chrono::duration<double>(item.queueTime).count());
+  }
+  if (aItem.contended) {
+    Log(
+      log_level::Info,
+      "item_placed_by_slack",
+      { { "item", owner.Request().items[aItem.index].id },
+        { "batch", aItem.batch },
+        { "priority", std::to_string(aItem.priority) },
+        { "slack", need },
+        { "slack_ms", std::to_string(std::llround(aItem.slackMs)) },
+        { "rest_events", std::to_string(std::llround(aItem.remainingEvents)) },
+        { "team_slots", std::to_string(aTeamSlots) } });
+  }
 }
 
 bool
@@ -257,6 +303,9 @@
     return;
   }
   item_progress& progress = owner->Items()[aRun.Index()].progress;
+  if (progress.events.empty()) {
+    mHistory.NoteFirstEvent(mParts.loop.Now() - aRun.Timing().started);
+  }
   progress.events.push_back(std::move(aData));
   progress.versions.push_back(aVersion);
   mPool.NoteEvent(aRun);
@@ -323,6 +372,9 @@
         item.progress = {};
         break;
       }
+      mHistory.NoteCompleted(owner->Request().route,
+                             owner->Request().items[aRun.Index()].lengthHint,
+                             item.progress.events.size());
       FinishText(*owner, aRun.Index());
       break;
     case run_outcome::Impossible:
--- a/src/node/batch_table.cpp
+++ b/src/node/batch_table.cpp
@@ -46,9 +46,14 @@
   , mItems(mRequest.items.size())
   , mEnded(aEnded)
 {
+  std::map<std::string, std::size_t> numbers;
+  mGroupOf.reserve(mRequest.items.size());
   for (std::size_t index = 0; index < mRequest.items.size(); ++index) {
+    const std::string& group = mRequest.items[index].group;
     mItemIndexes.emplace(mRequest.items[index].id, index);
-    ++mUncommittedByGroup[mRequest.items[index].group];
+    ++mUncommittedByGroup[group];
+    mGroupOf.push_back(
+      numbers.try_emplace(group, numbers.size()).first->second);
   }
 }
 
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -105,6 +105,12 @@
   return found == mByKey.end() ? nullptr : &mTeams[found->second];
 }
 
+const team_entry*
+environment_view::Team(std::string_view aName) const
+{
+  return FindByName(mTeams, aName);
+}
+
 const service_entry*
 environment_view::Service(std::string_view aName) const
 {
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -68,27 +68,53 @@
   return *middle;
 }
 
+bool
+HoldsWeights(const sampler_state& aSampler,
+             const std::string& aModel,
+             std::int64_t aMinimumVersion)
+{
+  if (aSampler.loading == aModel && !aSampler.mayHaveLoaded) {
+    return false;
+  }
+  const auto version = aSampler.versions.find(aModel);
+  return version != aSampler.versions.end() &&
+         version->second >= aMinimumVersion;
+}
+
+bool
+MayTake(const sampler_state& aSampler, const waiting_item& aItem)
+{
+  return aSampler.usable && aSampler.running < aSampler.slots &&
+         aSampler.startsAvailable > 0 &&
+         (!aItem.onlySoftware || aSampler.software == *aItem.onlySoftware) &&
+         HoldsWeights(aSampler, aItem.model, aItem.minimumVersion) &&
+         (aItem.onlyVersion == 0 ||
+          aSampler.versions.find(aItem.model)->second == aItem.onlyVersion);
+}
+
 std::optional<std::size_t>
 ChooseSampler(const waiting_item& aItem,
               const std::vector<sampler_state>& aSamplers)
 {
-  const double medianMs = MedianEventIntervalMs(aSamplers).value_or(1.0);
+  return ChooseSampler(
+    aItem, aSamplers, MedianEventIntervalMs(aSamplers).value_or(1.0));
+}
+
+std::optional<std::size_t>
+ChooseSampler(const waiting_item& aItem,
+              const std::vector<sampler_state>& aSamplers,
+              double aMedianIntervalMs)
+{
   std::optional<std::size_t> best;
   double bestScore = 0.0;
   for (std::size_t index = 0; index < aSamplers.size(); ++index) {
     const sampler_state& sampler = aSamplers[index];
-    const auto version = sampler.versions.find(aItem.model);
-    if (!sampler.usable || sampler.running >= sampler.slots ||
-        sampler.startsAvailable <= 0 ||
-        (aItem.onlySoftware && sampler.software != *aItem.onlySoftware) ||
-        (sampler.loading == aItem.model && !sampler.mayHaveLoaded) ||
-        version == sampler.versions.end() ||
-        version->second < aItem.minimumVersion ||
-        (aItem.onlyVersion != 0 && version->second != aItem.onlyVersion)) {
+    if (!MayTake(sampler, aItem)) {
       continue;
     }
+    const auto version = sampler.versions.find(aItem.model);
     const double relativeInterval =
-      sampler.eventIntervalMs.value_or(medianMs) / medianMs;
+      sampler.eventIntervalMs.value_or(aMedianIntervalMs) / aMedianIntervalMs;
     double score = std::max(1.0, relativeInterval) *
                    (1.0 + kLoadWeight * sampler.running / sampler.slots);
     score += sampler.loading == aItem.model ? kProbePenalty : 0.0;
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -131,6 +131,15 @@
   return StateOf(aId, found->second);
 }
 
+std::optional<double>
+sampler_pool::EventIntervalMs(const std::string& aId) const
+{
+  const auto found = mSamplers.find(aId);
+  return found == mSamplers.end()
+           ? std::nullopt
+           : found->second.eventInterval.Milliseconds(mParts.loop.Now());
+}
+
 std::int64_t
 sampler_pool::VersionOf(const std::string& aId, const std::string& aModel) const
 {
