Move runs that would end late before they fall behind

Cause: a run left its sampler only when that was 1.8 times slower than the median, however soon its results were due. Change: each tick compares open items with their due time and moves those that are in time elsewhere and gain more than the move costs; a filter by the slowest sampler keeps the check cheap. Run: batch_runs_test passes, with tests for priorities and early moves.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -133,6 +133,9 @@
   void Tick();
   void PlaceItems();
   void MoveSlowRuns();
+  /// @return Runs that won't end before their results are due, at the speed of
+  /// their samplers.
+  [[nodiscard]] std::vector<std::shared_ptr<item_run>> RunsThatEndLate();
   /// Moves runs that can't end in time where they are to samplers at which
   /// they can.
   void MoveEarly();
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -57,6 +57,8 @@
   /// @return Mean time between the events of a sampler's runs, if known.
   [[nodiscard]] std::optional<double> EventIntervalMs(
     const std::string& aId) const;
+  /// @return The longest of these times, if any is known.
+  [[nodiscard]] std::optional<double> SlowestIntervalMs() const;
 
   void AddRun(std::shared_ptr<item_run> aRun);
   /// Removes a run and updates its sampler's backoff by the outcome.
--- a/src/node/batch_moves.cpp
+++ b/src/node/batch_moves.cpp
@@ -105,6 +105,54 @@
   }
 }
 
+std::vector<std::shared_ptr<item_run>>
+batch_leader::RunsThatEndLate()
+{
+  std::vector<std::shared_ptr<item_run>> found;
+  const auto slowestMs = mPool.SlowestIntervalMs();
+  if (!slowestMs) {
+    return found;
+  }
+  std::set<std::pair<std::string, std::size_t>> late;
+  for (const auto& [id, entry] : mBatches.All()) {
+    const batch_request& request = entry->Request();
+    const length_estimate& lengths = mHistory.Lengths(request.route);
+    if (entry->Closed() || !lengths.Known()) {
+      continue;
+    }
+    const route_entry* route = mParts.environment.Environment().FindRoute(
+      request.host, request.items.front().path);
+    if (!route || route->resultDue.count() <= 0) {
+      continue;
+    }
+    const auto untilDueMs =
+      static_cast<double>((route->resultDue - Age(*entry)).count());
+    for (std::size_t index = 0;
+         untilDueMs > 0.0 && index < entry->Items().size();
+         ++index) {
+      const item_state& item = entry->Items()[index];
+      if (item.phase != item_phase::Running) {
+        continue;
+      }
+      const double events = RemainingOf(*entry, index, lengths, 0.0);
+      // Most items would be in time at any sampler.
+      if (events * *slowestMs > untilDueMs &&
+          events * mPool.EventIntervalMs(item.sampler).value_or(0.0) >
+            untilDueMs) {
+        late.emplace(id, index);
+      }
+    }
+  }
+  if (!late.empty()) {
+    for (const auto& run : mPool.Runs()) {
+      if (late.contains({ run->Batch(), run->Index() })) {
+        found.push_back(run);
+      }
+    }
+  }
+  return found;
+}
+
 void
 batch_leader::MoveEarly()
 {
@@ -113,12 +161,10 @@
   }
   std::map<std::string, service_samplers> room; // By service.
   std::size_t moved = 0;
-  const auto runs = mPool.Runs();
-  for (const auto& run : runs) {
-    if (moved == kMovesPerTick) {
-      break;
+  for (const auto& run : RunsThatEndLate()) {
+    if (moved < kMovesPerTick && TryMoveEarly(run, room)) {
+      ++moved;
     }
-    moved += TryMoveEarly(run, room) ? 1 : 0;
   }
 }
 
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -140,6 +140,18 @@
            : found->second.eventInterval.Milliseconds(mParts.loop.Now());
 }
 
+std::optional<double>
+sampler_pool::SlowestIntervalMs() const
+{
+  std::optional<double> slowest;
+  const time_point now = mParts.loop.Now();
+  for (const auto& [id, entry] : mSamplers) {
+    // An empty optional compares less than any value.
+    slowest = std::max(slowest, entry.eventInterval.Milliseconds(now));
+  }
+  return slowest;
+}
+
 std::int64_t
 sampler_pool::VersionOf(const std::string& aId, const std::string& aModel) const
 {
--- a/tests/unit/batch_runs_test.cpp
+++ b/tests/unit/batch_runs_test.cpp
@@ -259,3 +259,103 @@
   CHECK(leader->Find("b", "acme")->Complete());
   CHECK(test.samplers.resumedAfter.empty());
 }
+
+// Load pattern: two teams ask for more items than there are slots. Guards
+// against an operator's priority that has no effect on items.
+TEST_CASE("items of a team with a higher priority are placed first")
+{
+  leader_test test;
+  test.environment = environment_view(1,
+                                      { test.route },
+                                      { test.service },
+                                      { { "acme", {}, 3 }, { "vip", {}, 0 } },
+                                      {},
+                                      true);
+  const auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("a", 24), [] {});
+  batch_request later = test.Request("z", 8);
+  later.team = "vip";
+  later.submittedUnixMs += 1;
+  for (batch_item& item : later.items) {
+    item.id += "z";
+  }
+  leader->Submit(std::move(later), [] {});
+  // The first eight of the other team run, then those with priority.
+  test.loop.Advance(milliseconds(650));
+  CHECK(leader->Find("z", "vip")->Complete());
+  CHECK(leader->Find("a", "acme")->Results().size() == 8);
+  test.loop.Advance(milliseconds(1'000));
+  CHECK(leader->Find("a", "acme")->Complete());
+  const std::string metrics = test.metrics.Export();
+  CHECK(metrics.find("ferry_items_placed_total") != std::string::npos);
+  CHECK(metrics.find("ferry_item_wait_seconds") != std::string::npos);
+}
+
+namespace {
+
+/// A batch whose items have a length hint.
+batch_request
+HintedRequest(leader_test& aTest, const std::string& aId, int aItems)
+{
+  batch_request request = aTest.Request(aId, aItems);
+  for (batch_item& item : request.items) {
+    item.id += aId;
+    item.lengthHint = 600;
+  }
+  return request;
+}
+
+/// Runs four items at a sampler that is half as slow again as another one,
+/// which becomes free. They are due after 3 s; there they need 3.6 s.
+void
+RunAtSlowerSampler(leader_test& aTest, batch_leader& aLeader)
+{
+  // The lengths of completed items are known before.
+  aLeader.Submit(HintedRequest(aTest, "first", 8), [] {});
+  aTest.loop.Advance(milliseconds(4'000));
+  REQUIRE(aLeader.Find("first", "acme")->Complete());
+  aLeader.Submit(HintedRequest(aTest, "other", 4), [] {});
+  aTest.loop.Advance(milliseconds(20));
+  aLeader.Submit(HintedRequest(aTest, "b", 4), [] {});
+  aTest.loop.Advance(milliseconds(400));
+  aLeader.End(*aLeader.Find("other", "acme"), [] {});
+}
+
+} // namespace
+
+// Load pattern: samplers of unequal speed, of which none is slow enough to move
+// all of its runs. Guards against runs that stay until they are late.
+TEST_CASE("runs that would end late move to a faster sampler early")
+{
+  leader_test test;
+  test.samplers.events = 60;
+  test.samplers.samplers["10.0.0.2"].eventInterval = milliseconds(60);
+  test.route.resultDue = milliseconds(3'000);
+  test.environment =
+    environment_view(1, { test.route }, { test.service }, {}, {}, false);
+  const auto leader = test.StartLeader(1);
+  RunAtSlowerSampler(test, *leader);
+  test.loop.Advance(milliseconds(2'500));
+  CHECK(leader->Find("b", "acme")->Complete());
+  CHECK(test.samplers.resumedAfter.size() == 4);
+}
+
+// Guards against early moves of a leader that is not certain of its term, and
+// against moves where nothing is due.
+TEST_CASE("no run moves early without a confirmed term or a due time")
+{
+  for (const bool due : { true, false }) {
+    leader_test test;
+    test.samplers.events = 60;
+    test.samplers.samplers["10.0.0.2"].eventInterval = milliseconds(60);
+    test.route.resultDue = milliseconds(due ? 3'000 : 0);
+    test.environment =
+      environment_view(1, { test.route }, { test.service }, {}, {}, false);
+    const auto leader = test.StartLeader(1);
+    RunAtSlowerSampler(test, *leader);
+    test.mayStartRuns = !due;
+    test.loop.Advance(milliseconds(2'500));
+    CHECK_FALSE(leader->Find("b", "acme")->Complete());
+    CHECK(test.samplers.resumedAfter.empty());
+  }
+}
