--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -123,6 +123,7 @@
   /// @return The regions that a request of a team on a route may reach.
   [[nodiscard]] home_regions HomesOf(const route_entry& aRoute,
                                      std::string_view aTeam) const;
+  [[nodiscard]] const team_entry* Team(std::string_view aName) const;
   [[nodiscard]] const service_entry* Service(std::string_view aName) const;
   [[nodiscard]] const std::vector<service_entry>& Services() const noexcept
   {
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -116,6 +116,12 @@
   return homes;
 }
 
+const team_entry*
+environment_view::Team(std::string_view aName) const
+{
+  return FindByName(mTeams, aName);
+}
+
 const service_entry*
 environment_view::Service(std::string_view aName) const
 {
