Apply followed records in bounded portions and go on with failed listings

Cause: a large read or listing of target records was applied in one piece, so that the operator's records waited for it; one failed page began a listing of thousands of targets anew, at a store that was at its limit already.

Optionally only the newest record of each key of one read is delivered, removed keys and urgent records first. A follower can be paused and resumed at an offset that another source has reached.

--- a/include/arbutusferry/node/keyed_follower.hpp
+++ b/include/arbutusferry/node/keyed_follower.hpp
@@ -4,6 +4,7 @@
 #include "arbutusferry/node/record_log.hpp"
 #include "arbutusferry/node/retry_delay.hpp"
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -21,6 +22,8 @@
                         std::uint64_t aOffset) = 0;
   /// All records up to the end that the store reported have been delivered.
   virtual void OnCaughtUp() = 0;
+  /// @return Whether a record goes before others that were read with it.
+  [[nodiscard]] virtual bool IsUrgent(const log_record&) const { return false; }
   /// The partition can be read again after failed calls.
   virtual void OnReconnected() {}
 };
@@ -38,6 +41,9 @@
     std::chrono::milliseconds pollWait{ 1'000 };
     /// Delay after a read that returned records, so that the next returns many.
     std::chrono::milliseconds batchDelay{ 0 };
+    /// Delivers only the newest record of each key of one read, deleted keys
+    /// and urgent records first.
+    bool newestOnly = false;
     /// Delay after a call that failed, and after many that did.
     std::chrono::milliseconds retryDelay{ 400 };
     std::chrono::milliseconds longestRetryDelay{ 800 };
@@ -58,6 +64,22 @@
   void Start();
   /// Reads available records at once, in parallel with the waiting read.
   void ReadNow();
+  /// Makes no calls until `Resume` or `Start`, and delivers nothing.
+  void Pause();
+  /// Reads on without a listing where another source of the same records has
+  /// ended.
+  /// @param aNext Offset up to which all records are known; 0 if that source
+  /// was not read to its end: then the newest records are listed.
+  /// @param aOffsets Offset of each present key.
+  void Resume(std::uint64_t aNext,
+              std::map<std::string, std::uint64_t> aOffsets);
+  [[nodiscard]] bool Paused() const noexcept { return mPaused; }
+  /// @return The offset of each present key.
+  [[nodiscard]] const std::map<std::string, std::uint64_t>& Offsets()
+    const noexcept
+  {
+    return mOffsets;
+  }
   /// @return The offset up to which everything was read.
   [[nodiscard]] std::uint64_t NextOffset() const noexcept { return mNext; }
   /// @return Whether the newest records have been read once.
@@ -68,11 +90,18 @@
   [[nodiscard]] bool Disconnected() const noexcept { return mDisconnected; }
 
 private:
-  void List(const std::string& aAfter);
+  /// Reads the page of the listing after `mListAfter`.
+  void List();
+  void OnPage(const newest_result& aResult);
+  void FinishListing();
   void Poll();
+  void OnRead(const read_result& aResult);
+  /// Applies `mPortion` from an index on, a bounded number of records at a time
+  /// with other events between.
+  void ApplyPortion(std::size_t aFrom, std::function<void()> aDone);
+  void KeepNewest(std::vector<log_entry>& aEntries);
   void Schedule(duration aDelay, void (keyed_follower::*aStep)());
   void Relist();
-  void ApplyEntries(const read_result& aResult);
   void Apply(const log_entry& aEntry);
   void SetDisconnected(bool aDisconnected);
 
@@ -86,13 +115,19 @@
   std::map<std::string, std::uint64_t> mOffsets; ///< Of each present key.
   /// Keys of the listing that is being read.
   std::set<std::string> mListedKeys;
+  std::string mListAfter;          ///< Last key of the pages that were read.
+  std::vector<log_entry> mPortion; ///< Read and not yet applied.
+  /// Whether the portion's offsets rise one by one, as those of a read do.
+  bool mInOrder = false;
   std::uint64_t mListEnd = 0;
   std::uint64_t mNext = 0;
   bool mListed = false;
   bool mDisconnected = false;
+  bool mPaused = false;
   time_point mLastContact;
-  /// Expires with the follower, so that later callbacks do nothing.
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  /// Expires with the follower and when it pauses, so that later callbacks do
+  /// nothing.
+  std::shared_ptr<bool> mCalls = std::make_shared<bool>(true);
 };
 
 } // namespace arbutusferry::node
