--- a/src/registry/source_choice.cpp
+++ b/src/registry/source_choice.cpp
@@ -22,6 +22,9 @@
 /// The same after a neighbor said that it doesn't read the store: it may begin
 /// to at any time.
 constexpr milliseconds kNotServingBackoff{ 1'000 };
+/// A node that reads in place of a failed one asks that again only after this
+/// time, since its followers lose it for as long; up to twice that, drawn.
+constexpr milliseconds kReaderPatience{ 60'000 };
 /// Failures in a row after which the fallback is armed: of the reader and of
 /// its standby.
 constexpr int kFailuresToFallback = 2;
@@ -37,6 +40,13 @@
 /// before followers take an old view for the reader's own fault: the longest
 /// delay between tries is 0.8 s.
 constexpr milliseconds kStoreSettle{ 1'200 };
+/// A node that takes over from failed readers has this time to notice that they
+/// failed, 0.5 s at most, and to read the store. Otherwise its followers would
+/// give up one successor after the other at the pace of their questions.
+constexpr milliseconds kTakeoverGrace{ 600 };
+/// A store that is silent shows in a node's own reads, which wait for 1.8 s at
+/// most, later than in the age of its reader's view (1.5 s).
+constexpr milliseconds kSilentStoreDelay{ 500 };
 /// A reader that was a read behind has caught up by then.
 constexpr milliseconds kBehindGrace{ 1'000 };
 
@@ -58,6 +68,12 @@
     std::uniform_int_distribution<duration::rep>(0, aLongest.count())(mRandom));
 }
 
+bool
+source_choice::TakingOver(time_point aNow) const
+{
+  return mFailuresInRow > 0 && aNow - mFollowedSince < kTakeoverGrace;
+}
+
 bool
 source_choice::StoreSettled(time_point aNow) const
 {
@@ -90,10 +106,13 @@
     mReason = aInputs.enabled ? source_reason::Alone : source_reason::Small;
     mFallbackAt.reset();
     mFallbackUntil.reset();
+    mFollowedVm.clear();
     mNeighbors.clear();
     mFailuresInRow = 0;
     return std::nullopt;
   }
+  const bool reads =
+    mReason == source_reason::Reader || mReason == source_reason::Standby;
   using rank = std::tuple<double, std::uint64_t, const zone_neighbor*>;
   std::vector<rank> ranked;
   ranked.reserve(aInputs.neighbors.size() + 1);
@@ -106,7 +125,9 @@
   }
   for (const zone_neighbor& neighbor : aInputs.neighbors) {
     const auto state = mNeighbors.find(neighbor.vm);
-    if (state == mNeighbors.end() || state->second.avoidUntil <= aNow) {
+    if (state == mNeighbors.end() ||
+        (reads ? state->second.readerAvoidUntil : state->second.avoidUntil) <=
+          aNow) {
       add(neighbor);
     }
   }
@@ -124,6 +145,8 @@
       mReason = at == 0 ? source_reason::Reader : source_reason::Standby;
       mFallbackAt.reset();
       mFallbackUntil.reset();
+      mFollowedVm.clear();
+      mWasReader = true;
       return std::nullopt;
     }
   }
@@ -140,6 +163,12 @@
     mFailuresInRow = 0;
   }
   mReason = source_reason::Follower;
+  if (const std::string& vm =
+        std::get<const zone_neighbor*>(ranked.front())->vm;
+      vm != mFollowedVm) {
+    mFollowedVm = vm;
+    mFollowedSince = aNow;
+  }
   return *std::get<const zone_neighbor*>(ranked.front());
 }
 
@@ -162,12 +191,14 @@
   }
   if (!failure) {
     mNeighbors.erase(aVm);
+    mWasReader = mWasReader && !StoreSettled(aNow);
     mFailuresInRow = 0;
     mFallbackAt.reset();
     return std::nullopt;
   }
-  if (!StoreSettled(aNow)) {
-    // The store itself is away, or was a moment ago: no source is better.
+  if (!StoreSettled(aNow) || TakingOver(aNow)) {
+    // The store is or was away, or the reader has just begun: no source is
+    // better.
     return std::nullopt;
   }
   NoteFailure(aVm, *failure, aNow);
@@ -184,9 +215,11 @@
     ArmFallback(kStartingPatience, aNow);
     return;
   }
-  if (aFailure == feed_failure::NotServing && !StoreSettled(aNow)) {
+  if (aFailure == feed_failure::NotServing &&
+      ((!StoreSettled(aNow) && !mWasReader) || TakingOver(aNow))) {
     // The zone's readers have lost the store too and will be the first to read
-    // it again.
+    // it again, or the next reader hasn't noticed yet that it is one. Only a
+    // reader looks for another node that still reads.
     return;
   }
   neighbor_state& state = mNeighbors[aVm];
@@ -196,13 +229,18 @@
     const milliseconds first = aFailure == feed_failure::NotServing
                                  ? kNotServingBackoff
                                  : kInitialBackoff;
-    state.avoidUntil =
-      aNow + std::min(kMaxBackoff,
-                      first * (1 << std::min(state.failures, kMaxDoublings)));
+    const duration backoff = std::min(
+      kMaxBackoff, first * (1 << std::min(state.failures, kMaxDoublings)));
+    // Drawn, so that the zone's nodes don't all try it at one time.
+    state.avoidUntil = aNow + backoff + Draw(backoff);
     ++state.failures;
   }
+  state.readerAvoidUntil =
+    std::max(state.avoidUntil, aNow + kReaderPatience + Draw(kReaderPatience));
   if (++mFailuresInRow >= kFailuresToFallback) {
-    ArmFallback(duration::zero(), aNow);
+    ArmFallback(aFailure == feed_failure::Stale ? kSilentStoreDelay
+                                                : milliseconds(0),
+                aNow);
   }
 }
 
--- a/src/registry/source_choice.hpp
+++ b/src/registry/source_choice.hpp
@@ -85,10 +85,14 @@
   struct neighbor_state
   {
     time_point avoidUntil;
-    int failures = 0; ///< In a row.
+    time_point readerAvoidUntil; ///< While this node reads in its place.
+    int failures = 0;            ///< In a row.
   };
 
   [[nodiscard]] bool StoreSettled(time_point aNow) const;
+  /// @return Whether the followed neighbor replaces a failed one and may need
+  /// some time for that.
+  [[nodiscard]] bool TakingOver(time_point aNow) const;
   /// Arms the fallback to the store after a delay, if it isn't armed.
   void ArmFallback(duration aDelay, time_point aNow);
   [[nodiscard]] duration Draw(duration aLongest);
@@ -98,6 +102,11 @@
   std::mt19937_64 mRandom;
   std::map<std::string, neighbor_state> mNeighbors; ///< By VM.
   source_reason mReason = source_reason::Small;
+  /// It read the store for others, until it has followed another reader while
+  /// it could read the store itself.
+  bool mWasReader = false;
+  std::string mFollowedVm;
+  time_point mFollowedSince;
   int mFailuresInRow = 0; ///< Since the last usable answer.
   std::optional<time_point> mFallbackAt;
   std::optional<time_point> mFallbackUntil;
--- a/tests/unit/registry_choice_test.cpp
+++ b/tests/unit/registry_choice_test.cpp
@@ -36,6 +36,7 @@
     /// Time as of which it knows all records.
     time_point viewAt;
     time_point readsFrom; ///< A listing or a retry ends then.
+    time_point freshFrom; ///< Its first read of the store ends then.
     bool reading = false;
     std::optional<time_point> pollEnds; ///< Of a poll that gets no answer.
   };
@@ -118,6 +119,8 @@
   bool enabled = true;
   bool storeDown = false;
   duration listingTime = milliseconds(0);
+  /// Time of the first read of a node that takes over.
+  duration resumeTime = milliseconds(0);
   std::size_t maxReading = 0;
   std::size_t storeCalls = 0;
   duration worstView{};
@@ -145,8 +148,9 @@
         if (!aMember.reading) {
           aMember.reading = true;
           aMember.readsFrom = now + listingTime;
+          aMember.freshFrom = now + resumeTime;
         }
-        if (now >= aMember.readsFrom) {
+        if (now >= aMember.readsFrom && now >= aMember.freshFrom) {
           aMember.viewAt = now;
         }
       }
@@ -295,6 +299,35 @@
   }
 }
 
+// Guards against followers that give up one successor after the other before
+// it has read the store, until all of them read it.
+TEST_CASE("readers that fail together are replaced by few others")
+{
+  enum class fault
+  {
+    Killed,
+    Frozen,
+    StoreCut
+  };
+  const auto kind = GENERATE(fault::Killed, fault::Frozen, fault::StoreCut);
+  auto zone = SettledZone(40);
+  zone.resumeTime = milliseconds(300);
+  for (auto* failed : { zone.Find(source_reason::Reader),
+                        zone.Find(source_reason::Standby) }) {
+    failed->killed = kind == fault::Killed;
+    failed->frozen = kind == fault::Frozen;
+    failed->storeCut = kind == fault::StoreCut;
+  }
+  zone.Advance(milliseconds(10'000));
+  CHECK(zone.maxReading <= 6);
+  CHECK(zone.worstView <= milliseconds(2'500));
+  // They try the failed ones again later, each at another time.
+  zone.Measure();
+  zone.Advance(milliseconds(60'000));
+  CHECK(zone.maxReading <= 6);
+  CHECK(zone.worstView <= milliseconds(1'500));
+}
+
 // Guards against followers that are torn between two nodes which both take
 // themselves for the reader.
 TEST_CASE("two readers do no harm")
@@ -309,8 +342,9 @@
   zone.Advance(milliseconds(1'000));
   CHECK(zone.CountReading() == 3);
   CHECK(zone.worstView <= milliseconds(500));
-  zone.Advance(milliseconds(30'000));
+  zone.Advance(milliseconds(150'000));
   CHECK(zone.CountReading() == source_choice::kReaders);
+  CHECK(zone.worstView <= milliseconds(500));
 }
 
 TEST_CASE("a node alone in its zone reads the store")
