Read the registry of targets through one node per zone at large sites

It is on only where store_read_mb_s is set and the deployment's size calls for it. Node records hold the CPU share. A record that changes nothing reaches followers while a report says that its target ended. Callers get 503 and the node isn't ready until the operator's topic was read to its end once.

--- a/include/arbutusferry/node/crash_ledger.hpp
+++ b/include/arbutusferry/node/crash_ledger.hpp
@@ -51,6 +51,8 @@
   void NoteAlive(const std::string& aTarget,
                  std::int64_t aBornUnixMs,
                  time_point aNow);
+  /// @return Whether a report that counts says that a target has ended.
+  [[nodiscard]] bool EndReported(const std::string& aTarget) const;
   /// Drops the reports of a request that a target ran to its end.
   /// @return Their keys.
   [[nodiscard]] std::vector<std::string> NoteServed(
--- a/include/arbutusferry/node/crash_watch.hpp
+++ b/include/arbutusferry/node/crash_watch.hpp
@@ -37,6 +37,11 @@
   void NoteServed(const std::string& aFingerprint) override;
   /// Notes a record that a target has written to the registry.
   void NoteRecord(const target_entry& aTarget);
+  /// @return Whether a report that counts says that a target has ended.
+  [[nodiscard]] bool EndReported(const std::string& aTarget) const
+  {
+    return mLedger.EndReported(aTarget);
+  }
   /// Ends old reports. To be called at intervals.
   /// @param aRemove Whether to remove ended reports from the store, which is
   /// the leader's task.
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -69,8 +69,14 @@
   void SetNewestVersion(const std::string& aModel, std::int64_t aVersion);
   void UpdateTarget(const target_entry& aTarget);
   void RemoveTarget(const std::string& aId);
-  /// Notes that the registry of targets has been read to its present end.
-  void NoteTargetsRead() { mSoftware.NoteTargetsRead(); }
+  /// Notes that the registry of targets has been read to the end that it had
+  /// some time ago.
+  void NoteTargetsRead(duration aAge = {}) { mSoftware.NoteTargetsRead(aAge); }
+  /// Notes that the operator's records have been read to their present end.
+  void NoteOperatorRead() noexcept { mOperatorRead = true; }
+  /// @return Whether the environment is the newest as of some time since the
+  /// start. Until then, that a route or key is missing from it says nothing.
+  [[nodiscard]] bool OperatorRead() const noexcept { return mOperatorRead; }
 
   [[nodiscard]] const environment_view& Environment() const override
   {
@@ -82,6 +88,19 @@
   [[nodiscard]] target_gateway& Gateway() noexcept { return mGateway; }
   /// @return The client for all requests to targets.
   [[nodiscard]] http_client& TargetClient() noexcept { return mTargetClient; }
+  [[nodiscard]] const node_directory& Nodes() const noexcept { return mNodes; }
+  /// @return Whether the addresses of nodes have been read once.
+  [[nodiscard]] bool NodesRead() const
+  {
+    return mNodeFollower->InitialReadDone();
+  }
+  [[nodiscard]] const target_view& Targets() const noexcept { return mTargets; }
+  /// @return Whether a report says that a target has ended: its next record
+  /// then matters even if it repeats the one before.
+  [[nodiscard]] bool EndReported(const std::string& aTarget) const
+  {
+    return mCrashes.EndReported(aTarget);
+  }
   [[nodiscard]] event_loop& Loop() noexcept { return mParts.loop; }
   /// @return The leader of batches, or null unless this node leads and has read
   /// the journal.
@@ -107,7 +126,8 @@
   /// @return Whether routes and targets are known.
   [[nodiscard]] bool Serving() const noexcept
   {
-    return mEnvironment.Version() > 0 && !mTargets.All().empty();
+    return mOperatorRead && mEnvironment.Version() > 0 &&
+           !mTargets.All().empty();
   }
 
 private:
@@ -137,6 +157,7 @@
   std::string mInstance; ///< Node and incarnation.
   metrics_registry mMetrics;
   environment_view mEnvironment;
+  bool mOperatorRead = false;
   std::function<void(const environment_view&)> mOnEnvironment;
   target_view mTargets;
   node_directory mNodes;
--- a/include/arbutusferry/node/node_directory.hpp
+++ b/include/arbutusferry/node/node_directory.hpp
@@ -18,6 +18,8 @@
   std::string instance; ///< Node and incarnation.
   std::string zone;
   socket_address address;
+  /// In cores; 0 if the node's build doesn't say.
+  double cpuShare = 0.0;
 };
 
 [[nodiscard]] std::string
@@ -40,6 +42,10 @@
   /// failures.
   void Update(node_entry aNode);
   void Remove(const std::string& aVm) { mNodes.erase(aVm); }
+  /// @return The other nodes of a zone.
+  [[nodiscard]] std::vector<node_entry> InZone(const std::string& aZone) const;
+  /// @return The number of other nodes.
+  [[nodiscard]] std::size_t Size() const noexcept { return mNodes.size(); }
 
   /// Chooses a node of the sampler's zone that isn't backed off. A sampler
   /// keeps its relay while that works, so that the relay's connections to it
--- a/include/arbutusferry/node/software_watch.hpp
+++ b/include/arbutusferry/node/software_watch.hpp
@@ -28,7 +28,8 @@
 
   void Start();
   /// Notes that the registry of targets has been read to its present end.
-  void NoteTargetsRead();
+  /// @param aAge Time since the registry had the end to which it was read.
+  void NoteTargetsRead(duration aAge = {});
   /// Notes the versions of the known targets.
   void Observe();
   /// Notes the version of a target that was added. Costs nothing where another
--- a/src/node/ferry_node.cpp
+++ b/src/node/ferry_node.cpp
@@ -288,12 +288,13 @@
 {
   append_request request;
   request.where = kNodePartition;
-  request.records.push_back(
-    { mSettings.vm,
-      aPresent
-        ? EncodeNode(
-            { mSettings.vm, mInstance, mSettings.zone, mSettings.peerAddress })
-        : std::string() });
+  request.records.push_back({ mSettings.vm,
+                              aPresent ? EncodeNode({ mSettings.vm,
+                                                      mInstance,
+                                                      mSettings.zone,
+                                                      mSettings.peerAddress,
+                                                      mSettings.cpuShare })
+                                       : std::string() });
   mParts.log.Append(
     std::move(request), [this, aPresent](const append_result& aResult) {
       if (aResult.status != append_status::Done && aPresent != mResigned) {
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -33,6 +33,7 @@
   value["instance"] = aNode.instance;
   value["zone"] = aNode.zone;
   value["address"] = FormatAddress(aNode.address);
+  value["cpu"] = aNode.cpuShare;
   return WriteJson(value);
 }
 
@@ -52,6 +53,9 @@
         return std::nullopt;
       }
       node.address = *address;
+      if (aValue["cpu"].isNumeric()) {
+        node.cpuShare = aValue["cpu"].asDouble();
+      }
       return node;
     });
 }
@@ -70,6 +74,18 @@
   known.entry = std::move(aNode);
 }
 
+std::vector<node_entry>
+node_directory::InZone(const std::string& aZone) const
+{
+  std::vector<node_entry> nodes;
+  for (const auto& [vm, known] : mNodes) {
+    if (known.entry.zone == aZone) {
+      nodes.push_back(known.entry);
+    }
+  }
+  return nodes;
+}
+
 std::optional<node_entry>
 node_directory::ChooseRelay(const std::string& aSampler,
                             const std::string& aZone,
--- a/src/node/software_watch.cpp
+++ b/src/node/software_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "arbutusferry/logging.hpp"
 
+#include <algorithm>
+
 namespace arbutusferry::node {
 
 namespace {
@@ -41,7 +43,7 @@
 }
 
 void
-software_watch::NoteTargetsRead()
+software_watch::NoteTargetsRead(duration aAge)
 {
   const bool missedSome = !ViewIsCurrent();
   if (missedSome) {
@@ -50,7 +52,9 @@
       mFirstStart && !mTargetsReadAt ? 0 : mParts.loop.UnixMilliseconds());
     mRestorePending = true;
   }
-  mTargetsReadAt = mParts.loop.Now();
+  // The view of a zone's reader may be older than what this node has read.
+  const time_point readAt = mParts.loop.Now() - aAge;
+  mTargetsReadAt = std::max(mTargetsReadAt.value_or(readAt), readAt);
   if (missedSome) {
     Observe();
     mFollower.ReadNow();
--- a/standins/node-soak/main.cpp
+++ b/standins/node-soak/main.cpp
@@ -10,6 +10,9 @@
 DEFINE_bool(limits, false, "let targets name limits on their requests");
 DEFINE_bool(fences, true, "let targets and duties check fencing tokens");
 DEFINE_bool(stops, false, "only stop nodes, one after the other");
+DEFINE_bool(zone_readers,
+            false,
+            "let two nodes read the registry of targets for the others");
 DEFINE_string(node_program, "", "path of the arbutusferry-node program");
 DEFINE_string(
   logs,
@@ -36,6 +39,7 @@
         FLAGS_limits,
         FLAGS_fences,
         FLAGS_stops,
+        FLAGS_zone_readers,
         FLAGS_node_program,
         FLAGS_logs });
     return run.Run();
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -189,7 +189,10 @@
       << R"(,"listen_peers":)" << address(process->peerPort)
       << R"(,"listen_metrics":)" << address(process->metricsPort)
       << R"(,"store":")" << process->storeProxy.Address() << R"(","duties":")"
-      << duties << R"(","max_record_bytes":262144,"max_call_bytes":2097152,)"
+      << duties
+      << R"(","max_record_bytes":262144,"max_call_bytes":2097152,)"
+      // A store that serves 500 bytes a second can't serve all nodes.
+      << (mOptions.zoneReaders ? R"("store_read_mb_s":0.0005,)" : "")
       << R"("lease_ms":3000,"cancel_within_ms":3000,)"
       << (mOptions.fencesChecked ? R"("fences_checked":true,)"
                                  : R"("fences_checked":false,)")
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -26,6 +26,8 @@
   bool fencesChecked = true; ///< Whether targets and duties check fences.
   /// Whether planned stops of nodes, one after the other, are the only faults.
   bool stopsOnly = false;
+  /// Whether two nodes read the registry of targets for the others.
+  bool zoneReaders = false;
   std::string nodeProgram;
   std::string logDirectory; ///< Existing directory; empty discards the logs.
 };
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -387,6 +387,15 @@
   REQUIRE(settings);
   CHECK(settings->stopWithin == std::chrono::milliseconds(8'500));
   CHECK(settings->node.zones.size() == 2);
+  // Settings of before zone readers stay valid and don't enable them.
+  CHECK(settings->storeReadMegabytes == 0.0);
+  std::string withRate = kSettings;
+  withRate.insert(withRate.find("\"max_record_bytes\""),
+                  "\"store_read_mb_s\": 80, ");
+  const auto rated =
+    Value(Capture([&] { return ReadPlatformSettings(withRate, "node.json"); }));
+  REQUIRE(rated);
+  CHECK(rated->storeReadMegabytes == 80.0);
   const std::string address =
     SettingsError(kSettings, "127.0.0.1:5", "store.example:5");
   CHECK(address.find("node.json") != std::string::npos);
