Begin the first read of targets after the operator's records

Cause: nodes that start while the store is away waited 500 ms at most, so that all of them would have begun to list the targets when it returned, before they knew that their zones have readers.

Change: the first read of targets waits for the operator's topic without a limit, since no caller is served before that, and then up to 500 ms for the addresses of nodes.

--- a/src/registry/target_registry.cpp
+++ b/src/registry/target_registry.cpp
@@ -15,8 +15,8 @@
 constexpr milliseconds kTick{ 100 };
 /// Interval of looks whether the first choice can be made.
 constexpr milliseconds kStartTick{ 10 };
-/// Longest time for which the first read of targets waits until nodes and the
-/// operator's records are known.
+/// Longest time for which the first read of targets waits for the addresses of
+/// nodes after the operator's records.
 constexpr milliseconds kStartWait{ 500 };
 
 } // namespace
@@ -63,7 +63,6 @@
 target_registry::Start(keyed_follower& aFollower)
 {
   mFollower = &aFollower;
-  mStartBy = mParts.loop.Now() + kStartWait;
   if (mParts.size().storeReadMegabytes <= 0.0) {
     // Without the store's rate there are never zone readers.
     ReadStore();
@@ -72,11 +71,22 @@
   Step();
 }
 
+bool
+target_registry::MayStart()
+{
+  if (!mParts.operatorRead()) {
+    // The store is away or just starts to answer. If all nodes began to list
+    // the targets now, they would do so before they know of zone readers.
+    return false;
+  }
+  mStartBy = mStartBy.value_or(mParts.loop.Now() + kStartWait);
+  return mParts.nodesRead() || mParts.loop.Now() >= *mStartBy;
+}
+
 void
 target_registry::Step()
 {
-  const bool waits =
-    !mStarted && !mParts.ready() && mParts.loop.Now() < mStartBy;
+  const bool waits = !mStarted && !MayStart();
   mTicker = mParts.loop.After(waits ? kStartTick : kTick, [this] { Step(); });
   if (waits) {
     return;
--- a/src/registry/target_registry.hpp
+++ b/src/registry/target_registry.hpp
@@ -28,9 +28,11 @@
     target_sink& node; ///< Receives the targets.
     /// @return The deployment's size; the targets as far as known.
     std::function<registry_size()> size;
-    /// @return Whether nodes and the operator's records have been read, which
-    /// the first choice of the source needs.
-    std::function<bool()> ready;
+    /// @return Whether the operator's records have been read. The first choice
+    /// of the source needs them, and before that no caller is served.
+    std::function<bool()> operatorRead;
+    /// @return Whether the addresses of nodes have been read, for that choice.
+    std::function<bool()> nodesRead;
     /// @return Whether this node's other reads of the store succeed.
     std::function<bool()> storeReachable;
     /// @return Whether a target's next record matters even if it repeats the
@@ -79,6 +81,9 @@
 
   void Step();
   void Choose();
+  /// @return Whether what the first choice needs has been read, or doesn't
+  /// come.
+  [[nodiscard]] bool MayStart();
   void UpdateEnabled();
   void ReadStore();
   void LogFailure(const std::string& aVm, feed_failure aFailure, duration aAge);
@@ -101,7 +106,8 @@
   bool mStarted = false; ///< A source was chosen.
   bool mEnabled = false;
   bool mComplete = false; ///< All targets have arrived once.
-  time_point mStartBy;    ///< When the store is read without a choice.
+  /// When the store is read although the nodes aren't known.
+  std::optional<time_point> mStartBy;
   time_point mViewAt;
   std::unique_ptr<target_changes> mChanges; ///< While enabled.
   std::uint64_t mEnabledCount = 0;
--- a/tests/support/registry_fleet.hpp
+++ b/tests/support/registry_fleet.hpp
@@ -40,7 +40,8 @@
             }
             return seen;
           },
-          [] { return true; },
+          [this] { return operatorRead; },
+          [this] { return nodesRead; },
           [this] { return !log.down; },
           [this](const std::string& aId) { return endReported.contains(aId); },
           [this] {
@@ -91,6 +92,8 @@
   std::set<std::string> endReported;
   /// Whether the size follows from the known targets, once there are any.
   bool countsTargets = false;
+  bool operatorRead = true;
+  bool nodesRead = true;
   std::size_t updates = 0;
   std::size_t reads = 0;
   bool killed = false;
--- a/tests/unit/registry_feed_test.cpp
+++ b/tests/unit/registry_feed_test.cpp
@@ -155,6 +155,33 @@
   CHECK(fleet.members[4]->Reads());
 }
 
+// Guards against 300 listings by nodes that start while the store is away and
+// don't know yet that their zones have readers.
+TEST_CASE("no target is read before the operator's records")
+{
+  registry_fleet fleet(4);
+  fleet.Put("a", "1");
+  for (const auto& member : fleet.members) {
+    member->operatorRead = false;
+    member->nodesRead = false;
+  }
+  fleet.Start();
+  fleet.loop.Advance(milliseconds(5'000));
+  CHECK(fleet.All(
+    [](const fleet_member& aMember) { return aMember.targets.empty(); }));
+  CHECK(fleet.messages == 0);
+  for (const auto& member : fleet.members) {
+    member->operatorRead = true;
+  }
+  // The addresses of nodes may stay unknown.
+  fleet.loop.Advance(milliseconds(400));
+  CHECK(fleet.messages == 0);
+  fleet.loop.Advance(milliseconds(1'000));
+  CHECK(fleet.CountReading() == source_choice::kReaders);
+  CHECK(fleet.All(
+    [](const fleet_member& aMember) { return aMember.targets.contains("a"); }));
+}
+
 // Guards against a large deployment that looks small, and a listing of the
 // store by every node, while the first targets arrive.
 TEST_CASE("a start isn't interrupted by the number of targets so far")
--- a/tests/unit/target_changes_test.cpp
+++ b/tests/unit/target_changes_test.cpp
@@ -144,7 +144,7 @@
   target_changes changes("n/2");
   for (int index = 0; index < 50; ++index) {
     changes.Update(Target("t" + std::to_string(index)),
-                   static_cast<std::uint64_t>(100 + index),
+                   100U + static_cast<std::uint64_t>(index),
                    false);
   }
   const feed_cursor other{ "n/1", 900, 900, 160 };
