Pass on a target's records as long as any node may have a report on its end

Cause: a follower that learned of a report later than its reader missed the record that proves the report wrong: the reader stopped passing on repeated records when its own report had ended, which may be before the follower's has lasted 1.5 s.

Change: a report counts for EndReported until the leader has removed it from the store.

--- a/include/arbutusferry/node/crash_ledger.hpp
+++ b/include/arbutusferry/node/crash_ledger.hpp
@@ -51,8 +51,13 @@
   void NoteAlive(const std::string& aTarget,
                  std::int64_t aBornUnixMs,
                  time_point aNow);
-  /// @return Whether a report that counts says that a target has ended.
-  [[nodiscard]] bool EndReported(const std::string& aTarget) const;
+  /// @return Whether there is a report on a target's end. One that was found
+  /// wrong counts here until it is removed from the store: other nodes may have
+  /// learned of it later and still wait for the target's next record.
+  [[nodiscard]] bool EndReported(const std::string& aTarget) const
+  {
+    return mKeysByTarget.contains(aTarget);
+  }
   /// Drops the reports of a request that a target ran to its end.
   /// @return Their keys.
   [[nodiscard]] std::vector<std::string> NoteServed(
--- a/include/arbutusferry/node/crash_watch.hpp
+++ b/include/arbutusferry/node/crash_watch.hpp
@@ -37,7 +37,7 @@
   void NoteServed(const std::string& aFingerprint) override;
   /// Notes a record that a target has written to the registry.
   void NoteRecord(const target_entry& aTarget);
-  /// @return Whether a report that counts says that a target has ended.
+  /// @return Whether there is a report on a target's end.
   [[nodiscard]] bool EndReported(const std::string& aTarget) const
   {
     return mLedger.EndReported(aTarget);
--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -95,8 +95,8 @@
     return mNodeFollower->InitialReadDone();
   }
   [[nodiscard]] const target_view& Targets() const noexcept { return mTargets; }
-  /// @return Whether a report says that a target has ended: its next record
-  /// then matters even if it repeats the one before.
+  /// @return Whether there is a report on a target's end: its next record then
+  /// matters, here or at another node, even if it repeats the one before.
   [[nodiscard]] bool EndReported(const std::string& aTarget) const
   {
     return mCrashes.EndReported(aTarget);
--- a/src/node/crash_ledger.cpp
+++ b/src/node/crash_ledger.cpp
@@ -166,18 +166,6 @@
   }
 }
 
-bool
-crash_ledger::EndReported(const std::string& aTarget) const
-{
-  const auto keys = mKeysByTarget.find(aTarget);
-  return keys != mKeysByTarget.end() &&
-         std::any_of(keys->second.begin(),
-                     keys->second.end(),
-                     [this](const std::string& aKey) {
-                       return !mEntries.at(aKey).ended;
-                     });
-}
-
 std::vector<std::string>
 crash_ledger::NoteServed(const std::string& aFingerprint)
 {
--- a/tests/unit/crash_ledger_test.cpp
+++ b/tests/unit/crash_ledger_test.cpp
@@ -83,7 +83,11 @@
   ledger.NoteAlive("t1", 1, kStart + milliseconds(2'000));
   CHECK_FALSE(Blocked(ledger, "f", kStart + milliseconds(2'000)));
   CHECK(ledger.EndedKeys() == std::vector{ CrashKey(Report("f", 1)) });
+  // Other nodes may not have seen that it lives yet.
+  CHECK(ledger.EndReported("t1"));
   ledger.Remove(CrashKey(Report("f", 1)));
+  CHECK_FALSE(ledger.EndReported("t1"));
+  CHECK(ledger.EndReported("t2"));
   CHECK(ledger.EndedKeys().empty());
 }
 
