--- a/include/arbutusferry/node/ferry_node.hpp
+++ b/include/arbutusferry/node/ferry_node.hpp
@@ -76,6 +76,8 @@
   void LiftEvacuation(const std::string& aZone, std::uint64_t aOffset);
   /// Notes that the operator's records have been read to their present end.
   void NoteOrdersRead();
+  /// @return Whether the operator's records were read to their end since the
+  /// start. Until then, that a route, key or order is missing says nothing.
   [[nodiscard]] bool OrdersRead() const noexcept
   {
     return mTargets.Evacuations().OrdersRead();
@@ -84,8 +86,9 @@
   /// be sent to a node of a zone.
   [[nodiscard]] bool MayCarry(const home_regions& aHomes,
                               const std::string& aZone) const;
-  /// Notes that the registry of targets has been read to its present end.
-  void NoteTargetsRead() { mSoftware.NoteTargetsRead(); }
+  /// Notes that the registry of targets has been read to the end that it had
+  /// some time ago.
+  void NoteTargetsRead(duration aAge = {}) { mSoftware.NoteTargetsRead(aAge); }
 
   [[nodiscard]] const environment_view& Environment() const override
   {
@@ -97,6 +100,19 @@
   [[nodiscard]] target_gateway& Gateway() noexcept { return mGateway; }
   /// @return The client for all requests to targets.
   [[nodiscard]] http_client& TargetClient() noexcept { return mTargetClient; }
+  [[nodiscard]] const node_directory& Nodes() const noexcept { return mNodes; }
+  /// @return Whether the addresses of nodes have been read once.
+  [[nodiscard]] bool NodesRead() const
+  {
+    return mNodeFollower->InitialReadDone();
+  }
+  [[nodiscard]] const target_view& Targets() const noexcept { return mTargets; }
+  /// @return Whether there is a report on a target's end: its next record then
+  /// matters, here or at another node, even if it repeats the one before.
+  [[nodiscard]] bool EndReported(const std::string& aTarget) const
+  {
+    return mCrashes.EndReported(aTarget);
+  }
   [[nodiscard]] event_loop& Loop() noexcept { return mParts.loop; }
   /// @return The leader of batches, or null unless this node leads and has read
   /// the journal.
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -29,6 +29,8 @@
   bool stopsOnly = false;
   /// Whether a zone is evacuated at times, and targets return cold.
   bool zones = false;
+  /// Whether two nodes read the registry of targets for the others.
+  bool zoneReaders = false;
   std::string nodeProgram;
   std::string logDirectory; ///< Existing directory; empty discards the logs.
 };
