Satisfy the linter in the changed files

clang-tidy named a constant without its prefix and a parameter that is copied where it could be moved. Both are changed as it asks; behaviour is the same. Run: cold_target_test, evacuation_test, home_regions_test, request_limit_test, target_limit_test, stranded_node_test: pass.

--- a/src/node/request_limit.cpp
+++ b/src/node/request_limit.cpp
@@ -88,9 +88,9 @@
 duration
 target_limit::Interval() const
 {
-  constexpr double unlimited = std::numeric_limits<double>::max();
-  const double perSecond = std::min(mNamed ? mNamed->perSecond : unlimited,
-                                    mColdRate.value_or(unlimited));
+  constexpr double kUnlimited = std::numeric_limits<double>::max();
+  const double perSecond = std::min(mNamed ? mNamed->perSecond : kUnlimited,
+                                    mColdRate.value_or(kUnlimited));
   return std::chrono::duration_cast<duration>(
     std::chrono::duration<double>(1.0 / std::max(perSecond, kMinPerSecond)));
 }
--- a/src/node/target_client.cpp
+++ b/src/node/target_client.cpp
@@ -373,7 +373,7 @@
 } // namespace
 
 target_client::target_client(parts aParts)
-  : mParts(aParts)
+  : mParts(std::move(aParts))
   , mHeldBackLines(kHeldBackLinesPerSecond)
 {
 }
