Add admission control for plain requests at each node

Change: each node learns from its own responses and from full targets which share of requests its targets answer in time, divides it among priorities and teams, lets requests wait only while they can be in time, refuses the others at once with spread delays, limits second attempts and hedges, and chooses targets by observed speed.

--- a/include/arbutusferry/node/call_forwarder.hpp
+++ b/include/arbutusferry/node/call_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/call_admission.hpp"
 #include "arbutusferry/metrics.hpp"
 #include "arbutusferry/node/crash_guard.hpp"
 #include "arbutusferry/node/environment_view.hpp"
@@ -25,8 +26,9 @@
 struct admitted_call
 {
   std::string id;
-  std::string team;    ///< Team; empty if no key is needed.
-  std::string service; ///< Chosen among the route's services.
+  std::string team;                ///< Team; empty if no key is needed.
+  std::optional<int> teamPriority; ///< Goes before the route's.
+  std::string service;             ///< Chosen among the route's services.
   route_entry route;
   http_request request; ///< Without hop-by-hop headers.
   time_point deadline;  ///< When the caller stops waiting.
@@ -73,6 +75,8 @@
   std::set<forwarded_call*> active;
   /// Time from a plain request to a target's response, by route.
   std::map<std::string, recent_maximum> responseTimes;
+  std::unique_ptr<call_admission> admission;
+  std::uint64_t lastTicket = 0;
 };
 
 /// Forwards single requests and streams to targets, with retries and hedging
@@ -95,10 +99,10 @@
     std::string zone;
   };
 
-  explicit call_forwarder(parts aParts)
-    : mParts(std::move(aParts))
-  {
-  }
+  /// @param aAdmission Decides when requests are sent; by default, it goes by
+  /// what this node's requests meet.
+  explicit call_forwarder(parts aParts,
+                          std::unique_ptr<call_admission> aAdmission = nullptr);
   /// Forwards a call; the responder gets exactly one response, unless the
   /// caller disconnects.
   void Forward(admitted_call aCall, std::shared_ptr<responder> aResponder);
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -32,6 +32,18 @@
   std::map<std::string, std::int64_t> modelVersions;
 };
 
+/// Orders targets by the time that a request is expected to take there.
+class target_ranking
+{
+public:
+  virtual ~target_ranking() = default;
+  /// @param aSalt Varies the order among requests.
+  /// @return A number; targets with smaller ones are chosen first.
+  [[nodiscard]] virtual double Rank(const target_entry& aTarget,
+                                    int aOutstanding,
+                                    std::uint64_t aSalt) const = 0;
+};
+
 /// Which targets may serve a plain request.
 struct target_query
 {
@@ -44,6 +56,8 @@
   std::uint64_t salt = 0;         ///< Breaks ties differently by request.
   /// Whether targets count as full before callers' requests find no slot.
   bool leavesSlots = false;
+  /// Replaces the choice by zone and outstanding requests, if not null.
+  const target_ranking* ranking = nullptr;
 };
 
 /// Slots of each target that reward calls leave to callers' own requests.
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -1,3 +1,4 @@
+#include "admission/node_admission.hpp"
 #include "forwarded_call.hpp"
 
 #include "arbutusferry/logging.hpp"
@@ -14,8 +15,6 @@
 /// another target: several times the duration of an ordinary request (25 ms in
 /// both deployments).
 constexpr milliseconds kHedgeDelay{ 120 };
-/// Delay before a request is retried after all targets were full.
-constexpr milliseconds kFullRetryDelay{ 25 };
 constexpr milliseconds kConnectTimeout{ 400 };
 /// Time before the caller's deadline at which the final response is sent, so
 /// that it arrives in time.
@@ -59,7 +58,7 @@
   if (mCall.resumesStream) {
     ResumeStream();
   } else {
-    TryNextTarget();
+    Admit();
   }
 }
 
@@ -90,7 +89,7 @@
     return;
   }
   mQuery.software = aSoftware;
-  TryNextTarget();
+  Admit();
 }
 
 void
@@ -101,6 +100,7 @@
     return;
   }
   const time_point now = mParts.loop.Now();
+  mQuery.ranking = mState->admission->Ranking(mCall.service, now);
   const std::string chosen = mParts.targets.Choose(mQuery, now);
   auto* known = mParts.targets.Find(chosen);
   if (!known) {
@@ -240,7 +240,8 @@
 void
 forwarded_call::Hedge()
 {
-  if (!mEnded && mAttempts.size() == 1 && !mAwaitingAdmission) {
+  if (!mEnded && mAttempts.size() == 1 && !mAwaitingAdmission &&
+      mState->admission->MayHedge(mOffer, mParts.loop.Now())) {
     mParts.targets.NoteFailure(mAttempts.front()->Target(), mParts.loop.Now());
     TryNextTarget();
   }
@@ -274,6 +275,7 @@
   }
   const std::string target = aAttempt.Target();
   if (aAttempt.Streaming()) {
+    mState->admission->NoteAccepted(mOffer, mParts.loop.Now());
     mEnded = true;
     StopAttempts(nullptr);
     mResponder->End();
@@ -285,10 +287,12 @@
     response.headers.Remove(name);
   }
   const time_point now = mParts.loop.Now();
+  const duration taken = aAttempt.TimeSinceSent();
   mState->responseTimes
     .try_emplace(mCall.route.name, recent_maximum(kResponseTimePeriod))
     .first->second.Note(now - mStarted, now);
   Conclude(std::move(response), "answered");
+  mState->admission->NoteAnswered(mOffer, target, taken, now);
 }
 
 void
@@ -303,6 +307,11 @@
   if (aVerdict == response_class::WrongTarget) {
     mParts.targets.NoteFailure(aAttempt.Target(), now);
   } else {
+    const auto* known = mParts.targets.Find(aAttempt.Target());
+    if (known && !known->limit.Named()) {
+      mOffer.foundFull = true;
+      mState->admission->NoteFull(mOffer, aAttempt.Target(), now);
+    }
     mParts.targets.NoteFull(aAttempt.Target(), now);
   }
   TryAfterRefusal();
@@ -323,8 +332,7 @@
   }
   mQuery.tried.clear();
   mNotAdmitted = 0;
-  mRetryTimer = mParts.loop.After(
-    kFullRetryDelay, [self = shared_from_this()] { self->TryNextTarget(); });
+  WaitForTargets();
 }
 
 void
@@ -373,6 +381,12 @@
     }
     return;
   }
+  if (!mState->admission->MayRetry(mOffer, mParts.loop.Now())) {
+    if (mAttempts.empty()) {
+      Fail(false, "retry_budget");
+    }
+    return;
+  }
   TryNextTarget();
 }
 
@@ -477,6 +491,7 @@
   mTimeoutTimer.reset();
   mRetryTimer.reset();
   mHedgeTimer.reset();
+  mState->admission->Leave(mOffer.ticket);
   const duration taken = mParts.loop.Now() - mStarted;
   mParts.metrics.Count("ferry_requests_total",
                        { { "tenant", mCall.team }, { "outcome", aOutcome } });
@@ -495,6 +510,15 @@
         { "ms", std::to_string(ToMilliseconds(taken)) } });
 }
 
+call_forwarder::call_forwarder(parts aParts,
+                               std::unique_ptr<call_admission> aAdmission)
+  : mParts(std::move(aParts))
+{
+  mState->admission =
+    aAdmission ? std::move(aAdmission)
+               : std::make_unique<node_admission>(mParts.loop, mParts.metrics);
+}
+
 void
 call_forwarder::Forward(admitted_call aCall,
                         std::shared_ptr<responder> aResponder)
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -27,6 +27,7 @@
               mCall.leavesSlots }
   {
     mState->active.insert(this);
+    Describe();
   }
   ~forwarded_call() { mState->active.erase(this); }
   forwarded_call(const forwarded_call&) = delete;
@@ -39,6 +40,9 @@
 private:
   class attempt;
 
+  /// Describes the call for its admission.
+  void Describe();
+
   [[nodiscard]] bool MayRepeat() const
   {
     return mCall.route.kind == route_kind::Idempotent;
@@ -47,6 +51,12 @@
   [[nodiscard]] time_point AnswerDeadline() const;
   void ResumeStream();
   void OnStreamOrigin(const std::optional<std::string>& aSoftware);
+  /// Asks for admission, then sends the call, waits or refuses it.
+  void Admit();
+  /// Asks again after all targets were tried.
+  void WaitForTargets();
+  [[nodiscard]] call_admission::decided Decided();
+  void OnAdmissionDecided(const admission_decision& aDecision);
   void TryNextTarget();
   void RequestAdmission(const std::string& aTarget);
   void OnAdmission(const std::string& aTarget, const admission& aAdmission);
@@ -77,6 +87,7 @@
   const call_forwarder::parts& mParts;
   admitted_call mCall;
   std::string mFingerprint;
+  offered_call mOffer;
   std::shared_ptr<responder> mResponder;
   std::shared_ptr<forwarder_state> mState;
   time_point mStarted;
@@ -129,6 +140,10 @@
   }
   [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
   [[nodiscard]] std::int64_t SentUnixMs() const noexcept { return mSentUnixMs; }
+  [[nodiscard]] duration TimeSinceSent() const
+  {
+    return mCall->mParts.loop.Now() - mSentAt;
+  }
   http_response response;
   std::shared_ptr<http_exchange> exchange;
   response_class verdict = response_class::Failed;
--- a/src/node/target_view.cpp
+++ b/src/node/target_view.cpp
@@ -93,7 +93,7 @@
 std::string
 target_view::Choose(const target_query& aQuery, time_point aNow) const
 {
-  using rank = std::tuple<bool, bool, bool, bool, bool, int, std::uint64_t>;
+  using rank = std::tuple<bool, bool, bool, bool, bool, double, std::uint64_t>;
   std::optional<rank> best;
   std::string chosen;
   for (const auto& [id, known] : mTargets) {
@@ -112,11 +112,14 @@
       tried,
       known.avoidUntil > aNow || (limit && known.nextStart > aNow),
       limit && aNow - limit->namedAt < kLimitRecheck,
-      entry.zone != aQuery.zone ||
-        known.outstanding >=
-          entry.slots -
-            (aQuery.leavesSlots ? SlotsKeptForCallers(entry.slots) : 0),
-      known.outstanding,
+      !aQuery.ranking &&
+        (entry.zone != aQuery.zone ||
+         known.outstanding >=
+           entry.slots -
+             (aQuery.leavesSlots ? SlotsKeptForCallers(entry.slots) : 0)),
+      aQuery.ranking
+        ? aQuery.ranking->Rank(entry, known.outstanding, aQuery.salt)
+        : known.outstanding,
       Hash64(id, aQuery.salt)
     };
     if (!best || candidate < *best) {
