--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -77,7 +77,7 @@
   std::optional<scaling_bounds> scaling;
   std::vector<std::string> models;
   /// What its targets can take while they are cold, if they may be.
-  std::optional<cold_rate> coldRate;
+  std::optional<cold_rate> coldRate = {};
 };
 
 struct team_entry
@@ -85,7 +85,7 @@
   std::string name;
   std::vector<std::string> keys;
   std::optional<int> priority;
-  home_regions homes; ///< Regions that its requests may reach.
+  home_regions homes = {}; ///< Regions that its requests may reach.
 };
 
 /// Limits for client connections and requests.
--- a/include/arbutusferry/node/target_view.hpp
+++ b/include/arbutusferry/node/target_view.hpp
@@ -37,6 +37,18 @@
   std::optional<std::chrono::milliseconds> coldLeft;
 };
 
+/// Orders targets by the time that a request is expected to take there.
+class target_ranking
+{
+public:
+  virtual ~target_ranking() = default;
+  /// @param aSalt Varies the order among requests.
+  /// @return A number; targets with smaller ones are chosen first.
+  [[nodiscard]] virtual double Rank(const target_entry& aTarget,
+                                    int aOutstanding,
+                                    std::uint64_t aSalt) const = 0;
+};
+
 /// Which targets may serve a plain request.
 struct target_query
 {
@@ -50,6 +62,8 @@
   /// Whether targets count as full before callers' requests find no slot.
   bool leavesSlots = false;
   home_regions homes; ///< Regions of the targets that may serve it.
+  /// Replaces the choice by zone and outstanding requests, if not null.
+  const target_ranking* ranking = nullptr;
 };
 
 /// Slots of each target that reward calls leave to callers' own requests.
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -29,6 +29,7 @@
     }
   {
     mState->active.insert(this);
+    Describe();
   }
   ~forwarded_call() { mState->active.erase(this); }
   forwarded_call(const forwarded_call&) = delete;
@@ -41,6 +42,9 @@
 private:
   class attempt;
 
+  /// Describes the call for its admission.
+  void Describe();
+
   [[nodiscard]] bool MayRepeat() const
   {
     return mCall.route.kind == route_kind::Idempotent;
@@ -49,6 +53,12 @@
   [[nodiscard]] time_point AnswerDeadline() const;
   void ResumeStream();
   void OnStreamOrigin(const std::optional<std::string>& aSoftware);
+  /// Asks for admission, then sends the call, waits or refuses it.
+  void Admit();
+  /// Asks again after all targets were tried.
+  void WaitForTargets();
+  [[nodiscard]] call_admission::decided Decided();
+  void OnAdmissionDecided(const admission_decision& aDecision);
   void TryNextTarget();
   void RequestAdmission(const std::string& aTarget);
   void OnAdmission(const std::string& aTarget,
@@ -81,6 +91,7 @@
   const call_forwarder::parts& mParts;
   admitted_call mCall;
   std::string mFingerprint;
+  offered_call mOffer;
   std::shared_ptr<responder> mResponder;
   std::shared_ptr<forwarder_state> mState;
   time_point mStarted;
@@ -133,6 +144,10 @@
   }
   [[nodiscard]] bool Streaming() const noexcept { return mStreaming; }
   [[nodiscard]] std::int64_t SentUnixMs() const noexcept { return mSentUnixMs; }
+  [[nodiscard]] duration TimeSinceSent() const
+  {
+    return mCall->mParts.loop.Now() - mSentAt;
+  }
   http_response response;
   std::shared_ptr<http_exchange> exchange;
   response_class verdict = response_class::Failed;
