Adapt the test of a starting node to the readiness of a full node

The readiness handler now also needs the budget of memory that clients hold, which came with another change; the test's checks are unchanged.

--- a/tests/unit/starting_node_test.cpp
+++ b/tests/unit/starting_node_test.cpp
@@ -1,3 +1,4 @@
+#include "net/memory_budget.hpp"
 #include "request_handlers.hpp"
 
 #include "http_protocols.hpp"
@@ -72,7 +73,8 @@
                    Settings() };
   batch_handler batches{ node, client };
   caller_handler callers{ node, batches };
-  readiness_handler readiness{ node };
+  memory_budget budget{ std::size_t{ 64 } << 20 };
+  readiness_handler readiness{ node, budget };
   operator_record_observer observer{ node };
 };
 
