Restore the bounds of the placement's load tests

Three bounds of new tests were eased although the earlier ones pass on the seeds of the tests: the large team's own groups after a loss of samplers, 0.85 of the steps of each seed and 0.95 of the groups with a long last tenth.

--- a/tests/unit/placement_load_test.cpp
+++ b/tests/unit/placement_load_test.cpp
@@ -133,8 +133,8 @@
       { Trainer("large", 19), Trainer("small", 10) }, samplers, seed);
     CHECK(runs.now.trainers[1].InTime() >= 0.95);
     CHECK(runs.before.trainers[1].InTime() < 0.95);
-    CHECK(comparison::GroupsInTime(runs.now) >
-          comparison::GroupsInTime(runs.before));
+    CHECK(runs.now.trainers[0].GroupsInTime() >=
+          runs.before.trainers[0].GroupsInTime());
   }
 }
 
@@ -146,14 +146,12 @@
   trainer.longGroupFactor = 4.0;
   int before = 0;
   int now = 0;
-  int steps = 0;
   for (const std::uint64_t seed : { 1, 2, 3 }) {
     const comparison runs({ trainer }, Samplers(4, 1.0, 1.0), seed);
-    CHECK(runs.now.trainers[0].GroupsInTime() >= 0.9);
-    steps += runs.now.trainers[0].steps;
+    CHECK(runs.now.trainers[0].InTime() >= 0.85);
+    CHECK(runs.now.trainers[0].GroupsInTime() >= 0.95);
     before += runs.before.trainers[0].stepsInTime;
     now += runs.now.trainers[0].stepsInTime;
   }
   CHECK(now >= before);
-  CHECK(now >= 0.85 * steps);
 }
