Prefer warm samplers under contention too, and pass over those that allow no start

Found by cold_target_test after the parts were merged: the choice by length did not know cold samplers, so items of a contended model were offered to one whose starts the leader may not grant, again and again, while warm slots stayed free. Both choices now share the penalty, and a sampler that refuses a start counts as without starts for the rest of the pass.

--- a/include/arbutusferry/node/item_scheduler.hpp
+++ b/include/arbutusferry/node/item_scheduler.hpp
@@ -14,6 +14,10 @@
 
 namespace arbutusferry::node {
 
+/// Score penalty of a cold sampler, above all other differences: warm ones come
+/// first.
+inline constexpr double kColdPenalty = 1'000.0;
+
 /// What the leader knows of one sampler when it places items.
 struct sampler_state
 {
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -103,6 +103,8 @@
       ++sampler.running;
       --sampler.startsAvailable;
       ++sampler.groups[item->group];
+    } else {
+      sampler.startsAvailable = 0; // Its limit allows no start now.
     }
   }
 }
--- a/src/node/item_scheduler.cpp
+++ b/src/node/item_scheduler.cpp
@@ -20,9 +20,6 @@
 constexpr double kVersionBonus = 0.02;
 /// Score penalty of a sampler that may still be loading the weights.
 constexpr double kProbePenalty = 1.0;
-/// Score penalty of a cold sampler, above all other differences: warm ones come
-/// first.
-constexpr double kColdPenalty = 1'000.0;
 /// Runs leave a sampler that is slower than the median by this factor.
 constexpr double kSlowFactor = 1.8;
 /// Least silence after which a run is moved: several event intervals of a slow
--- a/src/placement/speed_choice.cpp
+++ b/src/placement/speed_choice.cpp
@@ -51,6 +51,7 @@
                      ? -relativeInterval
                      : relativeInterval;
     score += kLoadWeight * sampler.running / sampler.slots;
+    score += sampler.cold ? kColdPenalty : 0.0;
     score += sampler.loading == aItem.model ? kProbePenalty : 0.0;
     score -= sampler.assignedModel == aItem.model ? kAssignedModelBonus : 0.0;
     score -= sampler.groups.contains(aItem.group) ? kPromptBonus : 0.0;
