--- a/tests/unit/repeating_log_test.cpp
+++ b/tests/unit/repeating_log_test.cpp
@@ -182,7 +182,7 @@
     std::mt19937_64 random(aSeed);
     repeating_log_test test;
     batch_journal journal(test.loop, test.log, kWhere, 5, [] { RC_FAIL(); });
-    journal.Open([](journal_contents) {});
+    journal.Open([](const journal_contents&) {});
     test.loop.Advance(milliseconds(200));
     std::size_t durable = 0;
     constexpr std::size_t kRecords = 30;
