Wait in the transfer test for bytes that the kernel still holds

Cause: the test. Read() let the loop run for 1 ms a turn, up to 500 turns, while read_some() would block. At the last read the connection has written all and closed, so the loop has no work and run_for() returns at once: the turns are over before the kernel has delivered the rest. A trace in a copy of the test, which read on for 2 s: loop stopped, connection closed, and the missing 53,000 bytes there 109 and 143 us later in the two runs of three that failed.

Ruled out: a response that the connection cuts off. It had handed all bytes to the kernel before it closed, and the caller gets all of them and then the end.

The read is now an operation of the loop, which waits for it.

--- a/tests/unit/stalled_transfer_test.cpp
+++ b/tests/unit/stalled_transfer_test.cpp
@@ -3,6 +3,7 @@
 #include "net/server_connection.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <limits>
@@ -17,6 +18,9 @@
 
 namespace {
 
+/// Time without any event after which a read counts as hung.
+constexpr seconds kHangTime{ 10 };
+
 /// Server side of one connection, whose timeouts the test checks at times of
 /// its choice.
 struct connection_test final
@@ -75,18 +79,39 @@
     RunFor(milliseconds(20));
   }
   /// Reads from the connection as its caller.
-  void Read(std::size_t aBytes)
+  /// @return What ended the read before `aBytes` were there, if anything.
+  boost::system::error_code Receive(std::size_t aBytes)
   {
     std::vector<char> bytes(aBytes);
+    boost::system::error_code error;
     std::size_t size = 0;
-    peer.non_blocking(true);
-    for (int turn = 0; turn < 500 && size < aBytes; ++turn) {
-      boost::system::error_code error;
-      size += peer.read_some(
-        boost::asio::buffer(bytes.data() + size, aBytes - size), error);
-      RunFor(milliseconds(1));
+    bool done = false;
+    // The pending read keeps the loop waiting for bytes that the kernel still
+    // holds after the connection has written all and closed.
+    boost::asio::async_read(
+      peer,
+      boost::asio::buffer(bytes),
+      [&](const boost::system::error_code& aError, std::size_t aSize) {
+        error = aError;
+        size = aSize;
+        done = true;
+      });
+    loop.Context().restart();
+    while (!done && loop.Context().run_one_for(kHangTime) > 0) {
+    }
+    if (!done) {
+      peer.cancel();
+      RunFor(milliseconds(20));
     }
-    REQUIRE(size == aBytes);
+    received.append(bytes.data(), size);
+    return error;
+  }
+  void Read(std::size_t aBytes)
+  {
+    const std::size_t before = received.size();
+    const auto error = Receive(aBytes);
+    CAPTURE(error.message());
+    REQUIRE(received.size() == before + aBytes);
   }
   void RunFor(milliseconds aTime)
   {
@@ -110,6 +135,7 @@
   std::shared_ptr<server_connection> connection;
   time_point now = loop.Now();
   std::string body;
+  std::string received; ///< Bytes that the caller has read.
   std::size_t responseBytes = 2;
   int handled = 0;
   bool streams = false; ///< Responses are begun and not ended.
@@ -152,6 +178,9 @@
     REQUIRE(!test.closed);
     test.Read(kLargeResponse / 10);
   }
+  CHECK(test.Receive(kLargeResponse) == boost::asio::error::eof);
+  const std::size_t head = test.received.find("\r\n\r\n") + 4;
+  CHECK(test.received.size() - head == kLargeResponse);
 }
 
 // Guards against responses that hold memory for as long as their caller likes.
