Pass on only whole responses of targets, and none that looks like a success

Cause: forwarded_call::OnAttemptFailed took any known status for the target's own error response, but a status is known from the head on.

Ruled out: the framing of whole responses, since the HTTP client reports an end only for a complete one; server_connection::Send, which can't know what is missing.

An attempt now knows whether its response is whole, and PassesFailure is the one place that decides whether it may go to the caller; all others are 502. The same place decides what counts as a called service's error in a reward call, where a broken success counted too. The soak's plain targets break off half of their aborted responses in the middle of the body.

--- a/include/arbutusferry/node/target_protocol.hpp
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -81,6 +81,10 @@
   [[nodiscard]] virtual response_class ClassifyResponse(
     int aStatus,
     const header_list& aHeaders) const = 0;
+  /// @return Whether a response tells that its request failed, so that a caller
+  /// who gets it can't take the request for served.
+  [[nodiscard]] virtual bool IsFailure(int aStatus,
+                                       const header_list& aHeaders) const = 0;
   [[nodiscard]] virtual limit_notice ReadLimit(
     const header_list& aHeaders) const = 0;
   /// @return Name of the response header that repeats the id of the request.
--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -104,6 +104,7 @@
 forwarded_call::attempt::OnEnd()
 {
   ReleaseTarget();
+  whole = true;
   const auto call = mCall;
   if (call->mEnded) {
     return;
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -373,6 +373,13 @@
   }
 }
 
+bool
+forwarded_call::PassesFailure(const attempt& aAttempt) const
+{
+  return aAttempt.whole && mParts.protocol.IsFailure(aAttempt.response.status,
+                                                     aAttempt.response.headers);
+}
+
 void
 forwarded_call::OnAttemptFailed(attempt& aAttempt)
 {
@@ -381,7 +388,8 @@
   std::erase_if(mAttempts,
                 [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
   ++mFailedRuns;
-  if (aAttempt.response.status != 0 && mCall.onTargetError) {
+  const bool targetFailed = PassesFailure(aAttempt);
+  if (targetFailed && mCall.onTargetError) {
     mCall.onTargetError();
   }
   if (!mRunCounted && aAttempt.response.status != 0) {
@@ -389,7 +397,7 @@
     mParts.runs.CountRun(mCall.team, aAttempt.SentUnixMs());
   }
   if (!MayRepeat()) {
-    if (aAttempt.response.status != 0) {
+    if (targetFailed) {
       // The target's own error response goes to the caller.
       http_response response = std::move(aAttempt.response);
       for (const char* name :
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -77,6 +77,9 @@
   void OnUnreachable(attempt& aAttempt);
   /// Handles an attempt that failed and may have run.
   void OnAttemptFailed(attempt& aAttempt);
+  /// @return Whether the response of a failed attempt may go to the caller: it
+  /// is complete, and tells that the request failed.
+  [[nodiscard]] bool PassesFailure(const attempt& aAttempt) const;
   void OnNotRun(attempt& aAttempt, response_class aVerdict);
   void OnAttemptDone(attempt& aAttempt);
   void Conclude(http_response aResponse, const char* aOutcome);
@@ -149,6 +152,7 @@
     return mCall->mParts.loop.Now() - mSentAt;
   }
   http_response response;
+  bool whole = false; ///< Whether `response` is complete.
   std::shared_ptr<http_exchange> exchange;
   response_class verdict = response_class::Failed;
 
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -525,6 +525,21 @@
   return Hash64(aItem, 5) % 12 == 0;
 }
 
+void
+fake_plain_service::BreakOff(const std::string& aRequest,
+                             const std::shared_ptr<node::responder>& aResponder)
+{
+  aResponder->Begin(200,
+                    { { "Arbutusferry-Request-Id", aRequest },
+                      { "Arbutusferry-Server-Stamp", "stamp" } });
+  aResponder->Write("done");
+  const std::uint64_t timerId = mNextTimerId++;
+  mTimers[timerId] = mLoop.After(kServiceDelay, [this, timerId, aResponder] {
+    const auto ownTimer = mTimers.extract(timerId);
+    aResponder->Abort();
+  });
+}
+
 void
 fake_plain_service::Handle(node::http_request aRequest,
                            std::shared_ptr<node::responder> aResponder)
@@ -560,6 +575,10 @@
       if (!item.empty()) {
         onScored(item, fails ? std::string() : stamp);
       }
+      if (abortReply && Hash64(request, 11) % 2 == 0) {
+        BreakOff(request, aResponder);
+        return;
+      }
       if (abortReply) {
         aResponder->Abort();
         return;
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -144,6 +144,84 @@
   CHECK(answer->response.status == 502);
 }
 
+// Guards against a response that its target broke off and that reaches the
+// caller as a complete one, with a length of its own.
+TEST_CASE("a response that its target broke off isn't passed on")
+{
+  const route_kind kind =
+    GENERATE(route_kind::NonIdempotent, route_kind::Stream);
+  const int status = GENERATE(200, 302, 404, 500);
+  const exchange_failure failure = GENERATE(exchange_failure::Broken,
+                                            exchange_failure::Timeout,
+                                            exchange_failure::Protocol);
+  if (kind == route_kind::Stream && status < 500) {
+    return; // The stream has begun; it is aborted.
+  }
+  CAPTURE(EnumName(kind), status, FailureName(failure));
+  forwarder_fixture test;
+  const auto answer = test.Call(kind);
+  const auto sent = test.client.requests[0];
+  sent->sink->OnHead(status, kStamped);
+  sent->sink->OnBody("half of the bo");
+  sent->Fail(failure);
+  test.loop.Advance(milliseconds(2'500));
+  CHECK(answer->answers == 1);
+  CHECK(answer->response.status == 502);
+  CHECK(answer->response.body.empty());
+  CHECK_FALSE(answer->response.headers.Find("Arbutusferry-Server-Stamp"));
+  CHECK(test.client.requests.size() == 1);
+  CHECK(test.runs.counts["acme"] == 1);
+}
+
+// Guards against a success, redirect or rejection that a faulty target sent
+// without its signature and that the caller takes for the service's own.
+TEST_CASE("a response without its target's signature isn't passed on")
+{
+  const int status = GENERATE(200, 204, 302, 404);
+  CAPTURE(status);
+  forwarder_fixture test;
+  const auto answer = test.Call(route_kind::NonIdempotent);
+  test.client.requests[0]->Answer(status, {}, "text");
+  CHECK(answer->response.status == 502);
+  CHECK(answer->response.body.empty());
+  CHECK(test.client.requests.size() == 1);
+}
+
+// Guards against hiding a target's own error from the caller.
+TEST_CASE("a target's whole error response is passed on unchanged")
+{
+  forwarder_fixture test;
+  const auto answer = test.Call(route_kind::NonIdempotent);
+  test.client.requests[0]->Answer(500, kStamped, "reason");
+  CHECK(answer->response.status == 500);
+  CHECK(answer->response.body == "reason");
+  CHECK(answer->response.headers.Find("Arbutusferry-Server-Stamp"));
+}
+
+// Guards against an item that is given up for a reward call whose response
+// broke off, which counted as an error of the service.
+TEST_CASE("only whole error responses count as a target's errors")
+{
+  forwarder_fixture test;
+  int errors = 0;
+  admitted_call call;
+  call.id = "r";
+  call.service = "desk";
+  call.route.kind = route_kind::Idempotent;
+  call.route.maxAttempts = 2;
+  call.deadline = call.timeout = test.loop.Now() + milliseconds(1'000);
+  call.onTargetError = [&errors] { ++errors; };
+  test.forwarder.Forward(std::move(call),
+                         std::make_shared<recording_responder>());
+  const auto first = test.client.requests[0];
+  first->sink->OnHead(200, kStamped);
+  first->Fail(exchange_failure::Broken);
+  CHECK(errors == 0);
+  REQUIRE(test.client.requests.size() == 2);
+  test.client.requests[1]->Answer(500, kStamped);
+  CHECK(errors == 1);
+}
+
 TEST_CASE("a request that was not sent goes to another target")
 {
   forwarder_fixture test;
