--- a/include/arbutusferry/node/http_message.hpp
+++ b/include/arbutusferry/node/http_message.hpp
@@ -27,6 +27,8 @@
   }
   /// Removes all fields with a name.
   void Remove(std::string_view aName);
+  /// Removes all fields whose names begin with a prefix.
+  void RemovePrefixed(std::string_view aPrefix);
   /// @return The value of the first field with a name, or nothing.
   [[nodiscard]] std::optional<std::string_view> Find(
     std::string_view aName) const;
@@ -44,6 +46,11 @@
   std::vector<entry> mEntries;
 };
 
+/// Removes the headers that only nodes write, in messages to each other.
+/// Whoever else sends one could pass for a node.
+void
+RemoveNodeHeaders(header_list& aHeaders);
+
 /// @return Whether two texts are equal, ignoring the case of ASCII letters.
 [[nodiscard]] bool
 EqualIgnoringCase(std::string_view aLeft, std::string_view aRight) noexcept;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -52,6 +52,21 @@
   });
 }
 
+void
+header_list::RemovePrefixed(std::string_view aPrefix)
+{
+  std::erase_if(mEntries, [&](const entry& aEntry) {
+    return EqualIgnoringCase(
+      std::string_view(aEntry.first).substr(0, aPrefix.size()), aPrefix);
+  });
+}
+
+void
+RemoveNodeHeaders(header_list& aHeaders)
+{
+  aHeaders.RemovePrefixed("Ferry-");
+}
+
 std::optional<std::string_view>
 header_list::Find(std::string_view aName) const
 {
--- a/src/node/item_run.cpp
+++ b/src/node/item_run.cpp
@@ -175,7 +175,7 @@
 item_run::OnHead(int aStatus, const header_list& aHeaders)
 {
   mHeadSeen = true;
-  mRelayError = ReadRelayError(aHeaders);
+  mRelayError = mPlace ? ReadRelayError(aHeaders) : std::nullopt;
   const auto clockMs = mPlace ? ReadRelayClock(aHeaders) : std::nullopt;
   if (clockMs && mObserver) {
     mObserver->OnRelayClock(*this, *clockMs);
--- a/src/node/run_relay.cpp
+++ b/src/node/run_relay.cpp
@@ -254,6 +254,7 @@
         mHeaders.Add(name, value);
       }
     }
+    RemoveNodeHeaders(mHeaders);
     for (const auto& reader : mReaders) {
       BeginResponse(*reader);
     }
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -167,6 +167,7 @@
         headers.Add(name, value);
       }
     }
+    RemoveNodeHeaders(headers);
     headers.Add(kClockHeader, std::to_string(ClockMs(mLoop)));
     mBegun = true;
     mResponder->Begin(aStatus, headers);
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -281,6 +281,7 @@
   std::map<std::string, const trainer_batch*> mBatchOfItem;
   std::uint64_t mRewardCalls = 0;
   std::int64_t mPublishedVersions[2] = { 1, 1 };
+  std::uint64_t mSentCount = 0; ///< Requests of callers, of all kinds.
   std::uint64_t mCallCount = 0;
   std::uint64_t mAnsweredCount = 0;
   std::uint64_t mFaultCount = 0;
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -24,6 +24,10 @@
 {
   aRequest.headers.Add("Host", kHost);
   aRequest.headers.Add("Authorization", "Bearer key");
+  if (++mSentCount % 4 == 0) {
+    // Another tenant's name, in a header that nodes use among themselves.
+    aRequest.headers.Add("Ferry-Tenant", "birch");
+  }
   node::exchange_options options;
   options.connectTimeout = milliseconds(500);
   options.readTimeout = milliseconds(4'000);
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -452,6 +452,11 @@
   if (onRequest) {
     onRequest(*aResponder);
   }
+  if (aRequest.headers.Get("Arbutusferry-Tenant") != "acme") {
+    mFindings.push_back(
+      item + ": ran for tenant '" +
+      std::string(aRequest.headers.Get("Arbutusferry-Tenant")) + "'");
+  }
   if (mOpenResponses.size() >= 8) {
     node::http_response full = MakeResponse(503);
     full.headers.Add("Arbutusferry-Not-Run", "1");
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -237,7 +237,9 @@
   std::set<std::string> erroring; ///< Targets that respond with errors.
   int served = 0; ///< Other requests that a target ran to their end.
   std::map<std::string, int> runsOf; ///< By request id.
-  std::int64_t longestDeadline = 0;  ///< In ms, that a target was given.
+  std::int64_t longestDeadline = 0;
+  /// Header of nodes that targets add to their responses, if it has a name.
+  header_list::entry falseNodeHeader; ///< In ms, that a target was given.
   int relayed = 0; ///< Requests between nodes that aren't about streams.
 
 private:
@@ -361,7 +363,11 @@
         return;
       }
       ++served;
-      aSent->Answer(200, { { "Arbutusferry-Server-Stamp", "s" } }, "done");
+      header_list headers{ { "Arbutusferry-Server-Stamp", "s" } };
+      if (!falseNodeHeader.first.empty()) {
+        headers.Add(falseNodeHeader.first, falseNodeHeader.second);
+      }
+      aSent->Answer(200, headers, "done");
     });
   }
 
--- a/tests/unit/batch_runs_test.cpp
+++ b/tests/unit/batch_runs_test.cpp
@@ -113,6 +113,28 @@
   CHECK(test.samplers.misplaced <= 20);
 }
 
+// Guards against a sampler whose response is taken for that of a relaying node
+// and ends the leader's term.
+TEST_CASE("a sampler's response can't end the term of a leader")
+{
+  leader_test test;
+  test.samplers.samplers["10.0.0.1"].unresponsive = true;
+  test.samplers.samplers["10.0.0.2"].unresponsive = true;
+  const auto leader = test.StartLeader(1);
+  leader->Submit(test.Request("b1", 1), [] {});
+  test.loop.Advance(milliseconds(100));
+  std::size_t items = 0;
+  for (const auto& sent : test.client.Open()) {
+    if (sent->request.target == "/p/x") {
+      ++items;
+      sent->Answer(502, { { "Ferry-Relay-Error", "stale" } });
+    }
+  }
+  test.loop.Advance(milliseconds(100));
+  CHECK(items == 1);
+  CHECK(test.superseded == 0);
+}
+
 // Guards against a replaced leader that keeps sending requests to nodes.
 TEST_CASE("a leader that a node rejects as superseded ends its term")
 {
--- a/tests/unit/run_relay_test.cpp
+++ b/tests/unit/run_relay_test.cpp
@@ -82,6 +82,18 @@
   CHECK(answer->answers == 1);
 }
 
+// Guards against a sampler whose response is taken for a relaying node's, such
+// as that there is a later leader.
+TEST_CASE("a sampler's headers don't pass for those of a relay")
+{
+  relay_fixture test;
+  const auto answer = test.Run("5-1");
+  test.client.requests.front()->Answer(
+    200, { { "ferry-relay-error", "stale" }, { "Stamp", "s" } }, "whole");
+  CHECK(answer->response.headers.Get("Stamp") == "s");
+  CHECK_FALSE(ReadRelayError(answer->response.headers));
+}
+
 // Load pattern: the leader is lost while its items run. Guards against items
 // that stop during a change of leaders, which takes more than a second.
 TEST_CASE("a stream outlives its leader, and the next one gets all of it")
--- a/tests/unit/stranded_node_test.cpp
+++ b/tests/unit/stranded_node_test.cpp
@@ -235,3 +235,20 @@
   CHECK(failure == exchange_failure::Refused);
   CHECK(fleet.relayed == 0);
 }
+
+// Guards against a target whose response, passed on by another node, is taken
+// for that node's word that the request wasn't sent: it would run twice.
+TEST_CASE("a target's headers don't pass for those of a gateway")
+{
+  call_fleet fleet(2, 2);
+  fleet.falseNodeHeader = { "ferry-gateway-error", "not_sent" };
+  fleet.nodes[0]->link = call_fleet::link_state::Refused;
+  fleet.loop.Advance(milliseconds(1'000));
+  const auto answer = fleet.Call(0, "x", route_kind::NonIdempotent);
+  fleet.loop.Advance(milliseconds(1'000));
+  CHECK(fleet.relayed > 0);
+  CHECK(answer->response.status == 200);
+  for (const auto& [id, runs] : fleet.runsOf) {
+    CHECK(runs == 1);
+  }
+}
