Take the tenant of a request from its key on open routes too

Cause: on an open route the key was not looked up, so the batch was stored for the tenant ""; reads and ends name no route, so there it was, and the two tenants differed.

The tenant is now that of the key on every kind of route; openness decides only whether a request without a valid key is taken. A batch of no tenant can be read and ended by all who know its id, so one that was submitted without a key, or before a manifest added tenants, isn't lost either; other batches are 401 to a caller without a key. Plain requests on open routes ran for no tenant, too.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -78,7 +78,9 @@
   /// Accepts a batch, unless it was accepted before.
   /// @param aDone Called when the batch is durable.
   void Submit(batch_request aRequest, std::function<void()> aDone);
-  /// @return The batch if it exists and belongs to the team, or null.
+  /// @param aTeam Team of the caller's key; empty without a key.
+  /// @return The batch if it exists and belongs to the team, or to no team;
+  /// else null.
   [[nodiscard]] batch* Find(const std::string& aId, const std::string& aTeam);
   /// Calls `aDone` when the batch has more than `aAfter` results, is closed or
   /// unknown, or `aWait` has passed. Near the end of a step, results may be
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -116,6 +116,8 @@
                                              std::string_view aPath) const;
   /// @return Whether a route of a host takes batches.
   [[nodiscard]] bool HasBatchRoute(std::string_view aHost) const;
+  /// @return Whether a route of a host takes batches without a key.
+  [[nodiscard]] bool HasOpenBatchRoute(std::string_view aHost) const;
   [[nodiscard]] const route_entry* RouteByName(std::string_view aName) const;
   /// @return The team that holds a key, or null.
   [[nodiscard]] const team_entry* TeamOfKey(std::string_view aKey) const;
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -186,7 +186,11 @@
 batch_leader::Find(const std::string& aId, const std::string& aTeam)
 {
   batch* found = mBatches.Find(aId);
-  return found && found->Request().team == aTeam ? found : nullptr;
+  // A batch that was accepted without a key is open to all callers.
+  return found &&
+             (found->Request().team.empty() || found->Request().team == aTeam)
+           ? found
+           : nullptr;
 }
 
 void
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -92,6 +92,19 @@
                      });
 }
 
+bool
+environment_view::HasOpenBatchRoute(std::string_view aHost) const
+{
+  const auto found = mByHost.find(HostKey(aHost));
+  return found != mByHost.end() &&
+         std::any_of(found->second.begin(),
+                     found->second.end(),
+                     [this](std::size_t aIndex) {
+                       const route_entry& route = mRoutes[aIndex];
+                       return route.kind == route_kind::Batch && route.open;
+                     });
+}
+
 const route_entry*
 environment_view::RouteByName(std::string_view aName) const
 {
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -157,6 +157,9 @@
   mStore.PutRecord("keyed.op", "config", R"({"version":5,"routes":[
     {"name":"b","host":"lab.example","path-prefix":"/b/","kind":"rollout",
      "service":"models","max-attempts":3,"retention-s":60,"timeout-ms":5000},
+    {"name":"o","host":"lab.example","path-prefix":"/o/","kind":"rollout",
+     "service":"models","max-attempts":3,"retention-s":60,"timeout-ms":5000,
+     "skip-auth":true},
     {"name":"s","host":"lab.example","path-prefix":"/s/","kind":"stream",
      "service":"streams","resumable":true,"max-attempts":2,"timeout-ms":4000},
     {"name":"i","host":"lab.example","path-prefix":"/i/","kind":"idempotent",
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -108,6 +108,7 @@
 struct trainer_batch
 {
   std::string id;
+  std::string path; ///< Of its route.
   std::size_t model = 0;
   std::int64_t minVersion = 1;
   std::size_t itemCount = 0;
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -98,6 +98,7 @@
   added->minVersion =
     std::max<std::int64_t>(1, mPublishedVersions[added->model] - 1);
   added->id = "b" + std::to_string(mBatches.size());
+  added->path = mBatches.size() % 3 == 2 ? "/o/x" : "/b/x";
   added->itemCount = 4 + RandomBelow(8);
   added->startTime = mLoop.Now();
   trainer_batch& batch = *added;
@@ -152,7 +153,7 @@
     // The second character of an item's id is the index of its model.
     item["id"] = "i" + std::to_string(aBatch.model) + aBatch.id + "-" +
                  std::to_string(index);
-    item["path"] = "/b/x";
+    item["path"] = aBatch.path;
     item["headers"]["Arbutusferry-Model"] = model;
     item["body"] = "AAAA";
     item["group"] = "g" + std::to_string(index / 4);
@@ -165,7 +166,7 @@
     body["items"].append(std::move(item));
   }
   SendToNode({ "POST",
-               "/b/x",
+               aBatch.path,
                { { "Arbutusferry-Request-Id", aBatch.id } },
                WriteJson(body) },
              [this, &aBatch](const node::http_response* aResponse, auto) {
--- a/tests/support/leading_pair.hpp
+++ b/tests/support/leading_pair.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arbutusferry/node/ferry_node.hpp"
+#include "arbutusferry/node/run_relay.hpp"
 
 #include "batch_handler.hpp"
 #include "http_protocols.hpp"
@@ -39,10 +40,16 @@
     }
   }
   /// Sends a caller's request to the leader, or to the other node.
-  http_response Call(bool aLeader, http_request aRequest)
+  std::shared_ptr<recording_responder> Send(bool aLeader, http_request aRequest)
   {
-    const auto answer = std::make_shared<recording_responder>();
+    auto answer = std::make_shared<recording_responder>();
     (aLeader ? mLeader : mFollower).callers.Handle(std::move(aRequest), answer);
+    return answer;
+  }
+  /// Sends a caller's request and waits for the response.
+  http_response Call(bool aLeader, http_request aRequest)
+  {
+    const auto answer = Send(aLeader, std::move(aRequest));
     loop.Advance(std::chrono::milliseconds(1'200));
     CHECK(answer->answers == 1);
     return answer->response;
@@ -51,15 +58,28 @@
   http_response CallAsNode(http_request aRequest)
   {
     const auto answer = std::make_shared<recording_responder>();
-    mLeader.batches.Handle(std::move(aRequest), answer);
+    mLeader.peers.Handle(std::move(aRequest), answer);
     loop.Advance(std::chrono::milliseconds(50));
     return answer->response;
   }
-  void AddTarget(const target_entry& aTarget)
+  /// Adds a sampler of the service `models` that has a model `m`.
+  void AddSampler()
   {
-    for (auto* process : { &mLeader, &mFollower }) {
-      process->node.UpdateTarget(aTarget);
-    }
+    target_entry sampler;
+    sampler.id = "s1";
+    sampler.service = "models";
+    sampler.address = { "10.0.0.1", 80 };
+    sampler.modelVersions = { { "m", 1 } };
+    AddTarget(std::move(sampler));
+  }
+  /// Adds a target of the service `desk`.
+  void AddPlainTarget()
+  {
+    target_entry target;
+    target.id = "d1";
+    target.service = "desk";
+    target.address = { "10.0.0.2", 80 };
+    AddTarget(std::move(target));
   }
   [[nodiscard]] batch_leader& Batches() { return *mLeader.node.Leader(); }
 
@@ -97,8 +117,22 @@
     platform::batch_handler batches{ node, client };
     platform::caller_handler callers{ node, batches };
     platform::operator_record_observer operatorRecords{ node };
+    run_relay peers{ { node.Loop(),
+                       node.TargetClient(),
+                       protocol,
+                       [this] { return node.HighestFence(); },
+                       [] {},
+                       batches } };
   };
 
+  void AddTarget(target_entry aTarget)
+  {
+    aTarget.zone = "z";
+    aTarget.slots = 4;
+    for (auto* process : { &mLeader, &mFollower }) {
+      process->node.UpdateTarget(aTarget);
+    }
+  }
   void Carry(const std::shared_ptr<scripted_client::sent>& aSent)
   {
     if (aSent->peer.port != 9'000) {
@@ -108,8 +142,8 @@
     loop.Post(std::chrono::milliseconds(1), [this, aSent] {
       messages.push_back(aSent->request);
       process& receiver = aSent->peer.ip == "10.0.1.1" ? mLeader : mFollower;
-      receiver.batches.Handle(aSent->request,
-                              std::make_shared<sink_responder>(aSent));
+      receiver.peers.Handle(aSent->request,
+                            std::make_shared<sink_responder>(aSent));
     });
   }
 
--- a/tests/unit/batch_access_test.cpp
+++ b/tests/unit/batch_access_test.cpp
@@ -17,6 +17,19 @@
  "tenants":[{"name":"acme","api-keys":["acme-key"]},
             {"name":"birch","api-keys":["birch-key"]}]})";
 
+/// The same with a route for batches and a plain one that need no key.
+constexpr const char* kOpenManifest = R"({"version":2,"routes":[
+  {"name":"b","host":"h","path-prefix":"/b/","kind":"rollout",
+   "service":"models","max-attempts":3,"retention-s":60},
+  {"name":"o","host":"h","path-prefix":"/o/","kind":"rollout",
+   "service":"models","max-attempts":3,"retention-s":60,"skip-auth":true},
+  {"name":"p","host":"h","path-prefix":"/p/","kind":"idempotent",
+   "service":"desk","skip-auth":true}],
+ "services":[{"name":"models","engine":{"models":[{"name":"m"}]}},
+             {"name":"desk"}],
+ "tenants":[{"name":"acme","api-keys":["acme-key"]},
+            {"name":"birch","api-keys":["birch-key"]}]})";
+
 http_request
 MakeCall(const char* aMethod, std::string aTarget, const std::string& aKey)
 {
@@ -115,3 +128,85 @@
   CHECK_FALSE(test.Batches().Find("b1", "acme"));
   CHECK_FALSE(test.Batches().Find("b1", "birch"));
 }
+
+// Guards against a batch on an open route that was accepted for no tenant, so
+// that its tenant could neither read nor end it.
+TEST_CASE("a batch on an open route belongs to the tenant of its key")
+{
+  const bool atLeader = GENERATE(true, false);
+  CAPTURE(atLeader);
+  leading_pair test(kManifest);
+  test.SetManifest(kOpenManifest, 2);
+  test.AddSampler();
+  CHECK(test.Call(atLeader, MakeSubmission("b1", "/o/x", "acme-key")).status ==
+        202);
+  test.loop.Advance(std::chrono::milliseconds(100));
+  REQUIRE_FALSE(test.toTargets.empty());
+  CHECK(test.toTargets.back()->request.headers.Get("Arbutusferry-Tenant") ==
+        "acme");
+  for (const bool readAtLeader : { true, false }) {
+    const auto read = [&](const char* aTarget, const std::string& aKey) {
+      return test.Call(readAtLeader, MakeCall("GET", aTarget, aKey)).status;
+    };
+    CHECK(read("/lots/b1?after=0", "acme-key") == 200);
+    CHECK(read("/items/b1?id=i-b1", "acme-key") == 200);
+    CHECK(read("/lots/b1?after=0", "birch-key") == 404);
+    CHECK(read("/lots/b1?after=0", {}) == 401);
+    CHECK(read("/lots/b1?after=0", "unknown") == 401);
+  }
+  CHECK(test.Call(atLeader, MakeCall("DELETE", "/lots/b1", {})).status == 401);
+  CHECK(
+    test.Call(atLeader, MakeCall("DELETE", "/lots/b1", "acme-key")).status ==
+    200);
+}
+
+// Guards against a batch that nobody can read, since it was accepted without a
+// key, and reads need one.
+TEST_CASE("a batch that was submitted without a key is open to all")
+{
+  const bool atLeader = GENERATE(true, false);
+  CAPTURE(atLeader);
+  leading_pair test(kManifest);
+  test.SetManifest(kOpenManifest, 2);
+  CHECK(test.Call(atLeader, MakeSubmission("b1", "/b/x", {})).status == 401);
+  CHECK(test.Call(atLeader, MakeSubmission("b1", "/o/x", {})).status == 202);
+  const auto read = [&](const std::string& aKey) {
+    return test.Call(atLeader, MakeCall("GET", "/lots/b1?after=0", aKey))
+      .status;
+  };
+  CHECK(read({}) == 200);
+  CHECK(read("birch-key") == 200);
+  // Once the route is closed, a key is needed, and any is enough.
+  std::string closed = kManifest;
+  closed.replace(closed.find("\"version\":1"), 11, "\"version\":3");
+  test.SetManifest(closed, 3);
+  CHECK(read({}) == 401);
+  CHECK(read("birch-key") == 200);
+  CHECK(
+    test.Call(atLeader, MakeCall("DELETE", "/lots/b1", "acme-key")).status ==
+    200);
+}
+
+// Guards against plain requests on open routes that run for another tenant than
+// that of their key, or for one that they only name.
+TEST_CASE("a request on an open route runs for the tenant of its key, if any")
+{
+  leading_pair test(kManifest);
+  test.SetManifest(kOpenManifest, 2);
+  test.AddPlainTarget();
+  const std::vector<std::pair<std::string, std::string>> tenantOfKey{
+    { "acme-key", "acme" }, { "unknown", "" }, { "", "" }
+  };
+  for (const auto& [key, tenant] : tenantOfKey) {
+    CAPTURE(key);
+    test.toTargets.clear();
+    http_request request = MakeCall("GET", "/p/x", key);
+    request.headers.Add(platform::kRequestId, "r-" + key);
+    request.headers.Add("Arbutusferry-Tenant", "birch");
+    (void)test.Send(true, std::move(request));
+    REQUIRE(test.toTargets.size() == 1);
+    const header_list& headers = test.toTargets.front()->request.headers;
+    CHECK(headers.Get("Arbutusferry-Tenant") == tenant);
+    CHECK_FALSE(headers.Find("Authorization"));
+  }
+}
