--- a/tests/support/leading_pair.hpp
+++ b/tests/support/leading_pair.hpp
@@ -40,25 +40,26 @@
     }
   }
   /// Sends a caller's request to the leader, or to the other node.
-  std::shared_ptr<recording_responder> Send(bool aLeader, http_request aRequest)
+  std::shared_ptr<recording_responder> Send(bool aLeader,
+                                            const http_request& aRequest)
   {
     auto answer = std::make_shared<recording_responder>();
-    (aLeader ? mLeader : mFollower).callers.Handle(std::move(aRequest), answer);
+    (aLeader ? mLeader : mFollower).callers.Handle(aRequest, answer);
     return answer;
   }
   /// Sends a caller's request and waits for the response.
-  http_response Call(bool aLeader, http_request aRequest)
+  http_response Call(bool aLeader, const http_request& aRequest)
   {
-    const auto answer = Send(aLeader, std::move(aRequest));
+    const auto answer = Send(aLeader, aRequest);
     loop.Advance(std::chrono::milliseconds(1'200));
     CHECK(answer->answers == 1);
     return answer->response;
   }
   /// Sends a message of a node to the leader.
-  http_response CallAsNode(http_request aRequest)
+  http_response CallAsNode(const http_request& aRequest)
   {
     const auto answer = std::make_shared<recording_responder>();
-    mLeader.peers.Handle(std::move(aRequest), answer);
+    mLeader.peers.Handle(aRequest, answer);
     loop.Advance(std::chrono::milliseconds(50));
     return answer->response;
   }
--- a/tests/unit/batch_access_test.cpp
+++ b/tests/unit/batch_access_test.cpp
@@ -74,14 +74,14 @@
   http_request submission = MakeSubmission("foreign", "/b/x", "acme-key");
   submission.headers.Add(header, "birch");
   submission.headers.Add("Ferry-Route", "other");
-  CHECK(test.Call(atLeader, std::move(submission)).status == 202);
+  CHECK(test.Call(atLeader, submission).status == 202);
   const batch* accepted = test.Batches().Find("foreign", "acme");
   REQUIRE(accepted);
   CHECK(accepted->Request().route == "b");
   for (const char* method : { "GET", "DELETE" }) {
     http_request call = MakeCall(method, "/lots/own?after=0", "acme-key");
     call.headers.Add(header, "birch");
-    CHECK(test.Call(atLeader, std::move(call)).status == 404);
+    CHECK(test.Call(atLeader, call).status == 404);
   }
   CHECK_FALSE(test.Batches().Find("own", "birch")->Ended());
 }
@@ -96,7 +96,7 @@
   submission.headers.Add("Expect", "100-continue");
   submission.headers.Add("Connection", "close");
   submission.headers.Add("X-Other", "1");
-  CHECK(test.Call(false, std::move(submission)).status == 202);
+  CHECK(test.Call(false, submission).status == 202);
   REQUIRE_FALSE(test.messages.empty());
   std::vector<std::string> names;
   for (const auto& [name, value] : test.messages.back().headers) {
@@ -123,7 +123,7 @@
     for (const auto& [name, value] : head) {
       message.headers.Add(name, value);
     }
-    CHECK(test.CallAsNode(std::move(message)).status == 400);
+    CHECK(test.CallAsNode(message).status == 400);
   }
   CHECK_FALSE(test.Batches().Find("b1", "acme"));
   CHECK_FALSE(test.Batches().Find("b1", "birch"));
@@ -203,7 +203,7 @@
     http_request request = MakeCall("GET", "/p/x", key);
     request.headers.Add(platform::kRequestId, "r-" + key);
     request.headers.Add("Arbutusferry-Tenant", "birch");
-    (void)test.Send(true, std::move(request));
+    (void)test.Send(true, request);
     REQUIRE(test.toTargets.size() == 1);
     const header_list& headers = test.toTargets.front()->request.headers;
     CHECK(headers.Get("Arbutusferry-Tenant") == tenant);
