Keep texts of single-version routes to one version, whenever weights load

Cause: whether runs may go on under new weights was decided by the items that ran when the order was sent. It takes effect later, and after a lost answer much later. Behind it nothing checked that a text has one version.

Ruled out: the sampler's report, which was right; the count of orders, which voids a late order only after another one was accepted; placement, as the old version was allowed and there.

Orders for models of single-version routes let runs finish first, whether or not items run. batch_leader::TextFits decides for all ways to a listed text whether its versions fit: at the end of a run, in the middle of one whose sampler names another version, for events kept from another batch, document or leader, and for texts that wait for their score. Else the item begins again.

--- a/include/arbutusferry/node/batch_leader.hpp
+++ b/include/arbutusferry/node/batch_leader.hpp
@@ -159,6 +159,11 @@
     std::map<std::string, std::vector<sampler_state>>& aRoom);
   /// Logs that an item's events are dropped.
   static void LogRestart(const batch& aBatch, std::size_t aIndex);
+  /// Drops the events of an item, also those in the journal.
+  void RestartItem(batch& aBatch, std::size_t aIndex);
+  /// @return Whether the versions of an item's events allow that its batch
+  /// lists a text with them.
+  [[nodiscard]] bool TextFits(const batch& aBatch, std::size_t aIndex) const;
   /// Saves the progress of items with at least `aMinNewEvents` new events.
   void SaveProgress(std::size_t aMinNewEvents, std::function<void()> aDone);
   void ExpireItems();
--- a/include/arbutusferry/node/batch_table.hpp
+++ b/include/arbutusferry/node/batch_table.hpp
@@ -89,6 +89,8 @@
   int rewardErrors = 0;
 
   [[nodiscard]] bool MeetsMinimumVersion(std::int64_t aMinimum) const;
+  /// @return Whether the events have at most one version.
+  [[nodiscard]] bool HasOneVersion() const;
   [[nodiscard]] std::string Text() const;
   /// @return Versions in ascending order, without duplicates.
   [[nodiscard]] std::vector<std::int64_t> DistinctVersions() const;
--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -118,6 +119,9 @@
   [[nodiscard]] bool HasBatchRoute(std::string_view aHost) const;
   /// @return Whether a route of a host takes batches without a key.
   [[nodiscard]] bool HasOpenBatchRoute(std::string_view aHost) const;
+  /// @return Models of the services whose samples, on one route at least, must
+  /// each have a single weight version.
+  [[nodiscard]] std::set<std::string> SingleVersionModels() const;
   [[nodiscard]] const route_entry* RouteByName(std::string_view aName) const;
   /// @return The team that holds a key, or null.
   [[nodiscard]] const team_entry* TeamOfKey(std::string_view aKey) const;
--- a/include/arbutusferry/node/sampler_pool.hpp
+++ b/include/arbutusferry/node/sampler_pool.hpp
@@ -65,7 +65,8 @@
   void EndRun(const item_run& aRun, run_outcome aEnd);
   /// Updates the event interval of a run's sampler; ends a pending load if the
   /// run shows that the weights are there.
-  void NoteEvent(const item_run& aRun);
+  /// @param aVersion Weight version of the event.
+  void NoteEvent(const item_run& aRun, std::int64_t aVersion);
   /// Gives a sampler no items for a while, since its runs were silent.
   void NoteSilence(const std::string& aId);
   [[nodiscard]] const std::set<std::shared_ptr<item_run>>& Runs() const noexcept
@@ -74,6 +75,7 @@
   }
   /// Cancels and removes a run without effect on its sampler's backoff.
   void CancelRun(const std::shared_ptr<item_run>& aRun);
+  void CancelRun(const item_run& aRun);
   /// Detaches from all runs: relayed ones go on for the next leader, others
   /// end.
   void DetachAll();
--- a/src/node/batch_leader.cpp
+++ b/src/node/batch_leader.cpp
@@ -453,21 +453,13 @@
     SaveProgress(kMinEventsToSave, [this] { mSavingProgress = false; });
   }
   std::set<std::string> models;
-  std::set<std::string> singleVersionModels;
   const environment_view& environment = mParts.environment.Environment();
   for (const service_entry& service : environment.Services()) {
     models.insert(service.models.begin(), service.models.end());
   }
-  for (const auto& run : mPool.Runs()) {
-    const route_entry* route =
-      environment.FindRoute(run->Call().host, run->Call().path);
-    batch* owner = mBatches.Find(run->Batch());
-    if (route && route->singleVersion && owner) {
-      singleVersionModels.insert(owner->Request().model);
-    }
-  }
   if (mParts.maySendOrders()) {
-    mPool.SendWeightOrders(models, singleVersionModels, mUnplaced);
+    mPool.SendWeightOrders(
+      models, environment.SingleVersionModels(), mUnplaced);
   }
   ExpireItems();
   ExpireBatches();
--- a/src/node/batch_rewards.cpp
+++ b/src/node/batch_rewards.cpp
@@ -20,6 +20,10 @@
 void
 batch_leader::FinishText(batch& aBatch, std::size_t aIndex)
 {
+  if (!TextFits(aBatch, aIndex)) {
+    RestartItem(aBatch, aIndex);
+    return;
+  }
   if (!aBatch.Request().items[aIndex].reward) {
     FinishItem(aBatch, aIndex, result_state::Completed);
     return;
@@ -188,6 +192,11 @@
   }
   switch (next) {
     case scoring_step::Commit:
+      if (!TextFits(*owner, aIndex)) {
+        // The route has come to allow a single version only.
+        RestartItem(*owner, aIndex);
+        break;
+      }
       mParts.metrics.Observe(
         "ferry_reward_seconds",
         { { "model", owner->Request().model } },
--- a/src/node/batch_runs.cpp
+++ b/src/node/batch_runs.cpp
@@ -117,8 +117,10 @@
   batch& owner = *mBatches.Find(aItem.batch);
   item_state& state = owner.Items()[aItem.index];
   aItem.homes = HomesOf(owner, aItem.index);
-  if (!state.progress.events.empty() && !state.progress.software) {
-    // Saved by a process that did not record the software.
+  if (!state.progress.events.empty() &&
+      (!state.progress.software || !TextFits(owner, aItem.index))) {
+    // Saved by a process that did not record the software, or under another
+    // document or batch, which allowed several versions.
     LogRestart(owner, aItem.index);
     state.progress = {};
   }
@@ -334,12 +336,19 @@
   if (progress.events.empty()) {
     mHistory.NoteFirstEvent(mParts.loop.Now() - aRun.Timing().started);
   }
+  const bool sameVersion =
+    progress.versions.empty() || progress.versions.back() == aVersion;
   progress.events.push_back(std::move(aData));
   progress.versions.push_back(aVersion);
-  mPool.NoteEvent(aRun);
+  mPool.NoteEvent(aRun, aVersion);
   if (aRun.Location()) {
     mParts.nodes.NoteAlive(aRun.Location()->relay, mParts.loop.Now());
   }
+  if (!sameVersion && !TextFits(*owner, aRun.Index())) {
+    // The sampler has loaded other weights in the middle of the text.
+    mPool.CancelRun(aRun);
+    RestartItem(*owner, aRun.Index());
+  }
 }
 
 void
@@ -397,13 +406,6 @@
   }
   switch (aEnd) {
     case run_outcome::Complete:
-      if (!item.progress.MeetsMinimumVersion(owner->Request().minimumVersion)) {
-        Log(log_level::Warning,
-            "item_too_old",
-            { { "item", aRun.Call().id }, { "target", aRun.Sampler() } });
-        item.progress = {};
-        break;
-      }
       mHistory.NoteCompleted(owner->Request().route,
                              owner->Request().items[aRun.Index()].lengthHint,
                              item.progress.events.size());
@@ -527,6 +529,36 @@
         { "software", progress.software.value_or("") } });
 }
 
+void
+batch_leader::RestartItem(batch& aBatch, std::size_t aIndex)
+{
+  LogRestart(aBatch, aIndex);
+  item_state& item = aBatch.Items()[aIndex];
+  item.phase = item_phase::Waiting;
+  item.progress = {};
+  item.scoring = {};
+  if (std::exchange(item.savedEvents, 0) > 0) {
+    mJournal.Append({ { ProgressKey(aBatch.Request().id, aIndex), {} } }, {});
+  }
+  SchedulePlacement();
+}
+
+bool
+batch_leader::TextFits(const batch& aBatch, std::size_t aIndex) const
+{
+  const batch_request& request = aBatch.Request();
+  const item_progress& progress = aBatch.Items()[aIndex].progress;
+  if (!progress.MeetsMinimumVersion(request.minimumVersion)) {
+    return false;
+  }
+  if (progress.HasOneVersion()) {
+    return true;
+  }
+  const route_entry* route = mParts.environment.Environment().FindRoute(
+    request.host, request.items[aIndex].path);
+  return !route || !route->singleVersion;
+}
+
 void
 batch_leader::ExpireItems()
 {
--- a/src/node/batch_table.cpp
+++ b/src/node/batch_table.cpp
@@ -21,6 +21,15 @@
     });
 }
 
+bool
+item_progress::HasOneVersion() const
+{
+  return std::all_of(
+    versions.begin(), versions.end(), [&](std::int64_t aVersion) {
+      return aVersion == versions.front();
+    });
+}
+
 std::string
 item_progress::Text() const
 {
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -105,6 +105,23 @@
                      });
 }
 
+std::set<std::string>
+environment_view::SingleVersionModels() const
+{
+  std::set<std::string> models;
+  for (const route_entry& route : mRoutes) {
+    if (!route.singleVersion) {
+      continue;
+    }
+    for (const weighted_service& entry : route.services) {
+      if (const service_entry* service = Service(entry.service)) {
+        models.insert(service->models.begin(), service->models.end());
+      }
+    }
+  }
+  return models;
+}
+
 const route_entry*
 environment_view::RouteByName(std::string_view aName) const
 {
--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -235,6 +235,18 @@
   aRun->Cancel();
 }
 
+void
+sampler_pool::CancelRun(const item_run& aRun)
+{
+  const auto run =
+    std::find_if(mRuns.begin(), mRuns.end(), [&](const auto& aEntry) {
+      return aEntry.get() == &aRun;
+    });
+  if (run != mRuns.end()) {
+    CancelRun(std::shared_ptr(*run));
+  }
+}
+
 void
 sampler_pool::DetachAll()
 {
@@ -315,18 +327,21 @@
 }
 
 void
-sampler_pool::NoteEvent(const item_run& aRun)
+sampler_pool::NoteEvent(const item_run& aRun, std::int64_t aVersion)
 {
   const auto found = mSamplers.find(aRun.Sampler());
   if (found == mSamplers.end()) {
     return;
   }
   sampler& entry = found->second;
-  if (entry.order && entry.order->load.model == aRun.Call().model &&
-      aRun.Call().expectedVersion >= entry.order->load.version) {
-    // A sampler runs only items that name the version that it has.
+  const std::string& model = aRun.Call().model;
+  if (entry.order && entry.order->load.model == model &&
+      aVersion >= entry.order->load.version) {
     EndLoad(aRun.Sampler(), entry, "run");
   }
+  // Also a load that nobody waits for any more, of an order that got no answer.
+  std::int64_t& known = entry.versions[model];
+  known = std::max(known, aVersion);
   if (!aRun.Timing().begun) {
     return;
   }
@@ -424,6 +439,7 @@
         { "model", aOrder.model },
         { "version", std::to_string(aOrder.version) },
         { "had", std::to_string(VersionOf(aOrder.sampler, aOrder.model)) },
+        { "runs", aKeepRuns ? "go_on" : "finish_first" },
         { "fence", std::to_string(mParts.fence) },
         { "expected_orders", std::to_string(*entry.ordersAccepted) } });
   exchange_options options;
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -64,6 +64,7 @@
       mFinishedItems.insert(aItem);
     };
     sampler->checksFences = mOptions.fencesChecked;
+    sampler->delaysOrders = !mOptions.stopsOnly;
     sampler->excused = [this](const node::responder& aResponder) {
       return HeldUp(aResponder);
     };
@@ -154,12 +155,19 @@
 void
 soak_test::PutConfig()
 {
-  mStore.PutRecord("keyed.op", "config", R"({"version":5,"routes":[
+  mStore.PutRecord("keyed.op",
+                   "config",
+                   R"({"version":5,"routes":[
     {"name":"b","host":"lab.example","path-prefix":"/b/","kind":"rollout",
      "service":"models","max-attempts":3,"retention-s":60,"timeout-ms":5000},
     {"name":"o","host":"lab.example","path-prefix":"/o/","kind":"rollout",
      "service":"models","max-attempts":3,"retention-s":60,"timeout-ms":5000,
      "skip-auth":true},
+    {"name":"v","host":"lab.example","path-prefix":"/v/","kind":"rollout",
+     "service":"models","max-attempts":3,"retention-s":60,"timeout-ms":5000,
+     "single-version":)" +
+                     std::string(SingleVersions() ? "true" : "false") +
+                     R"(},
     {"name":"s","host":"lab.example","path-prefix":"/s/","kind":"stream",
      "service":"streams","resumable":true,"max-attempts":2,"timeout-ms":4000},
     {"name":"i","host":"lab.example","path-prefix":"/i/","kind":"idempotent",
@@ -346,6 +354,7 @@
   mStore.lostRepliesPer10 = mStore.delayedAppendsPer10 = 0;
   for (const auto& sampler : mSamplers) {
     sampler->SetOffline(false);
+    sampler->delaysOrders = false;
   }
   for (limited_requests* limit : mLimits) {
     mLargestPeak = std::max(mLargestPeak, limit->Peak());
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -172,6 +172,9 @@
   void StartTargets();
   void StartNodes();
   void PutConfig();
+  /// @return Whether texts on the route `/v/` must each have one version, so
+  /// that weight orders let runs finish first.
+  [[nodiscard]] bool SingleVersions() const { return mOptions.seed % 2 == 1; }
   /// Makes most targets name limits below the load.
   void NameLimits();
   /// Excuses a node from some checks during a fault and for some time after it.
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/json.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace arbutusferry::node_soak {
 
@@ -97,8 +98,9 @@
   added->model = RandomBelow(2);
   added->minVersion =
     std::max<std::int64_t>(1, mPublishedVersions[added->model] - 1);
-  added->id = "b" + std::to_string(mBatches.size());
-  added->path = mBatches.size() % 3 == 2 ? "/o/x" : "/b/x";
+  constexpr std::array kPaths{ "/b/x", "/v/x", "/o/x" };
+  added->path = kPaths.at(mBatches.size() % kPaths.size());
+  added->id = added->path.substr(1, 1) + std::to_string(mBatches.size());
   added->itemCount = 4 + RandomBelow(8);
   added->startTime = mLoop.Now();
   trainer_batch& batch = *added;
@@ -227,6 +229,9 @@
   if (software.size() > 1) {
     AddFinding(item + ": text of two software versions");
   }
+  if (SingleVersions() && aBatch.path == "/v/x" && generated.size() > 1) {
+    AddFinding(item + ": text of two versions on a single-version route");
+  }
   if (generated != listed) {
     AddFinding(item + ": listed versions differ from those of the events");
   }
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds kAppendDelay{ 4 };
 /// Delay of an append with an injected delay.
 constexpr milliseconds kLateAppendDelay{ 1'000 };
+/// Delay of a weight order that gets no answer: longer than its sender waits,
+/// but not until it has sent the order again, which makes this one void.
+constexpr milliseconds kLateOrderDelay{ 1'100 };
 /// Processing time of the plain service.
 constexpr milliseconds kServiceDelay{ 5 };
 
@@ -330,7 +333,9 @@
 EventCount(const std::string& aItem)
 {
   const std::uint64_t hash = Hash64(aItem);
-  return hash % 12 == 0 ? 60 + hash % 60 : 5 + hash % 15;
+  // Texts that must have one version are long, so that loads fall into them.
+  const bool isLong = hash % 12 == 0 || (aItem.size() > 2 && aItem[2] == 'v');
+  return isLong ? 60 + hash % 60 : 5 + hash % 15;
 }
 
 fake_sampler::fake_sampler(node::event_loop& aLoop,
@@ -379,37 +384,69 @@
 
 void
 fake_sampler::HandleOrder(const node::http_request& aRequest,
-                          node::responder& aResponder)
+                          const std::shared_ptr<node::responder>& aResponder)
 {
   const Json::Value order = ParseObject(aRequest.body);
+  if (delaysOrders && ++mReceivedOrders % 3 == 0) {
+    // It gets no answer before its sender gives up.
+    const std::uint64_t timerId = mNextTimerId++;
+    mTimers[timerId] =
+      mLoop.After(kLateOrderDelay, [this, timerId, order, aResponder] {
+        const auto ownTimer = mTimers.extract(timerId);
+        (void)TakeOrder(order);
+      });
+    return;
+  }
   const std::uint64_t fence = order["fence"].asUInt64();
   const std::string holder = order["holder"].asString();
   if (mHolderByFence.try_emplace(fence, holder).first->second != holder) {
     mFindings.push_back(mId + ": two holders sent orders with fencing token " +
                         std::to_string(fence));
   }
-  if (checksFences && fence < mHighestFence) {
-    aResponder.Send(MakeResponse(412));
-    return;
-  }
-  mHighestFence = std::max(mHighestFence, fence);
-  if (!checksFences) {
+  const int status = TakeOrder(order);
+  if (!checksFences && status != 412) {
     const auto violated = mHolders.Note(holder, fence, mLoop.Now());
-    if (violated && !excused(aResponder)) {
+    if (violated && !excused(*aResponder)) {
       mFindings.push_back(mId + ": " + *violated);
     }
   }
-  if (order["expected-rev"].asUInt64() != mOrderCount) {
-    aResponder.Send(MakeResponse(409));
-    return;
+  aResponder->Send(MakeResponse(status));
+}
+
+int
+fake_sampler::TakeOrder(const Json::Value& aOrder)
+{
+  const std::uint64_t fence = aOrder["fence"].asUInt64();
+  if (checksFences && fence < mHighestFence) {
+    return 412;
   }
-  std::int64_t& version = mVersions[order["model"].asString()];
-  if (order["version"].asInt64() < version) {
+  mHighestFence = std::max(mHighestFence, fence);
+  if (mLoading || aOrder["expected-rev"].asUInt64() != mOrderCount) {
+    return 409;
+  }
+  if (aOrder["version"].asInt64() < mVersions[aOrder["model"].asString()]) {
     mFindings.push_back(mId + ": received an order for an older version");
   }
-  version = order["version"].asInt64();
   ++mOrderCount;
-  aResponder.Send(MakeResponse(202));
+  Load(aOrder);
+  return 202;
+}
+
+void
+fake_sampler::Load(const Json::Value& aOrder)
+{
+  std::erase_if(mOpenResponses,
+                [](const auto& aResponse) { return aResponse->Closed(); });
+  mLoading = aOrder["mode"].asString() == "wait" && !mOpenResponses.empty();
+  if (!mLoading) {
+    mVersions[aOrder["model"].asString()] = aOrder["version"].asInt64();
+    return;
+  }
+  const std::uint64_t timerId = mNextTimerId++;
+  mTimers[timerId] = mLoop.After(eventInterval, [this, timerId, aOrder] {
+    const auto ownTimer = mTimers.extract(timerId);
+    Load(aOrder);
+  });
 }
 
 void
@@ -427,13 +464,13 @@
     onRequest(*aResponder);
   }
   if (aRequest.target == "/order") {
-    HandleOrder(aRequest, *aResponder);
+    HandleOrder(aRequest, aResponder);
     return;
   }
   if (aRequest.target == "/report") {
     Json::Value report = ParseObject(Record("127.0.0.1:1", "z", false));
     report["seq"] = Json::UInt64(mOrderCount);
-    report["busy"] = false;
+    report["busy"] = mLoading;
     aResponder->Send(MakeResponse(200, WriteJson(report)));
     return;
   }
@@ -457,7 +494,7 @@
       item + ": ran for tenant '" +
       std::string(aRequest.headers.Get("Arbutusferry-Tenant")) + "'");
   }
-  if (mOpenResponses.size() >= 8) {
+  if (mLoading || mOpenResponses.size() >= 8) {
     node::http_response full = MakeResponse(503);
     full.headers.Add("Arbutusferry-Not-Run", "1");
     for (const auto& [name, value] : limitHeaders) {
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -171,6 +171,8 @@
   std::chrono::milliseconds eventInterval{ 15 };
   limited_requests limit;
   bool checksFences = true;
+  /// Whether some weight orders get no answer and are carried out late.
+  bool delaysOrders = false;
   /// Whether the sender of an order is excused from the rule on holders.
   std::function<bool(const node::responder&)> excused;
   /// Called with each request that it takes, weight orders and requests for
@@ -183,7 +185,11 @@
 
 private:
   void HandleOrder(const node::http_request& aRequest,
-                   node::responder& aResponder);
+                   const std::shared_ptr<node::responder>& aResponder);
+  /// @return The status of the answer.
+  [[nodiscard]] int TakeOrder(const Json::Value& aOrder);
+  /// Loads the weights of an order, once the runs have ended if it says so.
+  void Load(const Json::Value& aOrder);
   void SendNextEvent(const std::shared_ptr<node::responder>& aResponder,
                      const std::string& aItem,
                      std::size_t aEventNumber,
@@ -194,6 +200,8 @@
   std::string mId;
   std::map<std::string, std::int64_t> mVersions{ { "m0", 1 }, { "m1", 1 } };
   std::uint64_t mOrderCount = 0;
+  std::uint64_t mReceivedOrders = 0;
+  bool mLoading = false; ///< An order waits until the runs have ended.
   holder_rule mHolders{ kDutyLease };
   std::uint64_t mHighestFence = 0;
   std::map<std::uint64_t, std::string> mHolderByFence;
--- a/tests/support/leader_fixture.hpp
+++ b/tests/support/leader_fixture.hpp
@@ -100,6 +100,8 @@
   std::map<std::string, int> starts;       ///< Number of runs by item.
   std::vector<std::size_t> resumedAfter;
   int reports = 0;
+  std::vector<std::string> orders; ///< Bodies of weight orders.
+  bool ordersUnanswered = false;   ///< Weight orders get no answer.
   int refusedWhileLoading = 0;
   int misplaced = 0;
   /// Items that went on at another software version than that which began
@@ -127,6 +129,10 @@
     }
     const auto& request = aSent->request;
     if (request.target == "/order") {
+      orders.push_back(request.body.Text());
+      if (ordersUnanswered) {
+        return;
+      }
       const auto at = request.body.Text().find("\"version\":");
       if (request.body.Text().find("\"expected-rev\":" +
                                    std::to_string(self.orders)) ==
@@ -193,19 +199,24 @@
       self.limit.NoteResponse(sender, mLoop.Now());
     }
     aSent->sink->OnHead(200, headers);
-    Produce(aSent, item, after + 1);
+    Produce(aSent, item, after + 1, self.version);
   }
 
-  void Produce(const exchange& aSent, const std::string& aItem, std::size_t aId)
+  /// @param aVersion Weight version that the response has named last.
+  void Produce(const exchange& aSent,
+               const std::string& aItem,
+               std::size_t aId,
+               std::int64_t aVersion)
   {
     const sampler& self = samplers[aSent->peer.ip];
     const duration interval =
       std::max(self.eventInterval, self.loadedAt - mLoop.Now());
-    mLoop.Post(interval, [this, aSent, aItem, aId] {
+    mLoop.Post(interval, [this, aSent, aItem, aId, aVersion] {
       const duration paused = samplers[aSent->peer.ip].loadedAt - mLoop.Now();
       if (paused > duration::zero()) {
-        mLoop.Post(paused,
-                   [this, aSent, aItem, aId] { Produce(aSent, aItem, aId); });
+        mLoop.Post(paused, [this, aSent, aItem, aId, aVersion] {
+          Produce(aSent, aItem, aId, aVersion);
+        });
         return;
       }
       if (!aSent->sink || samplers[aSent->peer.ip].unresponsive) {
@@ -213,7 +224,12 @@
       }
       const auto sink = aSent->sink;
       const bool empty = emptyItems.contains(aItem);
-      sink->OnBody("id: " + std::to_string(aId) + "\ndata: " +
+      const std::int64_t version = samplers[aSent->peer.ip].version;
+      const std::string change =
+        version == aVersion
+          ? ""
+          : "arbutusferry-weight-versions: " + std::to_string(version) + "\n";
+      sink->OnBody(change + "id: " + std::to_string(aId) + "\ndata: " +
                    (empty ? "" : aItem + "." + std::to_string(aId)) + "\n\n");
       if (!aSent->sink) {
         return;
@@ -222,7 +238,7 @@
         aSent->sink.reset();
         sink->OnEnd();
       } else {
-        Produce(aSent, aItem, aId + 1);
+        Produce(aSent, aItem, aId + 1, version);
       }
     });
   }
@@ -402,10 +418,10 @@
 };
 
 inline std::string
-ExpectedText(const std::string& aItem)
+ExpectedText(const std::string& aItem, std::size_t aEvents = 6)
 {
   std::string text;
-  for (int id = 1; id <= 6; ++id) {
+  for (std::size_t id = 1; id <= aEvents; ++id) {
     text += (id > 1 ? "\n" : "") + aItem + "." + std::to_string(id);
   }
   return text;
