Take an answer whose status HTTP doesn't have for no answer

Cause: the HTTP client took each status below 200 for an interim response and waited for the next one, and any larger number for a final status; the parser of the library checks the number of digits only.

Ruled out: the readers of targets' answers, which classify what the client gives them; no class fits such a number.

The parser of responses fails on a status outside 100 to 599, and on 101, for which no request asks. So plain requests, items, relayed runs, reward calls, weight orders, reports, gateways, store and duties all see a broken exchange at once. The client of the product's own daemons took 099, 600 and 999 for answers and has the same check.

Red before: 1 test case of asio_net_test (5 statuses) and 1 of upstream_test (3).

--- a/src/exchange/upstream_http.cpp
+++ b/src/exchange/upstream_http.cpp
@@ -1,3 +1,4 @@
+#include "arbutusferry/http_status.hpp"
 #include "arbutusferry/json.hpp"
 #include "arbutusferry/upstream.hpp"
 #include "exchange/event_parser.hpp"
@@ -119,6 +120,10 @@
   bool OnHead(const httplib::Response& aResponse)
   {
     mStatus = aResponse.status;
+    if (!IsFinalHttpStatus(mStatus)) {
+      return Fail("the status " + std::to_string(mStatus) +
+                  " is not that of a final answer");
+    }
     for (const auto& [name, value] : aResponse.headers) {
       mHeaders.emplace_back(name, value);
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -484,8 +484,8 @@
   const auto& headers = mParser->headers;
   const auto responseId = headers.Find(
     mOptions.echoHeader.empty() ? std::string_view(" ") : mOptions.echoHeader);
-  mDiscardMessage =
-    mParser->status < 200 || (responseId && *responseId != mRequestId);
+  mDiscardMessage = !IsFinalHttpStatus(mParser->status) ||
+                    (responseId && *responseId != mRequestId);
   if (!mDiscardMessage && mSink) {
     const auto sink = mSink;
     sink->OnHead(mParser->status, headers);
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "arbutusferry/http_status.hpp"
 #include "arbutusferry/node/http_message.hpp"
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <cstdio>
 #include <exception>
 #include <string>
@@ -20,7 +22,8 @@
   virtual void OnParsedBody(std::string_view aPart) = 0;
 };
 
-/// Incremental parser of one HTTP message.
+/// Incremental parser of one HTTP message. A response whose status is none of
+/// HTTP is an error.
 template<bool IsRequest>
 class message_parser final : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -49,9 +52,16 @@
     method.assign(aMethod.data(), aMethod.size());
     target.assign(aTarget.data(), aTarget.size());
   }
-  void on_response_impl(int aStatus, string_view, int, error_code&) override
+  void on_response_impl(int aStatus,
+                        string_view,
+                        int,
+                        error_code& aError) override
   {
     status = aStatus;
+    // No request of this process asks for another protocol.
+    if (!IsHttpStatus(aStatus) || aStatus == kSwitchingProtocols) {
+      aError = boost::beast::http::error::bad_status;
+    }
   }
   void on_field_impl(boost::beast::http::field,
                      string_view aName,
@@ -81,6 +91,8 @@
   }
   void on_finish_impl(error_code&) override {}
 
+  static constexpr int kSwitchingProtocols = 101;
+
   parse_events& mEvents;
 };
 
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -384,6 +384,27 @@
   CHECK(*sent->failure == exchange_failure::Protocol);
 }
 
+// Guards against a faulty peer's bytes that are taken for a response, or for an
+// interim one whose request then waits until its deadline.
+TEST_CASE("a response with a status that HTTP doesn't have is no response")
+{
+  const std::string status =
+    GENERATE("000", "001", "099", "101", "600", "999", "-10", "20", "2000");
+  CAPTURE(status);
+  net_test test;
+  raw_peer peer({ "HTTP/1.1 " + status +
+                  " Ok\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nbody"
+                  "HTTP/1.1 200 OK\r\nX-Id: mine\r\n"
+                  "Content-Length: 5\r\n\r\nother" });
+  test.address.port = peer.acceptor.local_endpoint().port();
+  exchange_options options;
+  options.echoHeader = "X-Id";
+  const auto sent = test.Send("GET", "/", options, { { "X-Id", "mine" } });
+  test.RunUntil([&] { return sent->failure || sent->response; });
+  CHECK_FALSE(sent->response);
+  CHECK(sent->failure == exchange_failure::Protocol);
+}
+
 namespace {
 
 /// Server that fails the first request of each connection and, when a second
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -193,6 +193,21 @@
   CHECK(fixture.Run(endless.Address(), false).result == outcome::Unknown);
 }
 
+// Guards against a faulty target's bytes that reach the caller as an answer.
+TEST_CASE("An answer with a status that HTTP doesn't have is refused")
+{
+  exchange_fixture fixture;
+  for (const char* status : { "000", "099", "600", "999" }) {
+    const std::string text = "HTTP/1.1 " + std::string(status) +
+                             " Ok\r\nX-Request-Id: x1\r\n"
+                             "Content-Length: 2\r\n\r\n{}";
+    raw_server server(
+      [text](const std::string&, int aSocket) { SendAll(aSocket, text); });
+    CAPTURE(status);
+    CHECK(fixture.Run(server.Address(), false).result == outcome::Unknown);
+  }
+}
+
 // Guards against callers that wait forever for a target.
 TEST_CASE("A target that does not answer ends with the deadline")
 {
