Promise that a request has not run only on its target's word

On routes whose requests may not be repeated, a target's 503, 408 or 429 without the header that says "not run" reached the caller unchanged. To callers these statuses promise that the request has not run (REFUSED).

Cause: a target's status means less than the same number to a caller. Ruled out: the node's own refusals, which come before a target has the request or after its word.

Red before: 1 test case of call_forwarder_test, 8 of its 12 combinations.

--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -187,6 +187,26 @@
   CHECK(test.client.requests.size() == 1);
 }
 
+// Guards against a caller that repeats a request which has run, since a faulty
+// target sent a status that promises the opposite.
+TEST_CASE("only a target's word promises that a request has not run")
+{
+  const int status = GENERATE(408, 429, 503);
+  const route_kind kind =
+    GENERATE(route_kind::NonIdempotent, route_kind::Stream);
+  const bool isSigned = GENERATE(true, false);
+  CAPTURE(status, EnumName(kind), isSigned);
+  forwarder_fixture test;
+  const auto answer = test.Call(kind);
+  test.client.requests[0]->Answer(
+    status, isSigned ? kStamped : header_list(), "text");
+  test.loop.Advance(milliseconds(2'500));
+  CHECK(answer->answers == 1);
+  CHECK(answer->response.status == 502);
+  CHECK_FALSE(answer->response.headers.Find("Arbutusferry-Server-Stamp"));
+  CHECK(test.client.requests.size() == 1);
+}
+
 // Guards against hiding a target's own error from the caller.
 TEST_CASE("a target's whole error response is passed on unchanged")
 {
