--- a/tests/unit/batch_access_test.cpp
+++ b/tests/unit/batch_access_test.cpp
@@ -176,6 +176,10 @@
   };
   CHECK(read({}) == 200);
   CHECK(read("birch-key") == 200);
+  CHECK(test.Call(atLeader, MakeCall("GET", "/items/b1?id=i-b1", {})).status ==
+        200);
+  CHECK(test.Call(atLeader, MakeCall("GET", "/items/b1?id=none", {})).status ==
+        404);
   // Once the route is closed, a key is needed, and any is enough.
   std::string closed = kManifest;
   closed.replace(closed.find("\"version\":1"), 11, "\"version\":3");
