Learn no weight version from events that name none

An event of a stream that a new leader attached to may come without a version, which is 0 then; noted as a sampler's version, it made a sampler without the model look like one with weights to renew. Found by reading; not shown by a run.

--- a/src/node/sampler_pool.cpp
+++ b/src/node/sampler_pool.cpp
@@ -339,9 +339,11 @@
       aVersion >= entry.order->load.version) {
     EndLoad(aRun.Sampler(), entry, "run");
   }
-  // Also a load that nobody waits for any more, of an order that got no answer.
-  std::int64_t& known = entry.versions[model];
-  known = std::max(known, aVersion);
+  if (aVersion > 0) {
+    // Also a load that nobody waits for, of an order that got no answer.
+    std::int64_t& known = entry.versions[model];
+    known = std::max(known, aVersion);
+  }
   if (!aRun.Timing().begun) {
     return;
   }
