--- a/include/arbutusferry/node/environment_view.hpp
+++ b/include/arbutusferry/node/environment_view.hpp
@@ -115,10 +115,10 @@
   /// null.
   [[nodiscard]] const route_entry* FindRoute(std::string_view aHost,
                                              std::string_view aPath) const;
-  /// @return Whether a route of a host takes batches.
-  [[nodiscard]] bool HasBatchRoute(std::string_view aHost) const;
-  /// @return Whether a route of a host takes batches without a key.
-  [[nodiscard]] bool HasOpenBatchRoute(std::string_view aHost) const;
+  /// @return Whether a route of a host takes batches, or takes them without a
+  /// key if `aOpen` is set.
+  [[nodiscard]] bool HasBatchRoute(std::string_view aHost,
+                                   bool aOpen = false) const;
   /// @return Models of the services whose samples, on one route at least, must
   /// each have a single weight version.
   [[nodiscard]] std::set<std::string> SingleVersionModels() const;
--- a/include/arbutusferry/node/target_protocol.hpp
+++ b/include/arbutusferry/node/target_protocol.hpp
@@ -81,8 +81,8 @@
   [[nodiscard]] virtual response_class ClassifyResponse(
     int aStatus,
     const header_list& aHeaders) const = 0;
-  /// @return Whether a response tells that its request failed, so that a caller
-  /// who gets it can't take the request for served.
+  /// @return Whether a response tells a caller that its request failed, and
+  /// neither that it was served nor that it hasn't run.
   [[nodiscard]] virtual bool IsFailure(int aStatus,
                                        const header_list& aHeaders) const = 0;
   [[nodiscard]] virtual limit_notice ReadLimit(
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
 #include <cstdio>
 #include <exception>
 #include <string>
@@ -59,7 +60,9 @@
   {
     status = aStatus;
     // No request of this process asks for another protocol.
-    if (!IsHttpStatus(aStatus) || aStatus == kSwitchingProtocols) {
+    if (!IsHttpStatus(aStatus) ||
+        aStatus ==
+          static_cast<int>(boost::beast::http::status::switching_protocols)) {
       aError = boost::beast::http::error::bad_status;
     }
   }
@@ -91,8 +94,6 @@
   }
   void on_finish_impl(error_code&) override {}
 
-  static constexpr int kSwitchingProtocols = 101;
-
   parse_events& mEvents;
 };
 
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -374,7 +374,7 @@
 }
 
 bool
-forwarded_call::PassesFailure(const attempt& aAttempt) const
+forwarded_call::MayPassOn(const attempt& aAttempt) const
 {
   return aAttempt.whole && mParts.protocol.IsFailure(aAttempt.response.status,
                                                      aAttempt.response.headers);
@@ -388,7 +388,7 @@
   std::erase_if(mAttempts,
                 [&](const auto& aEntry) { return aEntry.get() == &aAttempt; });
   ++mFailedRuns;
-  const bool targetFailed = PassesFailure(aAttempt);
+  const bool targetFailed = MayPassOn(aAttempt);
   if (targetFailed && mCall.onTargetError) {
     mCall.onTargetError();
   }
--- a/src/node/environment_view.cpp
+++ b/src/node/environment_view.cpp
@@ -81,28 +81,15 @@
 }
 
 bool
-environment_view::HasBatchRoute(std::string_view aHost) const
+environment_view::HasBatchRoute(std::string_view aHost, bool aOpen) const
 {
   const auto found = mByHost.find(HostKey(aHost));
   return found != mByHost.end() &&
-         std::any_of(found->second.begin(),
-                     found->second.end(),
-                     [this](std::size_t aIndex) {
-                       return mRoutes[aIndex].kind == route_kind::Batch;
-                     });
-}
-
-bool
-environment_view::HasOpenBatchRoute(std::string_view aHost) const
-{
-  const auto found = mByHost.find(HostKey(aHost));
-  return found != mByHost.end() &&
-         std::any_of(found->second.begin(),
-                     found->second.end(),
-                     [this](std::size_t aIndex) {
-                       const route_entry& route = mRoutes[aIndex];
-                       return route.kind == route_kind::Batch && route.open;
-                     });
+         std::any_of(
+           found->second.begin(), found->second.end(), [&](std::size_t aIndex) {
+             const route_entry& route = mRoutes[aIndex];
+             return route.kind == route_kind::Batch && (route.open || !aOpen);
+           });
 }
 
 std::set<std::string>
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -79,7 +79,7 @@
   void OnAttemptFailed(attempt& aAttempt);
   /// @return Whether the response of a failed attempt may go to the caller: it
   /// is complete, and tells that the request failed.
-  [[nodiscard]] bool PassesFailure(const attempt& aAttempt) const;
+  [[nodiscard]] bool MayPassOn(const attempt& aAttempt) const;
   void OnNotRun(attempt& aAttempt, response_class aVerdict);
   void OnAttemptDone(attempt& aAttempt);
   void Conclude(http_response aResponse, const char* aOutcome);
