Teach the soak the other faulty answers of plain targets

A twentieth of the first replies is broken off before or in the middle of the body, has the status 600, is a 503 that doesn't say that the request hasn't run, or has no signature. All but the first name the target's limit, which the replies broken off in the middle left out since.

--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -85,7 +85,7 @@
     auto service = std::make_unique<fake_plain_service>(mLoop, mFindings);
     service->id = "d" + std::to_string(index);
     service->runCounts = &mServiceRunCounts;
-    service->abortedRepliesPer20 = mOptions.stopsOnly ? 0 : 1;
+    service->faultyRepliesPer20 = mOptions.stopsOnly ? 0 : 1;
     service->longestRun = mOptions.stopsOnly ? kLongestRun : milliseconds(0);
     service->onRewardCall = [this](const std::string& aItem,
                                    const node::responder& aResponder) {
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -61,6 +61,9 @@
     std::move(request),
     [this, id, pid = receiver.pid, &receiver](
       const node::http_response* aResponse, node::exchange_failure aFailure) {
+      if (!aResponse && aFailure == node::exchange_failure::Protocol) {
+        AddFinding(id + ": the response is not one of HTTP");
+      }
       if (!aResponse) {
         // Its end may not have been noticed yet, so the process is the same.
         if (mOptions.stopsOnly && receiver.stopping && receiver.pid == pid &&
--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -19,6 +19,9 @@
 /// Delay of a weight order that gets no answer: longer than its sender waits,
 /// but not until it has sent the order again, which makes this one void.
 constexpr milliseconds kLateOrderDelay{ 1'100 };
+/// Kinds of faulty replies of the plain service.
+constexpr std::uint64_t kFaultyReplies = 5;
+constexpr int kNoHttpStatus = 600;
 /// Processing time of the plain service.
 constexpr milliseconds kServiceDelay{ 5 };
 
@@ -568,18 +571,40 @@
 }
 
 void
-fake_plain_service::BreakOff(const std::string& aRequest,
-                             const std::shared_ptr<node::responder>& aResponder)
+fake_plain_service::SendFaulty(
+  node::http_response aResponse,
+  std::uint64_t aKind,
+  const std::shared_ptr<node::responder>& aResponder)
 {
-  aResponder->Begin(200,
-                    { { "Arbutusferry-Request-Id", aRequest },
-                      { "Arbutusferry-Server-Stamp", "stamp" } });
-  aResponder->Write("done");
-  const std::uint64_t timerId = mNextTimerId++;
-  mTimers[timerId] = mLoop.After(kServiceDelay, [this, timerId, aResponder] {
-    const auto ownTimer = mTimers.extract(timerId);
-    aResponder->Abort();
-  });
+  switch (aKind) {
+    case 0:
+      aResponder->Abort();
+      break;
+    case 1: {
+      aResponder->Begin(aResponse.status, aResponse.headers);
+      aResponder->Write(aResponse.body.substr(0, aResponse.body.size() / 2));
+      const std::uint64_t timerId = mNextTimerId++;
+      mTimers[timerId] =
+        mLoop.After(kServiceDelay, [this, timerId, aResponder] {
+          const auto ownTimer = mTimers.extract(timerId);
+          aResponder->Abort();
+        });
+      break;
+    }
+    case 2:
+      aResponse.status = kNoHttpStatus;
+      aResponder->Send(std::move(aResponse));
+      break;
+    case 3:
+      // It doesn't say that the request hasn't run.
+      aResponse.status = 503;
+      aResponder->Send(std::move(aResponse));
+      break;
+    default:
+      aResponse.headers.Remove("Arbutusferry-Server-Stamp");
+      aResponder->Send(std::move(aResponse));
+      break;
+  }
 }
 
 void
@@ -598,8 +623,8 @@
   if (!item.empty()) {
     onRewardCall(item, *aResponder);
   }
-  const bool abortReply =
-    Hash64(request, 3) % 20 < static_cast<unsigned>(abortedRepliesPer20) &&
+  const bool faulty =
+    Hash64(request, 3) % 20 < static_cast<unsigned>(faultyRepliesPer20) &&
     run == 1;
   node::header_list limitHeaders;
   limit.Apply(id, *aResponder, limitHeaders);
@@ -608,7 +633,7 @@
     longestRun * static_cast<int>(Hash64(request, 7) % 100) / 100;
   mTimers[timerId] = mLoop.After(
     std::max(kServiceDelay, drawn),
-    [this, timerId, request, item, run, abortReply, aResponder, limitHeaders] {
+    [this, timerId, request, item, run, faulty, aResponder, limitHeaders] {
       const auto ownTimer = mTimers.extract(timerId);
       const bool fails = !item.empty() && RewardAlwaysFails(item);
       const std::string stamp = item.empty()
@@ -617,14 +642,6 @@
       if (!item.empty()) {
         onScored(item, fails ? std::string() : stamp);
       }
-      if (abortReply && Hash64(request, 11) % 2 == 0) {
-        BreakOff(request, aResponder);
-        return;
-      }
-      if (abortReply) {
-        aResponder->Abort();
-        return;
-      }
       node::http_response response =
         MakeResponse(fails ? 500 : 200, "done " + request);
       response.headers.Add("Arbutusferry-Request-Id", request);
@@ -632,7 +649,13 @@
       for (const auto& [name, value] : limitHeaders) {
         response.headers.Add(name, value);
       }
-      aResponder->Send(std::move(response));
+      if (faulty) {
+        SendFaulty(std::move(response),
+                   Hash64(request, 11) % kFaultyReplies,
+                   aResponder);
+      } else {
+        aResponder->Send(std::move(response));
+      }
     });
 }
 
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -243,15 +243,17 @@
   std::function<void(const std::string&, const std::string&)> onScored;
   /// Executions by request id; shared by all services, not owned.
   std::map<std::string, int>* runCounts = nullptr;
-  /// Replies per twenty that are aborted after execution, half of them in the
-  /// middle of the body.
-  int abortedRepliesPer20 = 0;
+  /// Replies per twenty that are faulty after execution, unless the request has
+  /// run before.
+  int faultyRepliesPer20 = 0;
   /// Longest execution; each request takes a part of it, by its id.
   std::chrono::milliseconds longestRun{ 0 };
 
 private:
-  void BreakOff(const std::string& aRequest,
-                const std::shared_ptr<node::responder>& aResponder);
+  /// Breaks off a reply, or sends it with another status or no signature.
+  void SendFaulty(node::http_response aResponse,
+                  std::uint64_t aKind,
+                  const std::shared_ptr<node::responder>& aResponder);
 
   node::event_loop& mLoop;
   std::map<std::uint64_t, std::unique_ptr<node::timer>> mTimers;
