--- a/standins/node-soak/soak_servers.cpp
+++ b/standins/node-soak/soak_servers.cpp
@@ -573,14 +573,14 @@
 void
 fake_plain_service::SendFaulty(
   node::http_response aResponse,
-  std::uint64_t aKind,
+  faulty_reply aKind,
   const std::shared_ptr<node::responder>& aResponder)
 {
   switch (aKind) {
-    case 0:
+    case faulty_reply::Aborted:
       aResponder->Abort();
       break;
-    case 1: {
+    case faulty_reply::BrokenOff: {
       aResponder->Begin(aResponse.status, aResponse.headers);
       aResponder->Write(aResponse.body.substr(0, aResponse.body.size() / 2));
       const std::uint64_t timerId = mNextTimerId++;
@@ -591,16 +591,15 @@
         });
       break;
     }
-    case 2:
+    case faulty_reply::NoHttpStatus:
       aResponse.status = kNoHttpStatus;
       aResponder->Send(std::move(aResponse));
       break;
-    case 3:
-      // It doesn't say that the request hasn't run.
+    case faulty_reply::FalseRefusal:
       aResponse.status = 503;
       aResponder->Send(std::move(aResponse));
       break;
-    default:
+    case faulty_reply::Unsigned:
       aResponse.headers.Remove("Arbutusferry-Server-Stamp");
       aResponder->Send(std::move(aResponse));
       break;
@@ -650,9 +649,10 @@
         response.headers.Add(name, value);
       }
       if (faulty) {
-        SendFaulty(std::move(response),
-                   Hash64(request, 11) % kFaultyReplies,
-                   aResponder);
+        SendFaulty(
+          std::move(response),
+          static_cast<faulty_reply>(Hash64(request, 11) % kFaultyReplies),
+          aResponder);
       } else {
         aResponder->Send(std::move(response));
       }
--- a/standins/node-soak/soak_servers.hpp
+++ b/standins/node-soak/soak_servers.hpp
@@ -222,6 +222,16 @@
 [[nodiscard]] bool
 RewardAlwaysFails(const std::string& aItem);
 
+/// How a target's reply can be faulty after the request has run.
+enum class faulty_reply
+{
+  Aborted,      ///< The connection closes before the reply.
+  BrokenOff,    ///< It closes in the middle of the body.
+  NoHttpStatus, ///< The status is none of HTTP.
+  FalseRefusal, ///< 503, which doesn't say that the request hasn't run.
+  Unsigned,     ///< The target's signature is missing.
+};
+
 /// A plain service that counts how often each request is executed, and scores
 /// texts.
 class fake_plain_service final : public node::request_handler
@@ -250,9 +260,8 @@
   std::chrono::milliseconds longestRun{ 0 };
 
 private:
-  /// Breaks off a reply, or sends it with another status or no signature.
   void SendFaulty(node::http_response aResponse,
-                  std::uint64_t aKind,
+                  faulty_reply aKind,
                   const std::shared_ptr<node::responder>& aResponder);
 
   node::event_loop& mLoop;
