--- a/tests/unit/batch_access_test.cpp
+++ b/tests/unit/batch_access_test.cpp
@@ -207,8 +207,11 @@
     http_request request = MakeCall("GET", "/p/x", key);
     request.headers.Add(platform::kRequestId, "r-" + key);
     request.headers.Add("Arbutusferry-Tenant", "birch");
-    (void)test.Send(true, request);
+    const auto answer = test.Send(true, request);
     REQUIRE(test.toTargets.size() == 1);
+    test.toTargets.front()->Answer(200,
+                                   { { "Arbutusferry-Server-Stamp", "s" } });
+    CHECK(answer->response.status == 200);
     const header_list& headers = test.toTargets.front()->request.headers;
     CHECK(headers.Get("Arbutusferry-Tenant") == tenant);
     CHECK_FALSE(headers.Find("Authorization"));
