--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/node/batch_table.hpp"
 #include "common/tcp_proxy.hpp"
 #include "soak_servers.hpp"
+#include "soak_targets.hpp"
 #include "socket_owner.hpp"
 #include "zone_target.hpp"
 
--- a/tests/support/hostile_clients.hpp
+++ b/tests/support/hostile_clients.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node-soak/soak_servers.hpp"
+#include "node-soak/soak_targets.hpp"
 #include "support/harness.hpp"
 
 #include <cstddef>
