--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -237,9 +237,9 @@
   std::set<std::string> erroring; ///< Targets that respond with errors.
   int served = 0; ///< Other requests that a target ran to their end.
   std::map<std::string, int> runsOf; ///< By request id.
-  std::int64_t longestDeadline = 0;
+  std::int64_t longestDeadline = 0;  ///< In ms, that a target was given.
   /// Header of nodes that targets add to their responses, if it has a name.
-  header_list::entry falseNodeHeader; ///< In ms, that a target was given.
+  header_list::entry falseNodeHeader;
   int relayed = 0; ///< Requests between nodes that aren't about streams.
 
 private:
