--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
 libraries=(target/libarbutusferry_node.a target/libarbutusferry_core.a
   $(pkg-config --libs jsoncpp spdlog libxxhash) -lcrypto -lpthread)
 g++ "${flags[@]}" -c review/harness-3/harness.cpp -o "$out/harness.o"
-for source in review/1[1-5]/case.cpp; do
+for source in review/1[1-5]/scenario.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ "${flags[@]}" "$source" "$out/harness.o" "${libraries[@]}" \
--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -371,16 +371,27 @@
   mFile << (NowMs() - mStart) << " ms " << aLine << std::endl;
 }
 
+kept_channel::kept_channel(std::uint16_t aPort)
+  : mSocket(ConnectTo(aPort))
+  , mOpen(mSocket >= 0)
+{
+}
+
+kept_channel::~kept_channel()
+{
+  if (mSocket >= 0) {
+    close(mSocket);
+  }
+}
+
 answer
-Call(std::uint16_t aPort,
-     const std::string& aMethod,
-     const std::string& aTarget,
-     const header_map& aHeaders,
-     const std::string& aBody,
-     int aTimeoutMs)
+kept_channel::Call(const std::string& aMethod,
+                   const std::string& aTarget,
+                   const header_map& aHeaders,
+                   const std::string& aBody,
+                   int aTimeoutMs)
 {
-  const int connection = ConnectTo(aPort);
-  if (connection < 0) {
+  if (!mOpen) {
     return {};
   }
   std::string text = aMethod + " " + aTarget + " HTTP/1.1\r\n";
@@ -392,13 +403,25 @@
   }
   text += "\r\n";
   answer result;
-  if (SendAll(connection, text + aBody)) {
-    result = response_reader(connection, NowMs() + aTimeoutMs).Read();
+  if (SendAll(mSocket, text + aBody)) {
+    result = response_reader(mSocket, NowMs() + aTimeoutMs).Read();
   }
-  close(connection);
+  mOpen = result.status != 0;
   return result;
 }
 
+answer
+Call(std::uint16_t aPort,
+     const std::string& aMethod,
+     const std::string& aTarget,
+     const header_map& aHeaders,
+     const std::string& aBody,
+     int aTimeoutMs)
+{
+  return kept_channel(aPort).Call(
+    aMethod, aTarget, aHeaders, aBody, aTimeoutMs);
+}
+
 void
 platform_store::After(std::int64_t aMilliseconds,
                       std::function<void()> aFunction)
@@ -474,6 +497,10 @@
     valid = at + 4 + size <= body.size() && size <= kRecordBytes;
     if (valid) {
       records.push_back(body.substr(at + 4, size));
+      if (rewrite) {
+        records.back() = rewrite(QueryValue(aRequest.target, "topic"),
+                                 std::move(records.back()));
+      }
     }
     at += 4 + size;
   }
@@ -803,10 +830,18 @@
     , server(aContext)
   {
   }
+  void Close()
+  {
+    boost::system::error_code ignored;
+    client.close(ignored);
+    server.close(ignored);
+  }
   tcp::socket client;
   tcp::socket server;
   std::string lastRequest; ///< First line of the newest request.
-  bool silent = false;
+  bool silent = false;     ///< For good.
+  bool cut = false;        ///< Until the proxy heals.
+  std::vector<std::function<void()>> held;
 };
 
 silent_proxy::silent_proxy(node::asio_loop& aLoop, std::uint16_t aTo)
@@ -836,17 +871,66 @@
       boost::system::error_code failed;
       made->server.connect({ boost::asio::ip::address_v4::loopback(), mTo },
                            failed);
-      if (!failed) {
+      if (failed) {
+        made->Close();
+      } else {
         made->client.set_option(tcp::no_delay(true), failed);
         made->server.set_option(tcp::no_delay(true), failed);
         mLinks.push_back(made);
         Pump(made, true);
         Pump(made, false);
       }
-      Accept();
+      if (!mCut) {
+        Accept();
+      }
     });
 }
 
+void
+silent_proxy::Cut()
+{
+  mCut = true;
+  auto& acceptor = *static_cast<tcp::acceptor*>(mAcceptor.get());
+  acceptor.cancel();
+  // A full queue of new connections drops the opening packets of further ones.
+  ::listen(acceptor.native_handle(), 0);
+  for (int filler = 0; filler < 2; ++filler) {
+    const int made =
+      socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(mPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    (void)connect(made, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    mFillers.push_back(made);
+  }
+  for (const auto& weak : mLinks) {
+    if (const auto known = weak.lock()) {
+      known->cut = true;
+    }
+  }
+}
+
+void
+silent_proxy::Heal()
+{
+  mCut = false;
+  auto& acceptor = *static_cast<tcp::acceptor*>(mAcceptor.get());
+  for (const int filler : std::exchange(mFillers, {})) {
+    close(filler);
+  }
+  ::listen(acceptor.native_handle(), 128);
+  for (const auto& weak : mLinks) {
+    if (const auto known = weak.lock()) {
+      known->cut = false;
+      for (const auto& deliver : std::exchange(known->held, {})) {
+        deliver();
+      }
+    }
+  }
+  Accept();
+}
+
 void
 silent_proxy::Pump(const std::shared_ptr<link>& aLink, bool aToServer)
 {
@@ -856,35 +940,47 @@
     boost::asio::buffer(*buffer),
     [aLink, aToServer, buffer](const boost::system::error_code& aError,
                                std::size_t aSize) {
-      boost::system::error_code ignored;
       if (aLink->silent) {
         if (aError && aToServer) {
           // The client has given up; the other end hears nothing of it.
+          boost::system::error_code ignored;
           aLink->client.close(ignored);
         } else if (!aError) {
           Pump(aLink, aToServer);
         }
         return;
       }
-      if (aError) {
-        aLink->client.close(ignored);
-        aLink->server.close(ignored);
-        return;
-      }
-      if (aToServer &&
-          (buffer->starts_with("GET ") || buffer->starts_with("POST "))) {
-        aLink->lastRequest = buffer->substr(0, buffer->find('\r'));
+      buffer->resize(aError ? 0 : aSize);
+      Deliver(aLink, aToServer, buffer);
+    });
+}
+
+void
+silent_proxy::Deliver(const std::shared_ptr<link>& aLink,
+                      bool aToServer,
+                      const std::shared_ptr<std::string>& aBytes)
+{
+  if (aLink->cut) {
+    aLink->held.emplace_back(
+      [aLink, aToServer, aBytes] { Deliver(aLink, aToServer, aBytes); });
+    return;
+  }
+  if (aBytes->empty()) {
+    aLink->Close();
+    return;
+  }
+  if (aToServer &&
+      (aBytes->starts_with("GET ") || aBytes->starts_with("POST "))) {
+    aLink->lastRequest = aBytes->substr(0, aBytes->find('\r'));
+  }
+  boost::asio::async_write(
+    aToServer ? aLink->server : aLink->client,
+    boost::asio::buffer(*aBytes),
+    [aLink, aToServer, aBytes](const boost::system::error_code& aFailed,
+                               std::size_t) {
+      if (!aFailed) {
+        Pump(aLink, aToServer);
       }
-      tcp::socket& to = aToServer ? aLink->server : aLink->client;
-      boost::asio::async_write(
-        to,
-        boost::asio::buffer(buffer->data(), aSize),
-        [aLink, aToServer, buffer](const boost::system::error_code& aFailed,
-                                   std::size_t) {
-          if (!aFailed) {
-            Pump(aLink, aToServer);
-          }
-        });
     });
 }
 
@@ -996,13 +1092,19 @@
   return mPid < 0;
 }
 
+bool
+node_process::Ready() const
+{
+  return Call(mReady, "GET", "/ready", { { "Host", "ready" } }, {}, 500)
+           .status == 200;
+}
+
 bool
 node_process::AwaitReady(int aTimeoutMs) const
 {
   const std::int64_t until = NowMs() + aTimeoutMs;
   while (NowMs() < until) {
-    if (Call(mReady, "GET", "/ready", { { "Host", "ready" } }, {}, 500)
-          .status == 200) {
+    if (Ready()) {
       return true;
     }
     SleepMs(50);
@@ -1136,6 +1238,30 @@
   return *nodes.back();
 }
 
+silent_proxy&
+rig::AddPeerProxy(const node_process& aNode)
+{
+  OnLoop([&] {
+    mProxies.push_back(std::make_unique<silent_proxy>(loop, aNode.PeerPort()));
+    mPeerAddresses.emplace_back(
+      "127.0.0.1:" + std::to_string(aNode.PeerPort()) + "\"",
+      "127.0.0.1:" + std::to_string(mProxies.back()->Port()) + "\"");
+    // Nodes learn each other's addresses from these topics.
+    store.rewrite = [this](const std::string& aTopic, std::string aRecord) {
+      if (aTopic == "keyed.af.nodes" || aTopic == "keyed.af.leader") {
+        for (const auto& [address, proxy] : mPeerAddresses) {
+          const auto found = aRecord.find(address);
+          if (found != std::string::npos) {
+            aRecord.replace(found, address.size(), proxy);
+          }
+        }
+      }
+      return aRecord;
+    };
+  });
+  return *mProxies.back();
+}
+
 node_process*
 rig::AwaitLeader(int aTimeoutMs)
 {
--- a/review/harness-3/harness.hpp
+++ b/review/harness-3/harness.hpp
@@ -92,6 +92,28 @@
      const std::string& aBody,
      int aTimeoutMs);
 
+/// A connection that a client keeps for several requests.
+class kept_channel
+{
+public:
+  explicit kept_channel(std::uint16_t aPort);
+  ~kept_channel();
+  kept_channel(const kept_channel&) = delete;
+  kept_channel& operator=(const kept_channel&) = delete;
+
+  [[nodiscard]] answer Call(const std::string& aMethod,
+                            const std::string& aTarget,
+                            const header_map& aHeaders,
+                            const std::string& aBody,
+                            int aTimeoutMs);
+  /// @return Whether the last call got a complete response.
+  [[nodiscard]] bool Open() const noexcept { return mOpen; }
+
+private:
+  int mSocket;
+  bool mOpen;
+};
+
 /// The platform's store: keyed topics, conditional appends and producers.
 class platform_store final : public node::request_handler
 {
@@ -113,6 +135,8 @@
   [[nodiscard]] std::string NewestOf(const std::string& aTopic,
                                      const std::string& aKey) const;
 
+  /// Changes a record of a topic as it arrives, if set.
+  std::function<std::string(const std::string&, std::string)> rewrite;
   /// Called with the target of each append that exceeds a limit of the store.
   std::function<void(const std::string&)> onInvalid;
 
@@ -217,12 +241,16 @@
   std::uint64_t mLastTimer = 0;
 };
 
-/// A proxy before the store that can let connections fall silent.
+/// A proxy before a server that can let connections fall silent.
 class silent_proxy
 {
 public:
   silent_proxy(node::asio_loop& aLoop, std::uint16_t aTo);
   [[nodiscard]] std::uint16_t Port() const noexcept { return mPort; }
+  /// Like a partition: open connections carry no byte either way until `Heal`,
+  /// and new ones are not established.
+  void Cut();
+  void Heal();
   /// Holds back all further bytes of the open connections whose newest request
   /// has a text in its first line. New connections work.
   /// @return How many there are, and how many are open.
@@ -232,12 +260,17 @@
   struct link;
   void Accept();
   static void Pump(const std::shared_ptr<link>& aLink, bool aToServer);
+  static void Deliver(const std::shared_ptr<link>& aLink,
+                      bool aToServer,
+                      const std::shared_ptr<std::string>& aBytes);
 
   node::asio_loop& mLoop;
   std::uint16_t mTo;
   std::uint16_t mPort;
   std::shared_ptr<void> mAcceptor;
   std::vector<std::weak_ptr<link>> mLinks;
+  bool mCut = false;
+  std::vector<int> mFillers; ///< Fill the queue of new connections.
 };
 
 /// Settings of a node process.
@@ -267,8 +300,10 @@
   void Kill();
   /// @return Whether the process has ended; reaps it.
   [[nodiscard]] bool Ended();
+  [[nodiscard]] bool Ready() const;
   [[nodiscard]] bool AwaitReady(int aTimeoutMs) const;
   [[nodiscard]] std::uint16_t Port() const noexcept { return mCallers; }
+  [[nodiscard]] std::uint16_t PeerPort() const noexcept { return mPeers; }
   [[nodiscard]] const std::string& Vm() const noexcept { return mOptions.vm; }
   /// @return Resident memory in KiB now, 0 if the process has ended.
   [[nodiscard]] std::int64_t ResidentKb() const;
@@ -312,6 +347,8 @@
   node_process& AddNodeBehindProxy(const std::string& aVm,
                                    const std::string& aZone,
                                    silent_proxy*& aProxy);
+  /// Puts a proxy between a node and all other nodes. Before any node starts.
+  silent_proxy& AddPeerProxy(const node_process& aNode);
   /// Waits until all nodes are ready and one of them leads.
   /// @return The leader, or null.
   node_process* AwaitLeader(int aTimeoutMs);
@@ -331,6 +368,8 @@
   std::vector<std::unique_ptr<node::http_listener>> mListeners;
   std::vector<std::unique_ptr<sampler>> mSamplers;
   std::vector<std::unique_ptr<silent_proxy>> mProxies;
+  /// Address of a node and that of the proxy before it.
+  std::vector<std::pair<std::string, std::string>> mPeerAddresses;
   std::thread mThread;
 };
 
