--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -124,6 +126,32 @@
     .count();
 }
 
+/// Node processes that run, for the handler of a signal that ends the case.
+constexpr std::size_t kMostProcesses = 16;
+std::array<std::atomic<pid_t>, kMostProcesses> gProcesses{};
+
+void
+ReplaceProcess(pid_t aBefore, pid_t aAfter)
+{
+  for (auto& entry : gProcesses) {
+    pid_t expected = aBefore;
+    if (entry.compare_exchange_strong(expected, aAfter)) {
+      return;
+    }
+  }
+}
+
+extern "C" void
+EndProcesses(int)
+{
+  for (const auto& entry : gProcesses) {
+    if (entry > 0) {
+      kill(entry, SIGKILL);
+    }
+  }
+  _exit(static_cast<int>(verdict::NotRun));
+}
+
 /// Reads the responses of one connection.
 class response_reader
 {
@@ -1063,6 +1091,7 @@
     _exit(127);
   }
   mPid = pid;
+  ReplaceProcess(0, pid);
 }
 
 void
@@ -1079,6 +1108,7 @@
   if (mPid > 0) {
     kill(mPid, SIGKILL);
     waitpid(mPid, nullptr, 0);
+    ReplaceProcess(mPid, 0);
     mPid = -1;
   }
 }
@@ -1087,6 +1117,7 @@
 node_process::Ended()
 {
   if (mPid > 0 && waitpid(mPid, nullptr, WNOHANG) == mPid) {
+    ReplaceProcess(mPid, 0);
     mPid = -1;
   }
   return mPid < 0;
@@ -1453,6 +1484,8 @@
     return static_cast<int>(verdict::NotRun);
   }
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, EndProcesses);
+  std::signal(SIGINT, EndProcesses);
   try {
     rig deployment(aArguments[1]);
     const verdict result = aScenario(deployment);
