Pass on whole a target's error on a route of streams

Cause: each genuine response on such a route was taken for a stream of events by the kind of the route, and each stream was held to end behind an event, although its length shows that it is whole.

Ruled out: the target's framing, which the HTTP client reports as whole; the connection to the caller, closed by OnStreamBroken only; the classification. The log couldn't tell a stream that ends in an event from a broken one: stream_ends_in_event does.

Change: IsEventStream decides by status and media type whether a response is passed on as it arrives; others are collected and sent on whole. A stream with a length is whole by its length, else by its text (event_stream_end). Gateways keep the length. An error that breaks off is answered 502, as on plain routes. The soak's samplers reject a tenth of the new streams.

--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -2,16 +2,12 @@
 
 #include "arbutusferry/logging.hpp"
 
-#include <algorithm>
-
 namespace arbutusferry::node {
 
 namespace {
 
 /// Unread bytes of a stream above which a slow reader is disconnected.
 constexpr std::size_t kMaxUnreadBytes = std::size_t{ 1 } << 20;
-/// Bytes of an empty line and of the end of the line before it.
-constexpr std::size_t kTailBytes = 4;
 
 } // namespace
 
@@ -44,7 +40,8 @@
   if (verdict != response_class::Genuine) {
     return;
   }
-  if (mCall->mCall.route.kind == route_kind::Stream && !mCall->mEnded) {
+  if (mCall->mCall.route.kind == route_kind::Stream && !mCall->mEnded &&
+      IsEventStream(aStatus, aHeaders)) {
     // The first target that responds serves the stream; other attempts end.
     const auto call = mCall;
     call->StopAttempts(this);
@@ -54,6 +51,7 @@
       headers.Remove(name);
     }
     mStreaming = true;
+    mStreamEnd = event_stream_end(aHeaders);
     call->mResponder->Begin(aStatus, headers);
   }
 }
@@ -69,10 +67,7 @@
   if (!std::exchange(mOriginNoted, true) && !call->mCall.resumesStream) {
     call->mParts.origins.Note(call->mCall.id, mTarget.software);
   }
-  mStreamTail +=
-    aPart.substr(aPart.size() - std::min(aPart.size(), kTailBytes));
-  mStreamTail.erase(
-    0, mStreamTail.size() - std::min(mStreamTail.size(), kTailBytes));
+  mStreamEnd.Note(aPart);
   call->mResponder->Write(aPart);
   if (call->mResponder->UnsentBytes() > kMaxUnreadBytes) {
     Log(log_level::Warning,
@@ -93,13 +88,6 @@
   call->RecordOutcome("stream_broken", mTarget.id);
 }
 
-bool
-forwarded_call::attempt::AtEventEnd() const
-{
-  return mStreamTail.empty() || mStreamTail.ends_with("\n\n") ||
-         mStreamTail.ends_with("\n\r\n");
-}
-
 void
 forwarded_call::attempt::OnEnd()
 {
@@ -109,8 +97,10 @@
   if (call->mEnded) {
     return;
   }
-  if (mStreaming && !AtEventEnd()) {
-    // Without a length, only the text shows that the stream broke off.
+  if (mStreaming && !mStreamEnd.Whole()) {
+    Log(log_level::Warning,
+        "stream_ends_in_event",
+        { { "request", call->mCall.id }, { "target", mTarget.id } });
     OnStreamBroken();
     return;
   }
--- a/src/node/call_forwarder.cpp
+++ b/src/node/call_forwarder.cpp
@@ -313,7 +313,12 @@
     .try_emplace(mCall.route.name, recent_maximum(kResponseTimePeriod))
     .first->second.Note(now - mStarted, now);
   Conclude(std::move(response), "answered");
-  mState->admission->NoteAnswered(mOffer, target, taken, now);
+  if (mCall.route.kind == route_kind::Stream) {
+    // Its time is that of an error, which says nothing of the target's speed.
+    mState->admission->NoteAccepted(mOffer, now);
+  } else {
+    mState->admission->NoteAnswered(mOffer, target, taken, now);
+  }
 }
 
 void
--- a/src/node/forwarded_call.hpp
+++ b/src/node/forwarded_call.hpp
@@ -3,6 +3,7 @@
 #include "arbutusferry/hash.hpp"
 #include "arbutusferry/node/call_forwarder.hpp"
 #include "arbutusferry/node/request_fingerprint.hpp"
+#include "streams/event_stream.hpp"
 
 #include <set>
 #include <vector>
@@ -157,8 +158,6 @@
   response_class verdict = response_class::Failed;
 
 private:
-  /// @return Whether the stream so far ends after a whole event.
-  [[nodiscard]] bool AtEventEnd() const;
   void OnStreamBroken();
 
   std::shared_ptr<forwarded_call> mCall;
@@ -166,7 +165,7 @@
   time_point mSentAt;
   std::int64_t mSentUnixMs;
   bool mStreaming = false;
-  std::string mStreamTail; ///< Last bytes of the stream.
+  event_stream_end mStreamEnd;
   bool mOriginNoted = false;
   bool mReleased = false;
 };
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -149,9 +149,14 @@
 class target_gateway::passage final : public response_sink
 {
 public:
-  passage(event_loop& aLoop, std::shared_ptr<responder> aResponder)
+  /// @param aKeepsLength Whether the length that the target names is that of
+  /// the body: not after a HEAD request.
+  passage(event_loop& aLoop,
+          std::shared_ptr<responder> aResponder,
+          bool aKeepsLength)
     : mLoop(aLoop)
     , mResponder(std::move(aResponder))
+    , mKeepsLength(aKeepsLength)
   {
   }
 
@@ -159,11 +164,12 @@
   {
     header_list headers;
     for (const auto& [name, value] : aHeaders) {
-      // The connection to the other node has its own framing.
+      // The connection to the other node has its own framing, but only a
+      // length tells that node that a stream is whole.
       if (!EqualIgnoringCase(name, "Connection") &&
           !EqualIgnoringCase(name, "Keep-Alive") &&
           !EqualIgnoringCase(name, "Transfer-Encoding") &&
-          !EqualIgnoringCase(name, "Content-Length")) {
+          (mKeepsLength || !EqualIgnoringCase(name, "Content-Length"))) {
         headers.Add(name, value);
       }
     }
@@ -186,6 +192,7 @@
 private:
   event_loop& mLoop;
   std::shared_ptr<responder> mResponder;
+  bool mKeepsLength;
   bool mBegun = false;
 };
 
@@ -236,11 +243,12 @@
     return;
   }
   call->options.directOnly = true;
+  const bool keepsLength = request->method != "HEAD";
   const auto exchange =
     mTargets.Send(call->target,
                   std::move(*request),
                   call->options,
-                  std::make_shared<passage>(mLoop, aResponder));
+                  std::make_shared<passage>(mLoop, aResponder, keepsLength));
   aResponder->OnDisconnect([exchange] { exchange->Cancel(); });
 }
 
--- /dev/null
+++ b/src/streams/event_stream.cpp
@@ -0,0 +1,47 @@
+#include "streams/event_stream.hpp"
+
+#include <algorithm>
+
+namespace arbutusferry::node {
+
+namespace {
+
+constexpr std::string_view kEventStreamType = "text/event-stream";
+/// Bytes of an empty line and of the end of the line before it.
+constexpr std::size_t kTailBytes = 4;
+
+/// @return A media type without its parameters.
+std::string_view
+WithoutParameters(std::string_view aMediaType)
+{
+  const std::string_view type = aMediaType.substr(0, aMediaType.find(';'));
+  return type.substr(0, type.find_last_not_of(" \t") + 1);
+}
+
+} // namespace
+
+bool
+IsEventStream(int aStatus, const header_list& aHeaders)
+{
+  if (aStatus / 100 != 2) {
+    return false;
+  }
+  const auto type = aHeaders.Find("Content-Type");
+  return !type || EqualIgnoringCase(WithoutParameters(*type), kEventStreamType);
+}
+
+void
+event_stream_end::Note(std::string_view aPart)
+{
+  mTail += aPart.substr(aPart.size() - std::min(aPart.size(), kTailBytes));
+  mTail.erase(0, mTail.size() - std::min(mTail.size(), kTailBytes));
+}
+
+bool
+event_stream_end::Whole() const
+{
+  return mHasLength || mTail.empty() || mTail.ends_with("\n\n") ||
+         mTail.ends_with("\n\r\n");
+}
+
+} // namespace arbutusferry::node
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -433,8 +433,9 @@
   }
   std::printf(
     "seed %llu: %llu faults, %zu batches of %zu accepted, %zu results "
-    "read, %llu of %llu calls answered, %llu streams, %zu of %zu resumptions "
-    "at undisturbed nodes went on, at most %zu requests in 4 s at a "
+    "read, %llu of %llu calls answered, %llu streams (%llu rejected by "
+    "samplers), %zu of %zu resumptions at undisturbed nodes went on, at most "
+    "%zu requests in 4 s at a "
     "limited target, %zu ends of fragile targets (%zu late), %llu of %llu "
     "calls beside them served, %llu reward calls, %llu calls at stopping "
     "nodes, %zu findings\n",
@@ -446,6 +447,7 @@
     static_cast<unsigned long long>(mAnsweredCount),
     static_cast<unsigned long long>(mCallCount),
     static_cast<unsigned long long>(mStreamCount),
+    static_cast<unsigned long long>(mRejectedStreams),
     mResumedStreams.served,
     mResumedStreams.sent,
     mLargestPeak,
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -133,6 +133,15 @@
   int attempts = 0;
 };
 
+/// How a response to a stream's request ended.
+struct stream_outcome
+{
+  int status = 0;        ///< 0 without a response.
+  bool complete = false; ///< Whether it ended as a whole one does.
+  bool served = false;   ///< Whether events came.
+  std::string body;      ///< Of a response that is no stream.
+};
+
 /// How often streams began, or went on, of those that undisturbed nodes got.
 struct stream_counts
 {
@@ -223,9 +232,9 @@
                      const std::string& aRequest,
                      const node::event_stream_parser::event& aEvent);
   void OnStreamEnd(const std::shared_ptr<caller_stream>& aStream,
+                   const std::string& aRequest,
                    stream_counts* aCounts,
-                   bool aServed,
-                   bool aComplete);
+                   const stream_outcome& aOutcome);
   void CheckResumedStreams();
   /// @return Online samplers of the streams' service with a software version.
   [[nodiscard]] std::size_t StreamSamplers(const std::string& aSoftware) const;
@@ -273,6 +282,7 @@
   stream_counts mNewStreams;
   stream_counts mResumedStreams;
   std::uint64_t mStreamCount = 0;
+  std::uint64_t mRejectedStreams = 0; ///< By samplers.
   std::vector<std::unique_ptr<node::http_listener>> mListeners;
   std::vector<std::unique_ptr<node_process>> mNodes;
   std::vector<std::unique_ptr<trainer_batch>> mBatches;
--- a/standins/node-soak/soak_targets.cpp
+++ b/standins/node-soak/soak_targets.cpp
@@ -53,6 +53,14 @@
   return isLong ? 60 + hash % 60 : 5 + hash % 15;
 }
 
+std::optional<std::string>
+StreamRejection(const std::string& aRequest)
+{
+  return Hash64(aRequest, 13) % 10 == 0
+           ? std::optional(R"({"error":"no prompt in )" + aRequest + "\"}")
+           : std::nullopt;
+}
+
 fake_sampler::fake_sampler(node::event_loop& aLoop,
                            finding_list& aFindings,
                            std::string aId)
@@ -209,6 +217,19 @@
       item + ": ran for tenant '" +
       std::string(aRequest.headers.Get("Arbutusferry-Tenant")) + "'");
   }
+  const auto rejection = weights || aRequest.headers.Find("Last-Event-Id")
+                           ? std::nullopt
+                           : StreamRejection(item);
+  if (rejection) {
+    node::http_response error = MakeResponse(400, *rejection);
+    error.headers.Add("Arbutusferry-Request-Id", item);
+    error.headers.Add("Arbutusferry-Server-Stamp", "stamp");
+    for (const auto& [name, value] : limitHeaders) {
+      error.headers.Add(name, value);
+    }
+    aResponder->Send(std::move(error));
+    return;
+  }
   if (mLoading || mOpenResponses.size() >= 8) {
     node::http_response full = MakeResponse(503);
     full.headers.Add("Arbutusferry-Not-Run", "1");
--- a/standins/node-soak/soak_targets.hpp
+++ b/standins/node-soak/soak_targets.hpp
@@ -118,6 +118,11 @@
 [[nodiscard]] std::size_t
 EventCount(const std::string& aItem);
 
+/// @return The body of the error with which samplers answer a new stream, or
+/// nothing if they serve it; derived from the request's id.
+[[nodiscard]] std::optional<std::string>
+StreamRejection(const std::string& aRequest);
+
 /// Begin of the ids of reward calls; the id of their item follows.
 inline constexpr std::string_view kRewardPrefix = "w-";
 
