Write no chunks behind a response that has no body

Callers saw: behind a target's 204 or 304 without a length on a stream route, five bytes of an empty chunk, where the next response of the connection was due. Nodes sent the same to each other through gateways and relays.

Cause: server_connection::Begin chose chunks for each response without a length; only HEAD requests counted as a reason for no body.

Ruled out: the target's own bytes, which the client's parser ends with the head.

Change: IsBodilessHttpStatus, kept by Send, Begin, Write and End; a 204 gets no Content-Length (RFC 9110, section 8.6).

--- a/include/arbutusferry/http_status.hpp
+++ b/include/arbutusferry/http_status.hpp
@@ -18,4 +18,12 @@
   return IsHttpStatus(aStatus) && aStatus >= 200;
 }
 
+/// @return Whether a response with a status code never has a body, whatever its
+/// headers say (RFC 9112, section 6.3): 1xx, 204 and 304.
+[[nodiscard]] constexpr bool
+IsBodilessHttpStatus(int aStatus) noexcept
+{
+  return aStatus / 100 == 1 || aStatus == 204 || aStatus == 304;
+}
+
 } // namespace arbutusferry
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "server_connection.hpp"
 
+#include "arbutusferry/http_status.hpp"
 #include "arbutusferry/logging.hpp"
 #include "connection_responder.hpp"
 
@@ -316,6 +317,9 @@
 {
   mCloseAfterResponse = mCloseAfterResponse || mOwner->Draining();
   aHeaders.Remove("Connection");
+  if (IsBodilessHttpStatus(aStatus) && aStatus != 304) {
+    aHeaders.Remove("Content-Length"); // RFC 9110, section 8.6.
+  }
   if (mCloseAfterResponse) {
     aHeaders.Add("Connection", "close");
   }
@@ -331,14 +335,15 @@
   if (ResponseClosed(aRequestNumber)) {
     return;
   }
+  mBodiless = mHeadRequest || IsBodilessHttpStatus(aResponse.status);
   aResponse.headers.Remove("Transfer-Encoding");
-  if (!mHeadRequest) {
+  if (!mBodiless) {
     aResponse.headers.Remove("Content-Length");
     aResponse.headers.Add("Content-Length",
                           std::to_string(aResponse.body.size()));
   }
   AppendHead(aResponse.status, std::move(aResponse.headers));
-  if (!mHeadRequest) {
+  if (!mBodiless) {
     mOutput += aResponse.body;
   }
   Complete();
@@ -353,7 +358,8 @@
     return;
   }
   header_list headers = aHeaders;
-  mChunked = !headers.Find("Content-Length");
+  mBodiless = mHeadRequest || IsBodilessHttpStatus(aStatus);
+  mChunked = !mBodiless && !headers.Find("Content-Length");
   if (mChunked) {
     headers.Add("Transfer-Encoding", "chunked");
   }
@@ -364,7 +370,7 @@
 void
 server_connection::Write(std::uint64_t aRequestNumber, std::string_view aPart)
 {
-  if (ResponseClosed(aRequestNumber) || aPart.empty() || mHeadRequest) {
+  if (ResponseClosed(aRequestNumber) || aPart.empty() || mBodiless) {
     return;
   }
   if (mChunked) {
@@ -389,7 +395,7 @@
   if (ResponseClosed(aRequestNumber)) {
     return;
   }
-  if (mChunked && !mHeadRequest) {
+  if (mChunked) {
     mOutput += "0\r\n\r\n";
   }
   Complete();
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -153,6 +153,7 @@
   bool mCloseAfterResponse = false;
   bool mChunked = false;
   bool mHeadRequest = false;
+  bool mBodiless = false; ///< The response in progress has no body.
 };
 
 } // namespace arbutusferry::node
--- a/tests/unit/asio_net_test.cpp
+++ b/tests/unit/asio_net_test.cpp
@@ -41,6 +41,13 @@
       aResponder->End();
       return;
     }
+    if (aRequest.target.starts_with("/status/")) {
+      const int status = std::stoi(aRequest.target.substr(8));
+      aResponder->Begin(status, {});
+      aResponder->Write("body");
+      aResponder->End();
+      return;
+    }
     if (aRequest.target == "/never") {
       held = aResponder;
       aResponder->OnDisconnect([this] { ++disconnects; });
@@ -273,6 +280,24 @@
   CHECK(third != std::string::npos);
 }
 
+// Guards against bytes behind a response without a body, which the caller takes
+// for the begin of the next response.
+TEST_CASE("nothing follows the head of a response without a body")
+{
+  const std::string status = GENERATE("204", "304");
+  const std::string method = GENERATE("GET", "HEAD");
+  CAPTURE(status, method);
+  net_test test;
+  const std::string answer =
+    test.Raw(method + " /status/" + status + " HTTP/1.1\r\nHost: h\r\n\r\n" +
+             "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 " + status));
+  const auto end = answer.find("\r\n\r\n");
+  REQUIRE(end != std::string::npos);
+  CHECK(answer.substr(0, end).find("Transfer-Encoding") == std::string::npos);
+  CHECK(answer.substr(end + 4).starts_with("HTTP/1.1 200"));
+}
+
 // Guards against request smuggling: a request hidden in the body of another.
 TEST_CASE("requests with two lengths are rejected and the connection closed")
 {
