Take no part of a response before a reset for all of it

Callers saw: a sampler answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written.

Cause: a reset is reported once, to the operation on the socket that meets it first. A pending write was told, and the client dropped its error; the read then found the end of the data, as after an orderly close.

Ruled out: the parser (a part of a response with a length or in chunks was a broken exchange); the read (short uploads were broken too); the forwarder. The log said nothing of failed writes: request_write_failed does.

Change: the client keeps the error of a write and judges the end of the data only after the outcomes of writes that are queued. A response that ends with its connection is whole if no write met an error, or a broken pipe, which comes only after an orderly close. One place for all readers.

The soak sends uploads to a target that resets most.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -88,6 +88,11 @@
   void OnParsedHead() override;
   void OnParsedBody(std::string_view aPart) override;
   void Write();
+  void OnWriteError(const net_error& aError);
+  void OnEndOfData();
+  void ConcludeAtEndOfData();
+  /// @return Whether the end of the data completes the response.
+  [[nodiscard]] bool EndsWithConnection() const;
   void WaitReadable();
   void ReadAvailable();
   void Parse();
@@ -106,6 +111,7 @@
   bool mConnected = false;
   bool mClosed = false;
   bool mRequestWritten = false;
+  bool mReset = false; ///< Sending the request met an error of the connection.
   bool mDiscardMessage = false; ///< Interim or for another request.
   bool mHeadRequest = false;
   std::string mOutput;
@@ -310,6 +316,7 @@
   mOptions = aOptions;
   mSink = std::move(aSink);
   mRequestWritten = false;
+  mReset = false;
   mUncounted = 0;
   mBodyBytes = 0;
   mHeadRequest = aRequest.method == "HEAD";
@@ -362,11 +369,25 @@
       }
       self->mOutputBody = {};
       self->mRequestWritten = !aError;
-      // A failed write is not reported here: a peer may respond and close
-      // before it has read the whole request, so the read decides.
+      if (aError) {
+        self->OnWriteError(aError);
+      }
     });
 }
 
+void
+client_connection::OnWriteError(const net_error& aError)
+{
+  Log(log_level::Info,
+      "request_write_failed",
+      { { "peer", mPeer }, { "error", aError.message() } });
+  // A peer may respond and close before it has read the whole request, so the
+  // read decides how the exchange ends. But a connection reports its reset only
+  // once: the read finds the end of the data instead. Only a peer that has
+  // ended its side in order makes the write fail with a broken pipe.
+  mReset = aError != asio::error::broken_pipe;
+}
+
 void
 client_connection::ArmReadTimer()
 {
@@ -425,17 +446,46 @@
   if (mClosed) {
     return;
   }
-  if (error) {
-    if (mSink && error == asio::error::eof && mParser->is_header_done() &&
-        mParser->need_eof() && !mDiscardMessage) {
-      Close();
-      std::exchange(mSink, nullptr)->OnEnd();
-      return;
+  if (error == asio::error::eof && mSink) {
+    OnEndOfData();
+  } else if (error) {
+    Fail(exchange_failure::Broken);
+  } else {
+    WaitReadable();
+  }
+}
+
+void
+client_connection::OnEndOfData()
+{
+  if (mRequestWritten) {
+    ConcludeAtEndOfData();
+    return;
+  }
+  // A write that met a reset may have its completion queued behind this one.
+  asio::post(mLoop.Context(), [self = shared_from_this()] {
+    if (!self->mClosed) {
+      self->ConcludeAtEndOfData();
     }
+  });
+}
+
+void
+client_connection::ConcludeAtEndOfData()
+{
+  if (!EndsWithConnection()) {
     Fail(exchange_failure::Broken);
     return;
   }
-  WaitReadable();
+  Close();
+  std::exchange(mSink, nullptr)->OnEnd();
+}
+
+bool
+client_connection::EndsWithConnection() const
+{
+  return mParser->is_header_done() && mParser->need_eof() && !mDiscardMessage &&
+         !mReset;
 }
 
 void
--- a/standins/node-soak/soak.cpp
+++ b/standins/node-soak/soak.cpp
@@ -105,6 +105,12 @@
         address + "\"}");
     mServices.push_back(std::move(service));
   }
+  mUploads = std::make_unique<upload_target>(mLoop);
+  mStore.PutRecord("keyed.servers",
+                   "u0",
+                   R"({"service":"uploads","zone":"z0","slots":8,)"
+                   R"("state":"ready","born":1,"address":"127.0.0.1:)" +
+                     std::to_string(mUploads->Port()) + "\"}");
   for (int index = 0; index < 4; ++index) {
     mFragile.push_back(std::make_unique<fragile_target>(
       mLoop, mStore, "f" + std::to_string(index)));
@@ -176,10 +182,17 @@
      "service":"fragile","max-attempts":2,"timeout-ms":800},
     {"name":"k","host":"lab.example","path-prefix":"/k/","kind":"idempotent",
      "service":"kiln","max-attempts":2,"timeout-ms":800},
+    {"name":"ui","host":"lab.example","path-prefix":"/ui/","kind":"idempotent",
+     "service":"uploads","max-attempts":2,"timeout-ms":2000},
+    {"name":"un","host":"lab.example","path-prefix":"/un/",
+     "kind":"non_idempotent","service":"uploads","max-attempts":2,
+     "timeout-ms":2000},
+    {"name":"us","host":"lab.example","path-prefix":"/us/","kind":"stream",
+     "service":"uploads","max-attempts":2,"timeout-ms":2000},
     {"name":"n","host":"lab.example","path-prefix":"/n/","kind":"non_idempotent",
      "service":"desk","max-attempts":2,"timeout-ms":2000}],
     "services":[{"name":"models","engine":{"models":[{"name":"m0"},{"name":"m1"}]}},
-     {"name":"streams"},{"name":"desk"},{"name":"fragile"},
+     {"name":"streams"},{"name":"desk"},{"name":"fragile"},{"name":"uploads"},
      {"name":"kiln","cold-start-s":4,"coldstart-per-s":7.8}],"limits":{},"tenants":[{"name":"acme","api-keys":["key"]}]})");
 }
 
@@ -380,6 +393,7 @@
   RunAfter(milliseconds(1'500), [this] {
     CallService();
     CallFragileTargets();
+    SendUpload();
     if (mOptions.zones) {
       OrderEvacuation();
       RestartZoneTargets();
@@ -438,7 +452,7 @@
     "%zu requests in 4 s at a "
     "limited target, %zu ends of fragile targets (%zu late), %llu of %llu "
     "calls beside them served, %llu reward calls, %llu calls at stopping "
-    "nodes, %zu findings\n",
+    "nodes, %llu of %llu uploads answered, %zu findings\n",
     static_cast<unsigned long long>(mOptions.seed),
     static_cast<unsigned long long>(mFaultCount),
     accepted,
@@ -457,6 +471,8 @@
     static_cast<unsigned long long>(mFragileCalls),
     static_cast<unsigned long long>(mRewardCalls),
     static_cast<unsigned long long>(mCallsAtStopping),
+    static_cast<unsigned long long>(mWholeUploads),
+    static_cast<unsigned long long>(mUploadCount),
     mFindings.size());
   for (const std::string& text : mFindings) {
     std::printf("finding: %s\n", text.c_str());
--- a/standins/node-soak/soak.hpp
+++ b/standins/node-soak/soak.hpp
@@ -5,6 +5,7 @@
 #include "soak_servers.hpp"
 #include "soak_targets.hpp"
 #include "socket_owner.hpp"
+#include "upload_target.hpp"
 #include "zone_target.hpp"
 
 #include <csignal>
@@ -210,6 +211,8 @@
                     const node::responder& aResponder);
   void OnScored(const std::string& aItem, const std::string& aScore);
   void CheckScore(const std::string& aItem, const Json::Value& aResult);
+  /// Sends a long request to a target that responds before it has read it.
+  void SendUpload();
   /// Sends the crashing request, and another one for the same targets.
   void CallFragileTargets();
   /// Counts a run of the crashing request, unless the sender is excused.
@@ -264,6 +267,9 @@
   std::vector<std::string> mSamplerAddresses;
   std::vector<std::unique_ptr<fake_plain_service>> mServices;
   std::vector<std::unique_ptr<fragile_target>> mFragile;
+  std::unique_ptr<upload_target> mUploads;
+  std::uint64_t mUploadCount = 0;
+  std::uint64_t mWholeUploads = 0;     ///< Brought a whole response.
   std::optional<time_point> mThirdEnd; ///< Of a fragile target.
   std::size_t mFragileEnds = 0;
   std::size_t mLateEnds = 0; ///< That undisturbed nodes had to prevent.
--- a/standins/node-soak/soak_load.cpp
+++ b/standins/node-soak/soak_load.cpp
@@ -15,6 +15,8 @@
 /// Failed reward calls without which no item may end as errored: the largest
 /// `max-attempts` of the routes that an item and its call use.
 constexpr int kRewardAttempts = 3;
+/// More than a connection holds of what its peer doesn't read.
+constexpr std::size_t kUploadBytes = 6'000'000;
 
 } // namespace
 
@@ -91,6 +93,33 @@
   RunAfter(milliseconds(20 + RandomBelow(40)), [this] { CallService(); });
 }
 
+void
+soak_test::SendUpload()
+{
+  if (mFaultsCleared) {
+    return;
+  }
+  const std::string id = "u" + std::to_string(++mUploadCount);
+  constexpr std::array kPaths{ "/ui/x", "/un/x", "/us/x" };
+  SendToNode({ "POST",
+               kPaths.at(RandomBelow(kPaths.size())),
+               { { "Arbutusferry-Request-Id", id },
+                 { "Arbutusferry-Deadline-Ms", "2000" } },
+               std::string(kUploadBytes, 'x') },
+             [this, id](const node::http_response* aResponse, auto) {
+               if (!aResponse || aResponse->status != 200) {
+                 return;
+               }
+               ++mWholeUploads;
+               const std::string whole = WholeUploadResponse(id);
+               if (whole.empty() || aResponse->body != whole) {
+                 AddFinding(id + ": a part of a response came as all of it: " +
+                            aResponse->body);
+               }
+             });
+  RunAfter(milliseconds(150 + RandomBelow(300)), [this] { SendUpload(); });
+}
+
 void
 soak_test::StartBatch()
 {
--- a/tests/support/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -64,17 +64,26 @@
   ::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 }
 
+/// The part of a request that is read before it is answered.
+enum class request_part
+{
+  Head,
+  Whole,
+};
+
 /// Server that passes each request and its socket to a function, one connection
 /// at a time.
 class raw_server
 {
 public:
-  /// Receives the request as sent and writes the response to the socket, which
-  /// is closed afterwards.
+  /// Receives the part of the request that was read and writes the response to
+  /// the socket, which is closed afterwards.
   using handler = std::function<void(const std::string&, int)>;
 
-  explicit raw_server(handler aHandler)
+  explicit raw_server(handler aHandler,
+                      request_part aRead = request_part::Whole)
     : mHandler(std::move(aHandler))
+    , mRead(aRead)
     , mListener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
     sockaddr_in address{};
@@ -108,6 +117,8 @@
     return "127.0.0.1:" + std::to_string(mPort);
   }
   [[nodiscard]] int Requests() const { return mRequests; }
+  /// @return Number of connections that were closed.
+  [[nodiscard]] int Closed() const { return mClosed; }
 
 private:
   void Serve()
@@ -128,10 +139,11 @@
         answer(request, socket);
       }
       ::close(socket);
+      ++mClosed;
     }
   }
 
-  static std::string ReadRequest(int aSocket)
+  [[nodiscard]] std::string ReadRequest(int aSocket) const
   {
     std::string text;
     char byte = 0;
@@ -141,6 +153,9 @@
       }
       text += byte;
     }
+    if (mRead == request_part::Head) {
+      return text;
+    }
     const std::size_t field = text.find("Content-Length: ");
     std::size_t length =
       field == std::string::npos ? 0 : std::stoul(text.substr(field + 16));
@@ -153,9 +168,11 @@
 
   std::mutex mMutex;
   handler mHandler;
+  request_part mRead;
   int mListener;
   int mPort = 0;
   std::atomic<int> mRequests{ 0 };
+  std::atomic<int> mClosed{ 0 };
   std::thread mThread;
 };
 
