Pass on each success on a route of streams as it arrives

Ruled out: errors, which are passed on whole; streams of events, which are passed on in parts either way.

Change: forwarded_call passes each 2xx on a route of streams on as it arrives; event_stream_end asks for the end of an event only of streams of events without a length.

--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -40,8 +40,9 @@
   if (verdict != response_class::Genuine) {
     return;
   }
+  // An error is no stream; it is passed on whole, as on other routes.
   if (mCall->mCall.route.kind == route_kind::Stream && !mCall->mEnded &&
-      IsEventStream(aStatus, aHeaders)) {
+      aStatus / 100 == 2) {
     // The first target that responds serves the stream; other attempts end.
     const auto call = mCall;
     call->StopAttempts(this);
--- a/src/streams/event_stream.cpp
+++ b/src/streams/event_stream.cpp
@@ -10,24 +10,23 @@
 /// Bytes of an empty line and of the end of the line before it.
 constexpr std::size_t kTailBytes = 4;
 
-/// @return A media type without its parameters.
-std::string_view
-WithoutParameters(std::string_view aMediaType)
+/// @return Whether a media type, whose parameters don't matter, is that of a
+/// stream of events.
+bool
+IsEventStream(std::string_view aMediaType)
 {
   const std::string_view type = aMediaType.substr(0, aMediaType.find(';'));
-  return type.substr(0, type.find_last_not_of(" \t") + 1);
+  return EqualIgnoringCase(type.substr(0, type.find_last_not_of(" \t") + 1),
+                           kEventStreamType);
 }
 
 } // namespace
 
-bool
-IsEventStream(int aStatus, const header_list& aHeaders)
+event_stream_end::event_stream_end(const header_list& aHeaders)
 {
-  if (aStatus / 100 != 2) {
-    return false;
-  }
   const auto type = aHeaders.Find("Content-Type");
-  return !type || EqualIgnoringCase(WithoutParameters(*type), kEventStreamType);
+  mNeedsEvent =
+    !aHeaders.Find("Content-Length") && (!type || IsEventStream(*type));
 }
 
 void
@@ -40,7 +39,7 @@
 bool
 event_stream_end::Whole() const
 {
-  return mHasLength || mTail.empty() || mTail.ends_with("\n\n") ||
+  return !mNeedsEvent || mTail.empty() || mTail.ends_with("\n\n") ||
          mTail.ends_with("\n\r\n");
 }
 
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -471,10 +471,13 @@
 // aborted for its text, and against one that loses its last event unnoticed.
 TEST_CASE("the length of a stream decides whether it is whole, else its text")
 {
-  const std::string type =
-    GENERATE("", "text/event-stream", "Text/Event-Stream ; charset=utf-8");
+  const std::string type = GENERATE("",
+                                    "text/event-stream",
+                                    "Text/Event-Stream ; charset=utf-8",
+                                    "application/x-ndjson");
   const bool hasLength = GENERATE(true, false);
   CAPTURE(type, hasLength);
+  const bool isWhole = hasLength || type == "application/x-ndjson";
   forwarder_fixture test;
   const auto answer = test.Call(route_kind::Stream);
   header_list headers = kStamped;
@@ -489,8 +492,8 @@
   sink->OnBody("id: 1\ndata: x");
   CHECK(answer->response.body == "id: 1\ndata: x");
   sink->OnEnd();
-  CHECK(answer->answers == (hasLength ? 1 : 0));
-  CHECK(answer->aborted != hasLength);
+  CHECK(answer->answers == (isWhole ? 1 : 0));
+  CHECK(answer->aborted != isWhole);
 }
 
 // Guards against requests that end without a response when their node stops,
