--- a/standins/node-soak/upload_target.hpp
+++ b/standins/node-soak/upload_target.hpp
@@ -8,8 +8,8 @@
 
 namespace arbutusferry::node_soak {
 
-/// Body of a response that an upload may bring if it is complete; derived from
-/// the request's id.
+/// @return The body of the response to an upload if that ends in order, or an
+/// empty text if it is reset; derived from the request's id.
 [[nodiscard]] std::string
 WholeUploadResponse(const std::string& aRequest);
 
--- a/tests/unit/reset_response_test.cpp
+++ b/tests/unit/reset_response_test.cpp
@@ -25,6 +25,20 @@
   OrderlyThenReset, ///< The reset answers what is still being sent.
 };
 
+constexpr std::string_view
+NameOf(connection_end aEnd)
+{
+  switch (aEnd) {
+    case connection_end::Reset:
+      return "reset";
+    case connection_end::Orderly:
+      return "orderly";
+    case connection_end::OrderlyThenReset:
+      break;
+  }
+  return "orderly, then reset";
+}
+
 /// Responds before it has read the body of a request, and ends the connection.
 void
 RespondEarly(int aSocket,
@@ -76,7 +90,7 @@
                             connection_end::OrderlyThenReset);
   const std::size_t bodySize = GENERATE(std::size_t{ 4 }, kLongBody);
   const bool readBeforeEnd = GENERATE(false, true);
-  CAPTURE(static_cast<int>(end), bodySize, readBeforeEnd);
+  CAPTURE(NameOf(end), bodySize, readBeforeEnd);
   const auto sink = std::make_shared<recording_sink>();
   response_readers test(
     [&](const std::string&, int aSocket) {
