Let go of a call whose stream was broken off

Callers saw nothing yet: each aborted stream kept its call and request in memory until the process ended.

Cause: a call and the attempt that it holds keep each other alive, and OnStreamBroken left its own attempt in the call's list. LeakSanitizer showed it in the tests of streams that are aborted.

Ruled out: the exchange, the connection and the responder, which end before.

Change: the list is emptied, as at the other ends of a call.

Result: the new test of call_forwarder_test fails before (2 assertions) and passes now, with reset_response_test, stranded_node_test, software_version_test and unusable_response_test.

--- a/src/node/call_attempt.cpp
+++ b/src/node/call_attempt.cpp
@@ -83,10 +83,12 @@
 forwarded_call::attempt::OnStreamBroken()
 {
   const auto call = mCall;
+  const std::string target = mTarget.id;
   call->mEnded = true;
-  call->StopAttempts(this);
+  // The call and an attempt that it holds keep each other alive.
+  call->StopAttempts(nullptr);
   call->mResponder->Abort();
-  call->RecordOutcome("stream_broken", mTarget.id);
+  call->RecordOutcome("stream_broken", target);
 }
 
 void
--- a/tests/unit/call_forwarder_test.cpp
+++ b/tests/unit/call_forwarder_test.cpp
@@ -496,6 +496,24 @@
   CHECK(answer->aborted != isWhole);
 }
 
+// Guards against memory that grows by the request of each broken stream.
+TEST_CASE("a stream that was broken off is forgotten")
+{
+  const bool endsInEvent = GENERATE(true, false);
+  CAPTURE(endsInEvent);
+  forwarder_fixture test;
+  const auto answer = test.Call(route_kind::Stream);
+  const auto sent = test.client.requests[0];
+  if (endsInEvent) {
+    sent->Answer(200, kStamped, "id: 1\nda");
+  } else {
+    sent->sink->OnHead(200, kStamped);
+    sent->Fail(exchange_failure::Broken);
+  }
+  CHECK(answer->aborted);
+  CHECK(test.forwarder.Active() == 0);
+}
+
 // Guards against requests that end without a response when their node stops,
 // and against a refusal of one that a target works on.
 TEST_CASE("calls are answered before their node exits")
