--- a/tests/unit/reset_response_test.cpp
+++ b/tests/unit/reset_response_test.cpp
@@ -145,6 +145,40 @@
   CHECK(sink->failure == exchange_failure::Broken);
 }
 
+// Guards against a sound response that its caller doesn't get, since its target
+// ended it with the connection before it had read the request.
+TEST_CASE("an early response that ends in order is passed on whole")
+{
+  const auto end =
+    GENERATE(connection_end::Orderly, connection_end::OrderlyThenReset);
+  const std::size_t bodySize = GENERATE(std::size_t{ 4 }, kLongBody);
+  CAPTURE(NameOf(end), bodySize);
+  response_readers test(
+    [end](const std::string&, int aSocket) {
+      RespondEarly(aSocket, end, [] {});
+    },
+    request_part::Head,
+    std::string(bodySize, 'x'));
+  std::shared_ptr<recording_responder> answer;
+  SECTION("a caller's request")
+  {
+    answer = test.SendCall(GENERATE(
+      route_kind::NonIdempotent, route_kind::Idempotent, route_kind::Stream));
+  }
+  SECTION("a relayed run")
+  {
+    answer = test.SendThroughRelay();
+  }
+  SECTION("a request through a gateway")
+  {
+    answer = test.SendThroughGateway();
+  }
+  REQUIRE(test.Reached([&] { return answer->answers > 0 || answer->aborted; }));
+  CHECK_FALSE(answer->aborted);
+  CHECK(answer->response.status == 200);
+  CHECK(answer->response.body == kBody);
+}
+
 // Guards against a reader of targets' responses that passes on or uses the part
 // of a response that came before a reset as if it were whole.
 TEST_CASE("no reader of targets' responses takes a part before a reset for all")
